--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,21 @@
+// Command bench measures dragonflyroute: its decisions on a virtual clock, and its processes on loopback.
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+func main() {
+	var cli struct {
+		Load loadCmd `cmd:"" help:"Sends requests to running entry hosts."`
+	}
+	k := kong.Parse(&cli, kong.Name("bench"))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/cmd_status.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/move"
+	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
+)
+
+type statusArgs struct {
+	operatorFlags
+	Watch  bool          `help:"Print again and again."`
+	Period time.Duration `default:"1s" help:"Time between prints of --watch."`
+	JSON   bool          `name:"json" help:"Print JSON."`
+}
+
+var statusCommand = command{name: "status", help: "Prints what one entry host knows of the system.", args: &statusArgs{}}
+
+type statusReport struct {
+	Self           pulse.Pulse   `json:"self"`
+	Peers          []pulse.Pulse `json:"peers"`
+	CatalogueAge   string        `json:"catalogue-age"`
+	MayServe       bool          `json:"may-serve"`
+	Moves          []move.Move   `json:"moves"`
+	PendingRecords int           `json:"pending-records"`
+	Endpoints      []struct {
+		ID       string `json:"id"`
+		Backend  string `json:"backend"`
+		Version  string `json:"version"`
+		Leaving  bool   `json:"leaving"`
+		InFlight int    `json:"in-flight"`
+	} `json:"endpoints"`
+}
+
+// Run prints the report once, or until interrupted.
+func (a *statusArgs) Run(ctx context.Context) error {
+	for {
+		report := &statusReport{}
+		if err := a.call(ctx, http.MethodGet, "/operator/status", nil, report); err != nil {
+			return err
+		}
+		if err := a.print(report); err != nil || !a.Watch {
+			return err
+		}
+		if pause(ctx, a.Period) != nil {
+			return nil
+		}
+	}
+}
+
+func (a *statusArgs) print(r *statusReport) error {
+	if a.JSON {
+		return printJSON(r)
+	}
+	fmt.Printf("catalogue revision %d, confirmed %s ago, may serve: %t, records waiting: %d\n", r.Self.Revision, r.CatalogueAge, r.MayServe, r.PendingRecords)
+	for _, p := range append([]pulse.Pulse{r.Self}, r.Peers...) {
+		fmt.Printf("entry host %-14s %-12s %-9s revision %d, %d running, %s\n", p.Host, p.DataCentre, p.State, p.Revision, p.Running, p.Callers)
+	}
+	for _, e := range r.Endpoints {
+		state := "live"
+		if e.Leaving {
+			state = "leaving"
+		}
+		fmt.Printf("endpoint   %-14s %-12s %-9s version %s, %d in flight\n", e.ID, e.Backend, state, e.Version, e.InFlight)
+	}
+	for i := range r.Moves {
+		if err := printMove(&r.Moves[i], false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/commands.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+)
+
+// The exit codes of every command.
+const (
+	exitOK        = 0
+	exitFailed    = 1
+	exitBadInput  = 2
+	exitTakenBack = 3
+)
+
+// command is one subcommand: its name, its help and its arguments, whose Run method is the action.
+type command struct {
+	name string
+	help string
+	args any
+}
+
+var commands = []command{
+	serveCommand,
+	checkCommand,
+	catalogueCommand,
+	moveCommand,
+	statusCommand,
+	entriesCommand,
+	askCommand,
+	versionCommand,
+}
+
+func run(args []string) int {
+	options := []kong.Option{
+		kong.Name("dragonflyroute"),
+		kong.Description("Serves model answers and application calls on reclaimable hosts."),
+		kong.UsageOnError(),
+	}
+	for _, c := range commands {
+		options = append(options, kong.DynamicCommand(c.name, c.help, "", c.args))
+	}
+	parser, err := kong.New(&struct{}{}, options...)
+	if err != nil {
+		return report(err)
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "dragonflyroute: %s\n", err)
+		return exitBadInput
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	return report(parsed.Run())
+}
+
+// report prints a failure and returns its exit code.
+func report(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var ended takenBackError
+	if errors.As(err, &ended) {
+		fmt.Fprintf(os.Stderr, "dragonflyroute: %s\n", ended)
+		return exitTakenBack
+	}
+	fmt.Fprintf(os.Stderr, "dragonflyroute: %s\n", err)
+	switch fault.KindOf(err) {
+	case kind.BadRequest, kind.NotFound, kind.Unauthorized, kind.TooLarge:
+		return exitBadInput
+	default:
+		return exitFailed
+	}
+}
+
+func printJSON(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return fault.Wrap(kind.Internal, e.Encode(v), "output")
+}
--- /dev/null
+++ b/coordination/judge/judge.go
@@ -0,0 +1,100 @@
+// Package judge tells a bad version from a good one by sequential tests.
+package judge
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
+)
+
+const (
+	// priorGood and priorBad shape the mixture of the confidence sequence towards small failure rates.
+	priorGood = 1.0
+	priorBad  = 0.5
+	// bisections bounds the search for a confidence limit.
+	bisections = 40
+)
+
+// Judge compares the new version with the old one on each route.
+//
+// Its limits come from a beta-binomial mixture martingale, so they hold at all times at once (Ville's
+// inequality): however often it looks, a version that is at most Margin worse than the old one is found bad
+// with probability at most Alpha for each set of trials.
+type Judge struct {
+	// Alpha bounds the chance of a wrong withdrawal.
+	Alpha float64
+	// Margin is the increase of the bad share that is tolerated.
+	Margin float64
+}
+
+// Bad reports whether the trials show the new version to be worse, and on which route and by how much.
+func (j *Judge) Bad(trials []trial.Trial) (reason string, bad bool) {
+	alpha := j.Alpha / float64(2*max(len(trials), 1))
+	for _, t := range trials {
+		lowest := Lower(t.New, t.NewBad, alpha)
+		highest := Upper(t.Old, t.OldBad, alpha)
+		if t.Old == 0 {
+			highest = j.Margin
+		}
+		if lowest > highest+j.Margin {
+			return fmt.Sprintf("route %s: %d of %d bad on the new version, %d of %d on the old", t.Route, t.NewBad, t.New, t.OldBad, t.Old), true
+		}
+	}
+	return "", false
+}
+
+// Upper returns the always-valid upper limit of the bad share after n trials of which bad were bad.
+func Upper(n, bad int64, alpha float64) float64 {
+	if n == 0 {
+		return 1
+	}
+	inside, outside := float64(bad)/float64(n), 1.0
+	if !excluded(n, bad, 1-1e-12, alpha) {
+		return 1
+	}
+	for range bisections {
+		middle := (inside + outside) / 2
+		if excluded(n, bad, middle, alpha) {
+			outside = middle
+		} else {
+			inside = middle
+		}
+	}
+	return outside
+}
+
+// Lower returns the always-valid lower limit of the bad share after n trials of which bad were bad.
+func Lower(n, bad int64, alpha float64) float64 {
+	if bad == 0 {
+		return 0
+	}
+	inside, outside := float64(bad)/float64(n), 0.0
+	if !excluded(n, bad, 1e-12, alpha) {
+		return 0
+	}
+	for range bisections {
+		middle := (inside + outside) / 2
+		if excluded(n, bad, middle, alpha) {
+			outside = middle
+		} else {
+			inside = middle
+		}
+	}
+	return outside
+}
+
+// excluded reports whether the mixture martingale against share p has reached 1/alpha.
+func excluded(n, bad int64, p, alpha float64) bool {
+	good := float64(n - bad)
+	mixture := logBeta(float64(bad)+priorBad, good+priorGood) - logBeta(priorBad, priorGood)
+	likelihood := float64(bad)*math.Log(p) + good*math.Log1p(-p)
+	return mixture-likelihood >= -math.Log(alpha)
+}
+
+func logBeta(a, b float64) float64 {
+	x, _ := math.Lgamma(a)
+	y, _ := math.Lgamma(b)
+	z, _ := math.Lgamma(a + b)
+	return x + y - z
+}
--- /dev/null
+++ b/coordination/keeper/keeper.go
@@ -0,0 +1,164 @@
+// Package keeper takes and keeps leases.
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/lease"
+	"github.com/dragonflyroute/dragonflyroute/protocol/record"
+	"github.com/dragonflyroute/dragonflyroute/protocol/table"
+)
+
+// safetyShare is the part of the term after which the holder stops, before others may start.
+const safetyShare = 0.8
+
+type store interface {
+	Commit(ctx context.Context, t table.Txn) (int64, error)
+	Read(ctx context.Context, key string) (record.Record, error)
+}
+
+// Keeper takes one lease and renews it with each Step.
+//
+// Clocks of hosts need not agree: the holder counts its term from before the renewal was sent, everybody else
+// from when it first saw the renewal, each on its own monotonic clock. Step must not be called concurrently;
+// Held may be.
+type Keeper struct {
+	// Store is the platform's table.
+	Store store
+	// Key is the lease's row.
+	Key string
+	// Self names the process's host.
+	Self host.ID
+	// Incarnation is this start of the process.
+	Incarnation int64
+	// Term is the lease's term.
+	Term time.Duration
+	// Now returns the monotonic time.
+	Now func() time.Time
+	// NewID returns a fresh write id.
+	NewID func() string
+
+	mu    sync.Mutex
+	until time.Time
+	fence int64
+
+	seenID string
+	seenAt time.Time
+	tried  map[string]time.Time
+}
+
+// Held returns the fencing number if the process holds the lease now; call it again before each effect.
+func (k *Keeper) Held() (fence int64, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fence, k.Now().Before(k.until)
+}
+
+// Step renews the lease, or takes it when it is free or its term is over.
+func (k *Keeper) Step(ctx context.Context) error {
+	before := k.Now()
+	row, err := k.Store.Read(ctx, k.Key)
+	if err != nil {
+		return err
+	}
+	var current lease.Lease
+	if row.Version > 0 {
+		if err := json.Unmarshal(row.Value, &current); err != nil {
+			return fault.Wrap(kind.Internal, err, "lease %s is not readable", k.Key)
+		}
+	}
+	k.see(current, before)
+	if !k.may(row, current) {
+		return nil
+	}
+	return k.take(ctx, row, current)
+}
+
+// see notes the first sight of a renewal, and accepts an own renewal whose answer was lost.
+func (k *Keeper) see(current lease.Lease, now time.Time) {
+	if sent, ok := k.tried[current.WriteID]; ok {
+		k.hold(current.Fence, sent)
+	}
+	if current.WriteID != k.seenID {
+		k.seenID = current.WriteID
+		k.seenAt = now
+	}
+}
+
+func (k *Keeper) may(row record.Record, current lease.Lease) bool {
+	if row.Version == 0 || k.own(current) {
+		return true
+	}
+	term := time.Duration(current.TermMillis) * time.Millisecond
+	return k.Now().Sub(k.seenAt) > term
+}
+
+func (k *Keeper) own(current lease.Lease) bool {
+	return current.Holder == k.Self && current.Incarnation == k.Incarnation
+}
+
+func (k *Keeper) take(ctx context.Context, row record.Record, current lease.Lease) error {
+	next := lease.Lease{
+		Holder:      k.Self,
+		Incarnation: k.Incarnation,
+		Fence:       current.Fence + 1,
+		TermMillis:  k.Term.Milliseconds(),
+		WriteID:     k.NewID(),
+	}
+	if k.own(current) {
+		next.Fence = current.Fence
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return fault.Wrap(kind.Internal, err, "lease %s is not writable", k.Key)
+	}
+	sent := k.Now()
+	k.tried = map[string]time.Time{next.WriteID: sent}
+	version, err := k.Store.Commit(ctx, table.Txn{}.IfVersion(k.Key, row.Version).Put(k.Key, value))
+	if err != nil {
+		return err
+	}
+	if version > 0 {
+		k.hold(next.Fence, sent)
+	}
+	return nil
+}
+
+func (k *Keeper) hold(fence int64, sent time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	until := sent.Add(time.Duration(float64(k.Term) * safetyShare))
+	if until.After(k.until) {
+		k.until = until
+	}
+	k.fence = fence
+}
+
+// Release gives the lease up; others may take it at once.
+func (k *Keeper) Release(ctx context.Context) error {
+	k.mu.Lock()
+	k.until = time.Time{}
+	k.mu.Unlock()
+	row, err := k.Store.Read(ctx, k.Key)
+	if err != nil || row.Version == 0 {
+		return err
+	}
+	var current lease.Lease
+	if err := json.Unmarshal(row.Value, &current); err != nil || !k.own(current) {
+		return err
+	}
+	current.TermMillis = 0
+	current.WriteID = k.NewID()
+	value, err := json.Marshal(current)
+	if err != nil {
+		return fault.Wrap(kind.Internal, err, "lease %s is not writable", k.Key)
+	}
+	_, err = k.Store.Commit(ctx, table.Txn{}.IfVersion(k.Key, row.Version).Put(k.Key, value))
+	return err
+}
--- /dev/null
+++ b/coordination/mover/mover.go
@@ -0,0 +1,228 @@
+// Package mover runs version moves.
+package mover
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
+	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
+	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/move"
+	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
+)
+
+type catalogue interface {
+	Current() *catlog.Catalogue
+	Offer(c *catlog.Catalogue) bool
+}
+
+type scores interface {
+	Trials(move string) []trial.Trial
+	Withdraw(move string) bool
+	Withdrawn(move string) bool
+	Keep(moves []string)
+}
+
+type edits interface {
+	StepMove(ctx context.Context, id string, fence int64, step func(m *move.Move)) (move.Move, error)
+	Head(ctx context.Context) (*catlog.Catalogue, error)
+}
+
+type peers interface {
+	// Evidence returns the trials of a move on all other entry hosts, by host.
+	Evidence(ctx context.Context, move string) map[string][]trial.Trial
+}
+
+type stage struct {
+	share float64
+	start map[string][]trial.Trial
+}
+
+// Mover steps the moves whose lease it holds, and stops bad ones on the process's own evidence at once.
+//
+// Step must not be called concurrently.
+type Mover struct {
+	// Catalogue holds the newest catalogue.
+	Catalogue catalogue
+	// Scores holds the process's own evidence.
+	Scores scores
+	// Edits commits steps.
+	Edits edits
+	// Peers gathers the other processes' evidence.
+	Peers peers
+	// Ramp decides steps.
+	Ramp ramp.Ramp
+	// Lease returns a new keeper of the lease with the given key.
+	Lease func(key string) *keeper.Keeper
+	// Now returns the time.
+	Now func() time.Time
+	// Log takes one line for each step.
+	Log hclog.Logger
+
+	keepers map[label.Name]*keeper.Keeper
+	stages  map[string]*stage
+}
+
+const self = ""
+
+// Step looks at every move under way once.
+func (m *Mover) Step(ctx context.Context) {
+	c := m.Catalogue.Current()
+	if c == nil {
+		return
+	}
+	if m.keepers == nil {
+		m.keepers = map[label.Name]*keeper.Keeper{}
+		m.stages = map[string]*stage{}
+	}
+	var known []string
+	for _, mv := range c.Moves {
+		known = append(known, mv.ID)
+		m.stepOne(ctx, mv)
+	}
+	m.Scores.Keep(known)
+	for id := range m.stages {
+		if !slices.Contains(known, id) {
+			delete(m.stages, id)
+		}
+	}
+}
+
+func (m *Mover) stepOne(ctx context.Context, mv move.Move) {
+	if mv.State == move.TakenBack {
+		m.Scores.Withdraw(mv.ID)
+	}
+	if mv.Ended() {
+		m.release(ctx, mv)
+		return
+	}
+	m.stopLocally(mv)
+	k := m.keepers[mv.Entry]
+	if k == nil {
+		k = m.Lease("lease/mover/" + string(mv.Entry))
+		m.keepers[mv.Entry] = k
+	}
+	if err := k.Step(ctx); err != nil {
+		m.Log.Debug("lease step failed", "move", mv.ID, "error", err)
+	}
+	if _, ok := k.Held(); !ok {
+		delete(m.stages, mv.ID)
+		return
+	}
+	m.lead(ctx, mv, k)
+}
+
+// stopLocally withdraws the move here on the process's own evidence; the heartbeat tells the peers.
+func (m *Mover) stopLocally(mv move.Move) {
+	if m.Scores.Withdrawn(mv.ID) {
+		return
+	}
+	if reason, bad := m.Ramp.Judge.Bad(m.Scores.Trials(mv.ID)); bad {
+		m.Scores.Withdraw(mv.ID)
+		m.Log.Warn("version stopped on own evidence", "move", mv.ID, "entry", mv.Entry, "version", mv.To, "reason", reason)
+	}
+}
+
+func (m *Mover) release(ctx context.Context, mv move.Move) {
+	k := m.keepers[mv.Entry]
+	if k == nil {
+		return
+	}
+	if err := k.Release(ctx); err != nil {
+		m.Log.Debug("lease release failed", "move", mv.ID, "error", err)
+	}
+	delete(m.keepers, mv.Entry)
+	delete(m.stages, mv.ID)
+}
+
+func (m *Mover) lead(ctx context.Context, mv move.Move, k *keeper.Keeper) {
+	evidence := m.Peers.Evidence(ctx, mv.ID)
+	if evidence == nil {
+		evidence = map[string][]trial.Trial{}
+	}
+	evidence[self] = m.Scores.Trials(mv.ID)
+	st := m.stages[mv.ID]
+	if st == nil || st.share != mv.Share {
+		st = &stage{share: mv.Share, start: evidence}
+		m.stages[mv.ID] = st
+	}
+	next := m.next(mv, evidence, st)
+	if next == mv {
+		return
+	}
+	if next.State == move.TakenBack {
+		m.Scores.Withdraw(mv.ID)
+	}
+	m.commit(ctx, next, k)
+}
+
+func (m *Mover) next(mv move.Move, evidence map[string][]trial.Trial, st *stage) move.Move {
+	if m.Scores.Withdrawn(mv.ID) {
+		mv.State = move.TakenBack
+		mv.Share = 0
+		mv.Reason = "an entry host stopped the version on its own evidence"
+		if reason, bad := m.Ramp.Judge.Bad(sum(evidence, nil)); bad {
+			mv.Reason = reason
+		}
+		return mv
+	}
+	return m.Ramp.Next(mv, sum(evidence, nil), sum(evidence, st.start), m.Now())
+}
+
+// commit writes the step under the lease's fencing number; the lease is checked again before the write.
+func (m *Mover) commit(ctx context.Context, next move.Move, k *keeper.Keeper) {
+	fence, ok := k.Held()
+	if !ok {
+		return
+	}
+	got, err := m.Edits.StepMove(ctx, next.ID, fence, func(mv *move.Move) {
+		mv.Share = next.Share
+		mv.State = next.State
+		mv.Reason = next.Reason
+	})
+	if err != nil {
+		m.Log.Warn("move step failed", "move", next.ID, "error", err)
+		return
+	}
+	m.Log.Info("move step", "move", got.ID, "entry", got.Entry, "version", got.To, "share", got.Share, "state", got.State, "reason", got.Reason)
+	if head, err := m.Edits.Head(ctx); err == nil {
+		m.Catalogue.Offer(head)
+	}
+}
+
+// sum adds the hosts' trials by route, less what they had at the start of a stage.
+//
+// A host that restarted since counts from nought, so its difference is taken as its whole count.
+func sum(now, start map[string][]trial.Trial) []trial.Trial {
+	var out []trial.Trial
+	for h, trials := range now {
+		for _, t := range trials {
+			out = add(out, less(t, start[h]))
+		}
+	}
+	return out
+}
+
+func less(t trial.Trial, start []trial.Trial) trial.Trial {
+	for _, s := range start {
+		if s.Route == t.Route && s.Old <= t.Old && s.New <= t.New && s.OldBad <= t.OldBad && s.NewBad <= t.NewBad {
+			return trial.Trial{Route: t.Route, Old: t.Old - s.Old, OldBad: t.OldBad - s.OldBad, New: t.New - s.New, NewBad: t.NewBad - s.NewBad}
+		}
+	}
+	return t
+}
+
+func add(out []trial.Trial, t trial.Trial) []trial.Trial {
+	for i := range out {
+		if out[i].Route == t.Route {
+			out[i] = out[i].Add(t)
+			return out
+		}
+	}
+	return append(out, t)
+}
--- /dev/null
+++ b/coordination/relay/relay.go
@@ -0,0 +1,278 @@
+// Package relay runs one model request to its end, over as many endpoints as it takes.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/route"
+	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/move"
+	"github.com/dragonflyroute/dragonflyroute/protocol/need"
+	"github.com/dragonflyroute/dragonflyroute/protocol/order"
+	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
+	"github.com/dragonflyroute/dragonflyroute/state/server"
+)
+
+const (
+	// bytesPerToken is the mean length of a prompt's token.
+	bytesPerToken = 4
+	// prefixBytes is the length of the prompt's leading part that routing matches.
+	prefixBytes = 512
+	// giveUp is how many times the answer limit an accepted request may take before it is given up.
+	giveUp = 3
+	// retryWait is the mean wait before an attempt after a failed one.
+	retryWait = 25 * time.Millisecond
+	// hopeless is how many times the answer limit may be expected at the door; beyond it a request is refused.
+	hopeless = 1.0
+)
+
+type engine interface {
+	// Generate carries out one attempt and calls emit for each token; it returns when the stream has ended.
+	Generate(ctx context.Context, s *server.Server, g order.Order, emit func(token string) error) error
+}
+
+type pool interface {
+	Candidates(backend, version label.Name) []*server.Server
+}
+
+type steer interface {
+	Choose(e *entry.Entry, m *move.Move) (version label.Name, id string, isNew bool)
+}
+
+type scores interface {
+	Record(move, route string, isNew, bad bool)
+}
+
+type retries interface {
+	Take() bool
+	Succeed()
+}
+
+type catalogue interface {
+	Current() *catlog.Catalogue
+}
+
+// Relay runs model requests.
+//
+// All methods may be called concurrently.
+type Relay struct {
+	// Engine reaches endpoints.
+	Engine engine
+	// Pool holds the endpoints.
+	Pool pool
+	// Steer chooses versions.
+	Steer steer
+	// Scores takes the evidence on moves.
+	Scores scores
+	// Retries bounds attempts after failures.
+	Retries retries
+	// Catalogue holds the moves.
+	Catalogue catalogue
+	// Picker chooses endpoints.
+	Picker route.Picker
+	// Now returns the time.
+	Now func() time.Time
+	// Trace starts a span for an attempt and returns the function that ends it.
+	Trace func(ctx context.Context, name string, attempt int, s *server.Server) (context.Context, func(err error))
+}
+
+// job is one request on its way.
+type job struct {
+	mu     sync.Mutex
+	ticket ticket.Ticket
+
+	entry   *entry.Entry
+	started time.Time
+	first   time.Time
+	emit    func(offset int, token string) error
+}
+
+func (j *job) snapshot() ticket.Ticket {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	t := j.ticket
+	t.Tokens = append([]string(nil), t.Tokens...)
+	return t
+}
+
+func (j *job) add(token string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ticket.Tokens = append(j.ticket.Tokens, token)
+	return len(j.ticket.Tokens) - 1
+}
+
+func (j *job) attempt() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ticket.Attempt++
+	return j.ticket.Attempt
+}
+
+func (j *job) left() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ticket.MaxTokens - len(j.ticket.Tokens)
+}
+
+func (j *job) text() string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := len(j.ticket.Prompt)
+	for _, t := range j.ticket.Tokens {
+		n += len(t)
+	}
+	text := make([]byte, 0, n)
+	text = append(text, j.ticket.Prompt...)
+	for _, t := range j.ticket.Tokens {
+		text = append(text, t...)
+	}
+	return string(text)
+}
+
+func (j *job) need(now time.Time) *need.Need {
+	text := j.text()
+	n := &need.Need{
+		Class:        j.entry.Class,
+		PromptTokens: len(text) / bytesPerToken,
+		OutTokens:    j.left(),
+		Prefix:       Prefix(text),
+		Answer:       j.entry.Limits.Answer.Of() - now.Sub(j.started),
+		Refund:       j.entry.Refund,
+		PriceCeiling: j.entry.PriceCeiling,
+	}
+	if j.first.IsZero() {
+		n.FirstToken = max(j.entry.Limits.FirstToken.Of()-now.Sub(j.started), 1)
+	}
+	return n
+}
+
+// Prefix returns the hash of the leading part of a prompt.
+func Prefix(text string) uint64 {
+	return xxhash.Sum64String(text[:min(len(text), prefixBytes)])
+}
+
+// Admit refuses a request that is not expected to be in time, with the time to come back.
+func (r *Relay) Admit(t ticket.Ticket, e *entry.Entry) error {
+	now := r.Now()
+	j := &job{ticket: t, entry: e, started: now}
+	best, expected := r.Picker.Pick(r.Pool.Candidates(e.Backend, e.Version), j.need(now), nil, now)
+	if best == nil {
+		return fault.New(kind.TooLate, "model", "no endpoint of %s version %s is usable", e.Backend, e.Version).After(time.Second)
+	}
+	limit := time.Duration(hopeless * float64(e.Limits.Answer.Of()))
+	if expected > limit {
+		return fault.New(kind.TooLate, "model", "the answer would take %s of %s allowed", expected.Round(time.Millisecond), limit).After(expected - limit)
+	}
+	return nil
+}
+
+// Run generates the answer of t from its token offset on and calls emit for each further token.
+//
+// begin is told how to read the request's ticket at any time. Endpoints that leave, fail or break are replaced;
+// the answer goes on from the tokens already there. An error from emit ends the request and is returned.
+func (r *Relay) Run(ctx context.Context, t ticket.Ticket, e *entry.Entry, begin func(snapshot func() ticket.Ticket), emit func(offset int, token string) error) error {
+	j := &job{ticket: t, entry: e, started: r.Now(), emit: emit}
+	j.ticket.Tokens = append([]string(nil), t.Tokens...)
+	begin(j.snapshot)
+	ctx, cancel := context.WithTimeout(ctx, giveUp*e.Limits.Answer.Of())
+	defer cancel()
+	var avoid *server.Server
+	for j.left() > 0 {
+		var err error
+		avoid, err = r.step(ctx, j, avoid)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// step makes one attempt; it returns the endpoint to avoid next, and an error only when the request is over.
+func (r *Relay) step(ctx context.Context, j *job, avoid *server.Server) (*server.Server, error) {
+	version, moveID, isNew := r.Steer.Choose(j.entry, r.moveOf(j.entry))
+	now := r.Now()
+	candidates := r.Pool.Candidates(j.entry.Backend, version)
+	s, _ := r.Picker.Pick(candidates, j.need(now), avoid, now)
+	if s == nil {
+		s, _ = r.Picker.Pick(candidates, j.need(now), nil, now)
+	}
+	if s == nil {
+		return nil, r.pause(ctx, j)
+	}
+	err := r.try(ctx, j, s)
+	result := r.classify(err)
+	if moveID != "" && result != moved && result != callerGone {
+		r.Scores.Record(moveID, string(j.entry.Name), isNew, result == failed || r.late(j))
+	}
+	switch result {
+	case finished:
+		r.Retries.Succeed()
+		return nil, nil
+	case callerGone:
+		return nil, err
+	case failed:
+		s.Failed(r.Now())
+		return s, r.backOff(ctx, j)
+	default:
+		return s, nil
+	}
+}
+
+func (r *Relay) moveOf(e *entry.Entry) *move.Move {
+	c := r.Catalogue.Current()
+	if c == nil {
+		return nil
+	}
+	return c.Move(e.Name)
+}
+
+// late reports whether the answer, or its first token, missed the class's limit.
+func (r *Relay) late(j *job) bool {
+	limits := &j.entry.Limits
+	if !j.first.IsZero() && j.first.Sub(j.started) > limits.FirstToken.Of() {
+		return true
+	}
+	return r.Now().Sub(j.started) > limits.Answer.Of()
+}
+
+func (r *Relay) backOff(ctx context.Context, j *job) error {
+	if r.Retries.Take() {
+		return nil
+	}
+	return r.pause(ctx, j)
+}
+
+// pause waits a jittered moment, or ends the request when its time is up.
+func (r *Relay) pause(ctx context.Context, j *job) error {
+	wait := retryWait/2 + rand.N(retryWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return r.over(ctx, j)
+	}
+}
+
+func (r *Relay) over(ctx context.Context, j *job) error {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return fault.New(kind.TooLate, "", "given up after %s at token %d of %d", r.Now().Sub(j.started).Round(time.Millisecond), j.ticket.MaxTokens-j.left(), j.ticket.MaxTokens).After(time.Second)
+	}
+	var told *fault.Error
+	if errors.As(context.Cause(ctx), &told) {
+		return told
+	}
+	return fault.Wrap(kind.OutcomeUnknown, context.Cause(ctx), "the request was cancelled")
+}
--- /dev/null
+++ b/coordination/route/route.go
@@ -0,0 +1,119 @@
+// Package route chooses the endpoint for one attempt of a request.
+package route
+
+import (
+	"math"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/class"
+	"github.com/dragonflyroute/dragonflyroute/protocol/need"
+	"github.com/dragonflyroute/dragonflyroute/state/server"
+)
+
+const (
+	// lateSlope is the steepness of the chance to be late around the limit.
+	lateSlope = 8.0
+	// failureMemory is the time after which half of the caution about a failed endpoint is gone.
+	failureMemory = 2 * time.Second
+	// failureCost multiplies the cost of an endpoint that failed just now.
+	failureCost = 8.0
+	// callTime is the service time assumed for an application call.
+	callTime = 20 * time.Millisecond
+	// defaultTokenTime stands in until an endpoint has reported.
+	defaultTokenTime = 30 * time.Millisecond
+	// defaultPrefillRate is prompt tokens per second until an endpoint has reported.
+	defaultPrefillRate = 4000.0
+	// defaultSlots is the batch size until an endpoint has reported.
+	defaultSlots = 4
+	// tieShare is the cost difference below which the choice is random.
+	tieShare = 0.02
+)
+
+// Picker chooses the candidate of the lowest expected cost: price of the work, plus the refund times the chance to be late.
+//
+// It holds no state and allocates nothing.
+type Picker struct {
+	// Rand returns a number in [0, 1).
+	Rand func() float64
+}
+
+// Pick returns the best candidate and the expected time to the whole answer, or nil when none may be used.
+//
+// Leaving endpoints, those above the price ceiling and avoid are never chosen.
+func (p *Picker) Pick(candidates []*server.Server, n *need.Need, avoid *server.Server, now time.Time) (*server.Server, time.Duration) {
+	var best *server.Server
+	var bestTime time.Duration
+	lowest := math.Inf(1)
+	for _, s := range candidates {
+		if s == avoid || !usable(s, n) {
+			continue
+		}
+		expected, cost := Estimate(s, n, now)
+		cost *= 1 + tieShare*p.Rand()
+		if cost < lowest {
+			best, bestTime, lowest = s, expected, cost
+		}
+	}
+	return best, bestTime
+}
+
+func usable(s *server.Server, n *need.Need) bool {
+	return !s.Leaving() && s.Row().Price <= n.PriceCeiling
+}
+
+// Estimate returns the expected time to the whole answer on one endpoint, and its expected cost in micro-euros.
+func Estimate(s *server.Server, n *need.Need, now time.Time) (time.Duration, float64) {
+	if n.Class == class.Call {
+		return estimateCall(s, n, now)
+	}
+	slots, tokenTime, prefillRate := defaultSlots, defaultTokenTime, defaultPrefillRate
+	if l := s.Load(); l != nil {
+		slots, tokenTime, prefillRate = l.Slots, l.TokenTime, l.PrefillRate
+	}
+	generate := time.Duration(n.OutTokens) * tokenTime
+	cached := s.PrefixChance(n.Prefix, now)
+	prefill := time.Duration(float64(n.PromptTokens) * (1 - cached) / prefillRate * float64(time.Second))
+	wait := waitTime(s, n.Class, slots, generate+prefill)
+	first := wait + prefill
+	total := first + generate
+	late := lateChance(total, n.Answer)
+	if n.FirstToken > 0 {
+		late = max(late, lateChance(first, n.FirstToken))
+	}
+	return total, cost(s, n, (generate+prefill)/time.Duration(slots), late, now)
+}
+
+func estimateCall(s *server.Server, n *need.Need, now time.Time) (time.Duration, float64) {
+	slots := defaultSlots
+	if l := s.Load(); l != nil {
+		slots = l.Slots
+	}
+	total := callTime + waitTime(s, n.Class, slots, callTime)
+	return total, cost(s, n, callTime, lateChance(total, n.Answer), now)
+}
+
+// waitTime is the expected time in the endpoint's queue; quick work waits behind quick work only.
+func waitTime(s *server.Server, c class.Class, slots int, service time.Duration) time.Duration {
+	ahead := s.Backlog(c)
+	if c == class.Long {
+		ahead += s.Backlog(class.Quick)
+	}
+	if ahead < slots {
+		return 0
+	}
+	return service * time.Duration(ahead-slots+1) / time.Duration(slots)
+}
+
+func lateChance(expected, limit time.Duration) float64 {
+	if limit <= 0 {
+		return 1
+	}
+	x := float64(expected) / float64(limit)
+	return 1 / (1 + math.Exp(-lateSlope*(x-1)))
+}
+
+func cost(s *server.Server, n *need.Need, busy time.Duration, late float64, now time.Time) float64 {
+	price := float64(s.Row().Price) * busy.Hours()
+	caution := float64(failureMemory) / float64(failureMemory+s.SinceFailure(now))
+	return (price + float64(n.Refund)*late + 1) * (1 + failureCost*caution)
+}
--- /dev/null
+++ b/coordination/spread/spread.go
@@ -0,0 +1,192 @@
+// Package spread keeps the entry hosts in touch: heartbeats, catalogue revisions and withdrawn moves.
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
+	"github.com/dragonflyroute/dragonflyroute/state/fleet"
+	"github.com/dragonflyroute/dragonflyroute/state/holder"
+	"github.com/dragonflyroute/dragonflyroute/state/score"
+)
+
+const (
+	// fanOut is the number of peers told in one round.
+	fanOut = 3
+	// smallFleet is the number of peers up to which a round tells all of them.
+	smallFleet = 8
+	// readsPerSecond bounds the whole fleet's reads of the head row.
+	readsPerSecond = 50
+)
+
+type peers interface {
+	// Pulse sends a heartbeat and returns the peer's own.
+	Pulse(ctx context.Context, address string, p pulse.Pulse) (pulse.Pulse, error)
+	// Fetch returns the peer's newest catalogue.
+	Fetch(ctx context.Context, address string) (*catlog.Catalogue, error)
+	// Push offers the peer a catalogue.
+	Push(ctx context.Context, address string, c *catlog.Catalogue) error
+}
+
+type head interface {
+	Head(ctx context.Context) (*catlog.Catalogue, error)
+}
+
+// Spread exchanges heartbeats with peers and keeps the newest catalogue.
+//
+// Each exchange compares revisions, and the lower side takes the higher one's catalogue, so a change reaches
+// everybody in a number of rounds that grows with the logarithm of the fleet. Methods may be called concurrently.
+type Spread struct {
+	// Peers reaches other entry hosts.
+	Peers peers
+	// Table reads the head row.
+	Table head
+	// Fleet is the view of the entry hosts.
+	Fleet *fleet.Fleet
+	// Holder keeps the newest catalogue.
+	Holder *holder.Holder
+	// Score keeps the withdrawn moves.
+	Score *score.Score
+	// Self returns the process's own heartbeat.
+	Self func() pulse.Pulse
+	// Now returns the time.
+	Now func() time.Time
+	// Rand draws peers.
+	Rand *rand.Rand
+	// MaxAge bounds the age of an unconfirmed catalogue.
+	MaxAge time.Duration
+
+	mu    sync.Mutex
+	heard map[host.ID]time.Time
+}
+
+// Round exchanges heartbeats with a few random peers, or with all in a small fleet.
+func (s *Spread) Round(ctx context.Context) {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, address := range s.draw() {
+		g.Go(func() error {
+			s.exchange(ctx, address)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+func (s *Spread) draw() []string {
+	contacts := s.Fleet.Contacts()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
+	if len(contacts) <= smallFleet {
+		return contacts
+	}
+	return contacts[:fanOut]
+}
+
+func (s *Spread) exchange(ctx context.Context, address string) {
+	answer, err := s.Peers.Pulse(ctx, address, s.Self())
+	if err != nil {
+		return
+	}
+	s.Hear(answer)
+	own := s.Holder.Current()
+	switch {
+	case answer.Revision > s.Holder.Revision():
+		if c, err := s.Peers.Fetch(ctx, address); err == nil {
+			s.Holder.Offer(c)
+		}
+	case own != nil && answer.Revision < own.Revision:
+		_ = s.Peers.Push(ctx, address, own)
+	}
+}
+
+// Hear takes a peer's heartbeat, whether it was sent or answered.
+func (s *Spread) Hear(p pulse.Pulse) {
+	now := s.Now()
+	s.Fleet.Observe(p, now)
+	s.Holder.Confirm(p.Revision, now.Add(-time.Duration(p.ConfirmedMillis)*time.Millisecond))
+	for _, id := range p.Withdrawn {
+		s.Score.Withdraw(id)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heard == nil {
+		s.heard = map[host.ID]time.Time{}
+	}
+	if p.Revision <= s.Holder.Revision() {
+		s.heard[p.Host] = now
+	}
+}
+
+// ReadTable takes the head row's catalogue and confirms its age.
+func (s *Spread) ReadTable(ctx context.Context) error {
+	before := s.Now()
+	c, err := s.Table.Head(ctx)
+	if err != nil {
+		return err
+	}
+	s.Holder.Offer(c)
+	s.Holder.Confirm(c.Revision, before)
+	return nil
+}
+
+// ReadWait returns the time to the next read of the table: base or more, jittered, so that the whole fleet's
+// reads stay bounded.
+func (s *Spread) ReadWait(base time.Duration) time.Duration {
+	n := len(s.Fleet.Contacts()) + 1
+	wait := max(base, time.Second*time.Duration(n)/readsPerSecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wait/2 + time.Duration(s.Rand.Int64N(int64(wait)))
+}
+
+// Current reports whether the process may act on its catalogue: the table confirmed it within MaxAge, directly
+// or through a peer, or more than half of the entry hosts were heard within MaxAge and none had a newer one.
+//
+// A change counts as in force only when more than half of the entry hosts hold it, so two halves always share
+// a host that knows it.
+func (s *Spread) Current(now time.Time) bool {
+	if s.Holder.Current() == nil {
+		return false
+	}
+	if s.Holder.Age(now) <= s.MaxAge {
+		return true
+	}
+	return s.majority(now)
+}
+
+func (s *Spread) majority(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	heard := 1
+	for _, at := range s.heard {
+		if now.Sub(at) <= s.MaxAge {
+			heard++
+		}
+	}
+	all := len(s.Fleet.Contacts()) + 1
+	return 2*heard > all && all > 1
+}
+
+// InForce returns how many of the alive entry hosts hold the revision or a newer one, and how many are alive.
+func (s *Spread) InForce(revision int64) (holding, alive int) {
+	now := s.Now()
+	alive = 1
+	if s.Holder.Revision() >= revision {
+		holding++
+	}
+	for _, p := range s.Fleet.Alive(now) {
+		alive++
+		if p.Revision >= revision {
+			holding++
+		}
+	}
+	return holding, alive
+}
--- /dev/null
+++ b/protocol/catlog/check.go
@@ -0,0 +1,115 @@
+package catlog
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/class"
+	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+)
+
+const (
+	maxScale  = 1000
+	maxTokens = 1 << 20
+	maxRate   = 1e6
+)
+
+type checker struct {
+	faults []error
+}
+
+func (k *checker) require(ok bool, field, format string, args ...any) {
+	if !ok {
+		k.faults = append(k.faults, fault.New(kind.BadRequest, field, format, args...))
+	}
+}
+
+// Check returns every fault of the catalogue: names, ranges, duplicates and dangling references.
+func (c *Catalogue) Check() []error {
+	k := &checker{}
+	known := c.checkAccounts(k)
+	seen := map[label.Name]bool{}
+	for i := range c.Entries {
+		path := fmt.Sprintf("entries[%d]", i)
+		e := &c.Entries[i]
+		k.require(!seen[e.Name], path+".name", "entry %q stands twice", e.Name)
+		seen[e.Name] = true
+		k.require(known[e.Owner], path+".owner", "no account %q", e.Owner)
+		checkEntry(k, path, e)
+	}
+	for i := range c.Moves {
+		k.require(seen[c.Moves[i].Entry], fmt.Sprintf("moves[%d].entry", i), "no entry %q", c.Moves[i].Entry)
+	}
+	return k.faults
+}
+
+func (c *Catalogue) checkAccounts(k *checker) map[acct.ID]bool {
+	known := map[acct.ID]bool{}
+	for i, a := range c.Accounts {
+		path := fmt.Sprintf("accounts[%d]", i)
+		k.require(label.Name(a.ID).Valid(), path+".id", "%q is not a kebab-case name", a.ID)
+		k.require(!known[a.ID], path+".id", "account %q stands twice", a.ID)
+		k.require(a.Scale > 0 && a.Scale <= maxScale, path+".scale", "%g is outside 0 to %d", a.Scale, maxScale)
+		known[a.ID] = true
+	}
+	return known
+}
+
+func checkEntry(k *checker, path string, e *entry.Entry) {
+	k.require(e.Name.Valid(), path+".name", "%q is not a kebab-case name", e.Name)
+	k.require(e.Backend.Valid(), path+".backend", "%q is not a kebab-case name", e.Backend)
+	k.require(e.Version.Valid(), path+".version", "%q is not a kebab-case name", e.Version)
+	k.require(e.PriceCeiling > 0, path+".price-ceiling-micros-per-hour", "must be above 0")
+	k.require(e.Refund >= 0, path+".refund-micros", "must not be negative")
+	checkLimits(k, path+".limits", e)
+	if e.Class == class.Call {
+		checkRoutes(k, path, e)
+		return
+	}
+	k.require(len(e.Routes) == 0, path+".routes", "a model entry has no routes")
+}
+
+func checkLimits(k *checker, path string, e *entry.Entry) {
+	l := &e.Limits
+	k.require(l.Answer > 0, path+".answer", "must be above 0")
+	k.require(l.Rate > 0 && l.Rate <= maxRate, path+".rate-per-second", "%g is outside 0 to %g", l.Rate, float64(maxRate))
+	k.require(l.Burst > 0, path+".burst", "must be above 0")
+	k.require(l.Concurrent > 0, path+".concurrent", "must be above 0")
+	if e.Class == class.Call {
+		k.require(l.MaxTokens == 0, path+".max-tokens", "a service entry has no tokens")
+		return
+	}
+	k.require(l.MaxTokens > 0 && l.MaxTokens <= maxTokens, path+".max-tokens", "%d is outside 1 to %d", l.MaxTokens, maxTokens)
+	k.require(l.FirstToken > 0, path+".first-token", "must be above 0")
+	k.require(l.BetweenTokens > 0, path+".between-tokens", "must be above 0")
+	k.require(l.Answer >= l.FirstToken, path+".answer", "is below first-token")
+}
+
+func checkRoutes(k *checker, path string, e *entry.Entry) {
+	k.require(len(e.Routes) > 0, path+".routes", "a service entry needs a route")
+	seen := map[string]bool{}
+	for i := range e.Routes {
+		r := &e.Routes[i]
+		at := fmt.Sprintf("%s.routes[%d]", path, i)
+		k.require(r.Name.Valid(), at+".name", "%q is not a kebab-case name", r.Name)
+		k.require(strings.HasPrefix(r.Path, "/"), at+".path", "%q does not start with /", r.Path)
+		k.require(knownMethod(r.Method), at+".method", "%q is not an HTTP method", r.Method)
+		id := r.Method + " " + r.Path
+		k.require(!seen[id], at, "route %s stands twice", id)
+		seen[id] = true
+	}
+}
+
+func knownMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete, http.MethodPatch:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/protocol/host/host.go
@@ -0,0 +1,5 @@
+// Package host holds one identifier.
+package host
+
+// ID names an entry host.
+type ID string
--- /dev/null
+++ b/protocol/period/period.go
@@ -0,0 +1,28 @@
+// Package period holds durations as settings and catalogues write them.
+package period
+
+import (
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+)
+
+// Period is a duration written with its unit, such as "1.2s" or "42ms".
+type Period time.Duration
+
+// Of returns the period as a time.Duration.
+func (p Period) Of() time.Duration { return time.Duration(p) }
+
+// MarshalText writes the period with its unit.
+func (p Period) MarshalText() ([]byte, error) { return []byte(p.Of().String()), nil }
+
+// UnmarshalText reads a period; a number without a unit is a bad request.
+func (p *Period) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fault.New(kind.BadRequest, "", "%q is not a duration with a unit, such as 1.5s", text)
+	}
+	*p = Period(d)
+	return nil
+}
--- /dev/null
+++ b/protocol/pulse/pulse.go
@@ -0,0 +1,45 @@
+// Package pulse holds the heartbeat that entry hosts exchange.
+package pulse
+
+import (
+	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+)
+
+// The states of an entry host.
+const (
+	// Starting has no catalogue yet.
+	Starting = "starting"
+	// Live takes new work.
+	Live = "live"
+	// Leaving drains.
+	Leaving = "leaving"
+)
+
+// Pulse is one heartbeat of an entry host.
+type Pulse struct {
+	// Host names the sender.
+	Host host.ID `json:"host"`
+	// Incarnation is unique to one start of the sender and grows from start to start.
+	Incarnation int64 `json:"incarnation"`
+	// Seq grows with each heartbeat of the incarnation.
+	Seq int64 `json:"seq"`
+	// Callers is the address that callers connect to.
+	Callers string `json:"callers"`
+	// Peers is the address that entry hosts connect to.
+	Peers string `json:"peers"`
+	// DataCentre is where the sender stands.
+	DataCentre centre.ID `json:"data-centre"`
+	// State is starting, live or leaving.
+	State string `json:"state"`
+	// Revision is the sender's catalogue revision.
+	Revision int64 `json:"revision"`
+	// ConfirmedMillis is how long ago the table last confirmed that revision to anyone the sender heard.
+	ConfirmedMillis int64 `json:"confirmed-ms"`
+	// Running is the number of requests the sender has running.
+	Running int `json:"running"`
+	// Withdrawn lists the moves that the sender knows to be withdrawn.
+	Withdrawn []string `json:"withdrawn,omitempty"`
+	// Sent counts requests in flight from the sender by endpoint.
+	Sent map[string]int `json:"sent,omitempty"`
+}
--- /dev/null
+++ b/protocol/record/record.go
@@ -0,0 +1,12 @@
+// Package record holds one row of the platform's table.
+package record
+
+// Record is a row as read from the table.
+type Record struct {
+	// Key is the row's key.
+	Key string
+	// Value is the row's content.
+	Value []byte
+	// Version changes with each write of the row; zero means that the row does not exist.
+	Version int64
+}
--- /dev/null
+++ b/protocol/table/table.go
@@ -0,0 +1,45 @@
+// Package table holds the conditional commits that the platform's table accepts.
+package table
+
+// Txn is one conditional commit: all writes happen if all conditions hold, otherwise none does.
+type Txn struct {
+	// Conds lists the conditions.
+	Conds []cond
+	// Writes lists the writes.
+	Writes []write
+}
+
+type cond struct {
+	// Key is the row tested.
+	Key string
+	// Version is the version that the row must have; zero means absent.
+	Version int64
+}
+
+type write struct {
+	// Key is the row written.
+	Key string
+	// Value is the new content; nil deletes the row.
+	Value []byte
+}
+
+// IfAbsent adds the condition that no row has the key.
+func (t Txn) IfAbsent(key string) Txn { return t.IfVersion(key, 0) }
+
+// IfVersion adds the condition that the row has the given version.
+func (t Txn) IfVersion(key string, version int64) Txn {
+	t.Conds = append(t.Conds[:len(t.Conds):len(t.Conds)], cond{Key: key, Version: version})
+	return t
+}
+
+// Put adds a write of the row.
+func (t Txn) Put(key string, value []byte) Txn {
+	t.Writes = append(t.Writes[:len(t.Writes):len(t.Writes)], write{Key: key, Value: value})
+	return t
+}
+
+// Delete adds the removal of the row.
+func (t Txn) Delete(key string) Txn {
+	t.Writes = append(t.Writes[:len(t.Writes):len(t.Writes)], write{Key: key})
+	return t
+}
--- /dev/null
+++ b/protocol/ticket/ticket.go
@@ -0,0 +1,29 @@
+// Package ticket holds a running model request that one entry host hands to another.
+package ticket
+
+import (
+	"encoding/json"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+)
+
+// Ticket is what a peer needs to finish a request.
+type Ticket struct {
+	// ID is the request's id.
+	ID string `json:"id"`
+	// Account is the caller's account.
+	Account acct.ID `json:"account"`
+	// Entry is the catalogue entry.
+	Entry label.Name `json:"entry"`
+	// Prompt is the text to complete.
+	Prompt string `json:"prompt"`
+	// MaxTokens bounds the whole answer.
+	MaxTokens int `json:"max-tokens"`
+	// Tokens holds the tokens generated so far; its length is the offset of the next one.
+	Tokens []string `json:"tokens"`
+	// Attempt is the number of the last attempt at an endpoint.
+	Attempt int `json:"attempt"`
+	// Extra holds the caller's further parameters, passed on as they are.
+	Extra map[string]json.RawMessage `json:"extra,omitempty"`
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+)
+
+type engineCmd struct {
+	Listen      string `required:"" help:"IP number and port."`
+	Platform    string `required:"" help:"URL of the platform."`
+	ID          string `required:"" help:"Name of the endpoint."`
+	Backend     string `required:"" help:"Pool of the endpoint."`
+	Version     string `default:"v1" help:"Version that it runs."`
+	DataCentre  string `required:"" help:"Data centre."`
+	Price       int64  `default:"400000" help:"Micro-euros per hour."`
+	OnDemand    bool   `help:"Not reclaimable."`
+	Slots       int    `default:"8" help:"Size of the batch."`
+	TokenMS     int    `default:"10" help:"Milliseconds between tokens."`
+	PrefillRate int    `default:"20000" help:"Prompt tokens per second."`
+}
+
+// engineFaults are set over HTTP while the engine runs; a bad version is one that has some.
+type engineFaults struct {
+	// FailShare is the part of requests refused with status 500.
+	FailShare float64 `json:"fail-share"`
+	// SlowFactor multiplies the time between tokens; 0 means 1.
+	SlowFactor float64 `json:"slow-factor"`
+	// After is the number of requests before the faults start.
+	After int64 `json:"after-requests"`
+	// FromRunning is the number of running requests from which the faults show.
+	FromRunning int `json:"from-running"`
+	// BreakAfter breaks each stream after that many tokens; 0 breaks none.
+	BreakAfter int `json:"break-after-tokens"`
+}
+
+type engineStats struct {
+	Requests  atomic.Int64
+	Tokens    atomic.Int64
+	Prefilled atomic.Int64
+	Late      atomic.Int64
+}
+
+type engine struct {
+	endpoint
+	cmd    *engineCmd
+	queue  queue
+	faults atomic.Pointer[engineFaults]
+	stats  engineStats
+	cache  sync.Map
+}
+
+type generateRequest struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Priority  int    `json:"priority"`
+}
+
+// Run serves the engine until ctx ends.
+func (c *engineCmd) Run(ctx context.Context) error {
+	e := &engine{cmd: c, queue: queue{slots: c.Slots}}
+	e.queue.init()
+	e.platform = c.Platform
+	e.row = roster.Row{
+		ID:          endpt.ID(c.ID),
+		Address:     c.Listen,
+		Backend:     label.Name(c.Backend),
+		Version:     label.Name(c.Version),
+		DataCentre:  centre.ID(c.DataCentre),
+		State:       roster.Live,
+		Price:       c.Price,
+		Reclaimable: !c.OnDemand,
+	}
+	e.faults.Store(&engineFaults{})
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/completions", e.complete)
+	m.HandleFunc("GET /metrics", e.metrics)
+	m.HandleFunc("POST /reclaim", e.reclaim)
+	m.HandleFunc("POST /faults", e.setFaults)
+	m.HandleFunc("GET /stats", e.getStats)
+	return serve(ctx, c.Listen, m, e.join)
+}
+
+func (e *engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	f := &engineFaults{}
+	if err := read(r, f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.After += e.stats.Requests.Load()
+	e.faults.Store(f)
+	reply(w, f)
+}
+
+func (e *engine) getStats(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	leaving := e.row.State == roster.Leaving
+	e.mu.Unlock()
+	reply(w, map[string]any{
+		"requests":             e.stats.Requests.Load(),
+		"tokens":               e.stats.Tokens.Load(),
+		"prefilled":            e.stats.Prefilled.Load(),
+		"accepted-while-going": e.stats.Late.Load(),
+		"leaving":              leaving,
+	})
+}
+
+// active returns the faults that show now.
+func (e *engine) active() engineFaults {
+	f := e.faults.Load()
+	if e.stats.Requests.Load() <= f.After || e.queue.running() < f.FromRunning {
+		return engineFaults{}
+	}
+	return *f
+}
+
+func (e *engine) complete(w http.ResponseWriter, r *http.Request) {
+	var q generateRequest
+	if err := read(r, &q); err != nil || q.MaxTokens < 1 {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	e.stats.Requests.Add(1)
+	e.mu.Lock()
+	if e.row.State == roster.Leaving && time.Until(e.leaveAt) > 0 {
+		e.stats.Late.Add(1)
+	}
+	e.mu.Unlock()
+	if rand.Float64() < e.active().FailShare {
+		http.Error(w, "fault", http.StatusInternalServerError)
+		return
+	}
+	if !e.queue.enter(r.Context(), q.Priority) {
+		return
+	}
+	defer e.queue.leave(q.Priority)
+	if !e.prefill(r.Context(), q.Prompt) {
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	e.generate(w, r, q)
+}
+
+func (e *engine) prefill(ctx context.Context, text string) bool {
+	tokens := len(text) / 4
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text[:min(len(text), 512)]))
+	if _, cached := e.cache.LoadOrStore(h.Sum64(), true); cached {
+		tokens /= 10
+	}
+	e.stats.Prefilled.Add(int64(tokens))
+	return sleep(ctx, time.Duration(tokens)*time.Second/time.Duration(e.cmd.PrefillRate))
+}
+
+// generate sends tokens; each depends only on the text before it, so a resumed answer equals an unbroken one.
+func (e *engine) generate(w http.ResponseWriter, r *http.Request, q generateRequest) {
+	control := http.NewResponseController(w)
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(q.Prompt))
+	for i := range q.MaxTokens {
+		if q.Priority > 0 && !e.queue.yield(r.Context(), q.Priority) {
+			return
+		}
+		f := e.active()
+		pace := time.Duration(e.cmd.TokenMS) * time.Millisecond
+		if f.SlowFactor > 0 {
+			pace = time.Duration(float64(pace) * f.SlowFactor)
+		}
+		if !sleep(r.Context(), pace) {
+			return
+		}
+		if f.BreakAfter > 0 && i >= f.BreakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		token := fmt.Sprintf(" w%04x", h.Sum64()&0xffff)
+		_, _ = h.Write([]byte(token))
+		e.stats.Tokens.Add(1)
+		data, _ := json.Marshal(map[string]any{"choices": []map[string]any{{"index": 0, "text": token}}})
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
+			return
+		}
+		_ = control.Flush()
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (e *engine) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	for _, priority := range []int{0, 10} {
+		running, _ := e.queue.count(priority)
+		_, _ = fmt.Fprintf(w, "vllm:num_requests_running{priority=\"%d\"} %d\n", priority, running)
+	}
+	for _, priority := range []int{0, 10} {
+		_, waiting := e.queue.count(priority)
+		_, _ = fmt.Fprintf(w, "vllm:num_requests_waiting{priority=\"%d\"} %d\n", priority, waiting)
+	}
+	_, _ = fmt.Fprintf(w, "vllm:max_num_seqs %d\n", e.cmd.Slots)
+	_, _ = fmt.Fprintf(w, "vllm:time_per_output_token_seconds %g\n", float64(e.cmd.TokenMS)/1000)
+	_, _ = fmt.Fprintf(w, "vllm:prefill_tokens_per_second %d\n", e.cmd.PrefillRate)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+)
+
+// silence is the time after which a host that no longer reports leaves the list.
+const silence = 2 * time.Second
+
+type platformCmd struct {
+	Listen string `required:"" help:"IP number and port."`
+}
+
+// platformFaults are set over HTTP while the platform runs.
+type platformFaults struct {
+	Outage bool `json:"outage"`
+	SlowMS int  `json:"slow-ms"`
+	// LoseEvery loses the answer of each nth commit, after its effect; 0 loses none.
+	LoseEvery int `json:"lose-every"`
+	// ListLagMS is the age of the host list.
+	ListLagMS int `json:"list-lag-ms"`
+}
+
+type platformStats struct {
+	Commits int64 `json:"commits"`
+	Reads   int64 `json:"reads"`
+	Lost    int64 `json:"lost"`
+}
+
+type listed struct {
+	row   roster.Row
+	heard time.Time
+}
+
+type platform struct {
+	mu     sync.Mutex
+	table  table
+	hosts  map[endpt.ID]listed
+	views  []view
+	faults platformFaults
+	stats  platformStats
+}
+
+type view struct {
+	at   time.Time
+	rows []roster.Row
+}
+
+// Run serves the platform until ctx ends.
+func (c *platformCmd) Run(ctx context.Context) error {
+	p := &platform{hosts: map[endpt.ID]listed{}}
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v3/kv/range", p.faulty(p.kvRange))
+	m.HandleFunc("POST /v3/kv/txn", p.faulty(p.kvTxn))
+	m.HandleFunc("GET /hosts", p.faulty(p.list))
+	m.HandleFunc("POST /hosts", p.faulty(p.join))
+	m.HandleFunc("POST /cloud/reclaim", p.reclaim)
+	m.HandleFunc("POST /faults", p.setFaults)
+	m.HandleFunc("GET /stats", p.getStats)
+	return serve(ctx, c.Listen, m)
+}
+
+func (p *platform) faulty(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		f := p.faults
+		p.mu.Unlock()
+		time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+		if f.Outage {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func (p *platform) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f platformFaults
+	if err := read(r, &f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+	reply(w, f)
+}
+
+func (p *platform) getStats(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply(w, p.stats)
+}
+
+func (p *platform) kvRange(w http.ResponseWriter, r *http.Request) {
+	var q rangeRequest
+	if err := read(r, &q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Reads++
+	reply(w, p.table.get(string(q.Key)))
+}
+
+func (p *platform) kvTxn(w http.ResponseWriter, r *http.Request) {
+	var q txnRequest
+	if err := read(r, &q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.stats.Commits++
+	answer := p.table.commit(q)
+	lost := p.faults.LoseEvery > 0 && p.stats.Commits%int64(p.faults.LoseEvery) == 0
+	if lost {
+		p.stats.Lost++
+	}
+	p.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, answer)
+}
+
+func (p *platform) join(w http.ResponseWriter, r *http.Request) {
+	var row roster.Row
+	if err := read(r, &row); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts[row.ID] = listed{row: row, heard: time.Now()}
+	reply(w, row)
+}
+
+// list answers the newest list that is at least as old as the lag.
+func (p *platform) list(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.views = append(p.views, view{at: now, rows: p.live(now)})
+	lag := time.Duration(p.faults.ListLagMS) * time.Millisecond
+	for len(p.views) > 1 && now.Sub(p.views[1].at) >= lag {
+		p.views = p.views[1:]
+	}
+	reply(w, p.views[0].rows)
+}
+
+func (p *platform) live(now time.Time) []roster.Row {
+	rows := []roster.Row{}
+	for id, l := range p.hosts {
+		if now.Sub(l.heard) > silence {
+			delete(p.hosts, id)
+			continue
+		}
+		rows = append(rows, l.row)
+	}
+	slices.SortFunc(rows, func(a, b roster.Row) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return rows
+}
+
+// reclaim gives notice to every reclaimable endpoint of a data centre.
+func (p *platform) reclaim(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		DataCentre   string `json:"data-centre"`
+		NoticeMillis int64  `json:"notice-ms"`
+	}
+	if err := read(r, &order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	rows := p.live(time.Now())
+	p.mu.Unlock()
+	told := []endpt.ID{}
+	for _, row := range rows {
+		if !row.Reclaimable || string(row.DataCentre) != order.DataCentre {
+			continue
+		}
+		data, _ := json.Marshal(map[string]int64{"notice-ms": order.NoticeMillis})
+		if a, err := http.Post("http://"+row.Address+"/reclaim", "application/json", bytes.NewReader(data)); err == nil {
+			_ = a.Body.Close()
+			told = append(told, row.ID)
+		}
+	}
+	reply(w, told)
+}
--- /dev/null
+++ b/state/pool/pool.go
@@ -0,0 +1,113 @@
+// Package pool keeps the endpoints that a process works with.
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/state/server"
+)
+
+type group struct {
+	backend, version label.Name
+}
+
+type index struct {
+	byID    map[endpt.ID]*server.Server
+	byGroup map[group][]*server.Server
+}
+
+// Pool keeps a stable subset of each back end's endpoints, for each version.
+//
+// The subset is the Subset highest by rendezvous hash of process and endpoint, so that a change of one
+// endpoint changes the subset by at most one, and each endpoint is in the subsets of about the same
+// number of processes. All methods may be called concurrently; Candidates does not lock or allocate.
+type Pool struct {
+	// Self names the process's own host.
+	Self host.ID
+	// Subset bounds the endpoints of each back end and version.
+	Subset int
+
+	mu      sync.Mutex
+	current atomic.Pointer[index]
+}
+
+// Update replaces the list of endpoints and keeps what is known of those that stay.
+func (p *Pool) Update(rows []roster.Row, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.current.Load()
+	next := &index{byID: map[endpt.ID]*server.Server{}, byGroup: map[group][]*server.Server{}}
+	for g, members := range groups(rows) {
+		for _, r := range p.choose(members) {
+			s := old.keep(r, now)
+			next.byID[r.ID] = s
+			next.byGroup[g] = append(next.byGroup[g], s)
+		}
+	}
+	p.current.Store(next)
+}
+
+func (x *index) keep(r roster.Row, now time.Time) *server.Server {
+	var s *server.Server
+	if x != nil {
+		s = x.byID[r.ID]
+	}
+	if s == nil || s.Row().Address != r.Address || s.Row().Version != r.Version {
+		return server.New(r, now)
+	}
+	s.SetRow(r, now)
+	return s
+}
+
+func groups(rows []roster.Row) map[group][]roster.Row {
+	out := map[group][]roster.Row{}
+	for _, r := range rows {
+		if r.Peers != "" {
+			continue
+		}
+		g := group{backend: r.Backend, version: r.Version}
+		out[g] = append(out[g], r)
+	}
+	return out
+}
+
+func (p *Pool) choose(rows []roster.Row) []roster.Row {
+	slices.SortFunc(rows, func(a, b roster.Row) int { return cmp.Compare(p.weight(b.ID), p.weight(a.ID)) })
+	return rows[:min(len(rows), p.Subset)]
+}
+
+func (p *Pool) weight(id endpt.ID) uint64 {
+	return xxhash.Sum64String(string(p.Self) + "\x00" + string(id))
+}
+
+// Candidates returns the subset for a back end and version; the caller must not change it.
+func (p *Pool) Candidates(backend, version label.Name) []*server.Server {
+	x := p.current.Load()
+	if x == nil {
+		return nil
+	}
+	return x.byGroup[group{backend: backend, version: version}]
+}
+
+// All returns every endpoint in a subset.
+func (p *Pool) All() []*server.Server {
+	x := p.current.Load()
+	if x == nil {
+		return nil
+	}
+	var out []*server.Server
+	for _, s := range x.byID {
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/state/server/server.go
@@ -0,0 +1,149 @@
+// Package server keeps what a process knows of one endpoint.
+package server
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/class"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+)
+
+const (
+	prefixSlots   = 256
+	classes       = int(class.Call) + 1
+	prefixHalfAge = 60 * time.Second
+)
+
+// farPast stands for an endpoint that never failed.
+const farPast = time.Duration(1 << 60)
+
+type load struct {
+	// Running counts requests in the batch, by class.
+	Running [classes]int
+	// Waiting counts requests in the queue, by class.
+	Waiting [classes]int
+	// Slots is the size of the batch.
+	Slots int
+	// TokenTime is the time between tokens of one answer.
+	TokenTime time.Duration
+	// PrefillRate is prompt tokens per second.
+	PrefillRate float64
+	// sentAt is the process's own requests in flight when the report was taken.
+	sentAt [classes]int
+}
+
+// Server is one endpoint: its row, its last load report and what this process sent since.
+//
+// All methods may be called concurrently; none allocates except SetRow and SetLoad.
+type Server struct {
+	row      atomic.Pointer[roster.Row]
+	load     atomic.Pointer[load]
+	sent     [classes]atomic.Int64
+	failed   atomic.Int64
+	leaving  atomic.Bool
+	leaveAt  atomic.Int64
+	left     chan struct{}
+	prefixes [prefixSlots]struct{ hash, at atomic.Uint64 }
+}
+
+// New returns an endpoint that has not reported yet.
+func New(r roster.Row, now time.Time) *Server {
+	s := &Server{left: make(chan struct{})}
+	s.SetRow(r, now)
+	return s
+}
+
+// SetRow replaces the endpoint's row; notice once given stays.
+func (s *Server) SetRow(r roster.Row, now time.Time) {
+	if s.leaving.Load() {
+		r.State = roster.Leaving
+	}
+	s.row.Store(&r)
+	if r.State != roster.Live && s.leaving.CompareAndSwap(false, true) {
+		s.leaveAt.Store(now.Add(time.Duration(r.NoticeMillis) * time.Millisecond).UnixNano())
+		close(s.left)
+	}
+}
+
+// Left returns a channel that is closed when the endpoint was given notice.
+func (s *Server) Left() <-chan struct{} { return s.left }
+
+// Notice returns the time left to a leaving endpoint.
+func (s *Server) Notice(now time.Time) time.Duration {
+	return time.Duration(s.leaveAt.Load() - now.UnixNano())
+}
+
+// Row returns the endpoint's row.
+func (s *Server) Row() *roster.Row { return s.row.Load() }
+
+// Leaving reports whether the endpoint was given notice.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
+// SetLoad takes a load report; running and waiting are indexed by class.
+func (s *Server) SetLoad(running, waiting [classes]int, slots int, tokenTime time.Duration, prefillRate float64) {
+	l := &load{Running: running, Waiting: waiting, Slots: slots, TokenTime: tokenTime, PrefillRate: prefillRate}
+	for i := range l.sentAt {
+		l.sentAt[i] = int(s.sent[i].Load())
+	}
+	s.load.Store(l)
+}
+
+// Load returns the last report, or nil before the first.
+// The report is shared and must not be changed.
+func (s *Server) Load() *load { return s.load.Load() }
+
+// Begin counts a request that is sent.
+func (s *Server) Begin(c class.Class) { s.sent[c].Add(1) }
+
+// End counts the end of a request that Begin counted.
+func (s *Server) End(c class.Class) { s.sent[c].Add(-1) }
+
+// Backlog returns the requests of class c on the endpoint: the report corrected by what was sent since.
+func (s *Server) Backlog(c class.Class) int {
+	own := int(s.sent[c].Load())
+	l := s.load.Load()
+	if l == nil {
+		return own
+	}
+	n := l.Running[c] + l.Waiting[c] + own - l.sentAt[c]
+	return max(n, own)
+}
+
+// Failed records a failed attempt at the given time.
+func (s *Server) Failed(now time.Time) { s.failed.Store(now.UnixNano()) }
+
+// SinceFailure returns the time since the last failed attempt.
+func (s *Server) SinceFailure(now time.Time) time.Duration {
+	at := s.failed.Load()
+	if at == 0 {
+		return farPast
+	}
+	return time.Duration(now.UnixNano() - at)
+}
+
+// Remember records that a prompt with the given prefix hash was sent at now.
+func (s *Server) Remember(hash uint64, now time.Time) {
+	p := &s.prefixes[hash%prefixSlots]
+	p.hash.Store(hash)
+	p.at.Store(uint64(now.UnixNano()))
+}
+
+// PrefixChance returns the probability, 0 to 1, that the endpoint still caches the prefix.
+func (s *Server) PrefixChance(hash uint64, now time.Time) float64 {
+	p := &s.prefixes[hash%prefixSlots]
+	if p.hash.Load() != hash {
+		return 0
+	}
+	age := time.Duration(now.UnixNano() - int64(p.at.Load()))
+	return float64(prefixHalfAge) / float64(prefixHalfAge+max(age, 0))
+}
+
+// InFlight returns this process's requests on the endpoint.
+func (s *Server) InFlight() int {
+	n := 0
+	for i := range s.sent {
+		n += int(s.sent[i].Load())
+	}
+	return n
+}
--- /dev/null
+++ b/test/demo.sh
@@ -0,0 +1,214 @@
+#!/usr/bin/env bash
+# Runs the whole system on loopback: platform, three engines in two data centres, two application services and
+# three entry hosts, each a process of its own. Prints a short account and ends with "demo ok".
+set -u
+cd "$(dirname "$0")/.."
+bin=bin
+work=$(mktemp -d)
+pids=()
+names=()
+declare -A pid_of
+export DRAGONFLYROUTE_KEY=demo-operator-key-0001
+
+stop_all() {
+  for p in "${pids[@]}"; do kill -KILL "$p" 2>/dev/null; done
+  wait 2>/dev/null
+  rm -rf "$work"
+}
+trap stop_all EXIT
+
+fail() {
+  echo "demo FAILED: $*" >&2
+  for n in "${names[@]}"; do
+    echo "--- last lines of $n" >&2
+    tail -n 5 "$work/$n.log" >&2
+  done
+  exit 1
+}
+
+# start NAME PROGRAM ARGS... starts one process in the background.
+start() {
+  local name=$1
+  shift
+  "$@" >"$work/$name.log" 2>&1 &
+  pids+=($!)
+  names+=("$name")
+  pid_of[$name]=$!
+}
+
+# free PORT tells whether nothing listens on a port.
+free() { ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
+
+choose_ports() {
+  local try
+  for try in $(seq 1 50); do
+    base=$((20000 + ((($$ * 31) + try * 977) % 600) * 20))
+    local port ok=1
+    for port in $(seq "$base" $((base + 19))); do
+      free "$port" || ok=0
+    done
+    [ "$ok" = 1 ] && return
+  done
+  fail "no free ports"
+}
+
+# until_ok SECONDS COMMAND... repeats a command until it succeeds.
+until_ok() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ "$SECONDS" -lt "$end" ] || return 1
+    sleep 0.1
+  done
+}
+
+post() { # post PORT PATH JSON
+  exec 3<>"/dev/tcp/127.0.0.1/$1" || return 1
+  printf 'POST %s HTTP/1.0\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s' "$2" "${#3}" "$3" >&3
+  cat <&3
+  exec 3>&-
+}
+
+get() { # get PORT PATH
+  exec 3<>"/dev/tcp/127.0.0.1/$1" || return 1
+  printf 'GET %s HTTP/1.0\r\n\r\n' "$2" >&3
+  sed '1,/^\r$/d' <&3
+  exec 3>&-
+}
+
+settings() { # settings NUMBER DATA-CENTRE
+  cat >"$work/entry-$1.json" <<JSON
+{
+  "host": "entry-$1", "data-centre": "$2",
+  "listen": {"callers": "127.0.0.1:$((base + 10 + $1))", "peers": "127.0.0.1:$((base + 15 + $1))"},
+  "platform": "http://127.0.0.1:$base", "entry-hosts": 3,
+  "operator-key": "$DRAGONFLYROUTE_KEY", "peer-secret": "demo-peer-secret-0001",
+  "log-level": "info", "trace": {"file": "$work/trace-$1.jsonl"},
+  "intervals": {"heartbeat": "200ms", "host-list": "200ms", "keep-answer": "1s", "drain": "12s", "move-step": "200ms", "lease-term": "2s"}
+}
+JSON
+}
+
+catalogue() {
+  cat >"$work/catalogue.json" <<'JSON'
+{
+  "note": "demo",
+  "accounts": [{"id": "kerlann", "scale": 1}, {"id": "mutuelle", "scale": 4}],
+  "entries": [
+    {"name": "conseil-quick", "owner": "kerlann", "backend": "plume", "class": "quick", "version": "v1",
+     "limits": {"first-token": "1.2s", "between-tokens": "42ms", "answer": "4s", "max-tokens": 64, "rate-per-second": 300, "burst": 300, "concurrent": 300},
+     "price-ceiling-micros-per-hour": 2000000, "refund-micros": 2000},
+    {"name": "contrat-long", "owner": "kerlann", "backend": "plume", "class": "long", "version": "v1",
+     "limits": {"first-token": "8s", "between-tokens": "80ms", "answer": "60s", "max-tokens": 1024, "rate-per-second": 30, "burst": 30, "concurrent": 30},
+     "price-ceiling-micros-per-hour": 2000000, "refund-micros": 3000},
+    {"name": "caisse", "owner": "kerlann", "backend": "caisse", "class": "call", "version": "v1",
+     "limits": {"answer": "2s", "rate-per-second": 900, "burst": 900, "concurrent": 900},
+     "price-ceiling-micros-per-hour": 2000000, "refund-micros": 500,
+     "routes": [{"name": "instalment", "method": "POST", "path": "/instalments", "idempotent": false},
+                {"name": "balance", "method": "GET", "path": "/balance", "idempotent": true}]}
+  ]
+}
+JSON
+}
+
+ask() { "$bin/dragonflyroute" ask --account mutuelle --at "$entries" "$@"; }
+field() { sed -n "s/^ *\"$1\": \"\\{0,1\\}\\([^\",]*\\)\"\\{0,1\\},\\{0,1\\}$/\\1/p" "$2" | head -n 1; }
+
+choose_ports
+entries="127.0.0.1:$((base + 11)),127.0.0.1:$((base + 12)),127.0.0.1:$((base + 13))"
+export DRAGONFLYROUTE_AT="127.0.0.1:$((base + 11))"
+platform="http://127.0.0.1:$base"
+catalogue
+
+start platform "$bin/standin" platform --listen "127.0.0.1:$base"
+until_ok 5 get "$base" /stats || fail "platform did not start"
+start engine-1 "$bin/standin" engine --listen "127.0.0.1:$((base + 1))" --platform "$platform" --id plume-1 --backend plume --data-centre bzh-rennes
+start engine-2 "$bin/standin" engine --listen "127.0.0.1:$((base + 2))" --platform "$platform" --id plume-2 --backend plume --data-centre bzh-brest
+start engine-3 "$bin/standin" engine --listen "127.0.0.1:$((base + 3))" --platform "$platform" --id plume-3 --backend plume --data-centre bzh-brest
+for v in 1 2 3; do
+  start "app-v$v" "$bin/standin" app --listen "127.0.0.1:$((base + 3 + v))" --platform "$platform" --id "caisse-$v" --backend caisse --version "v$v" --data-centre bzh-rennes
+done
+centres=(- bzh-rennes bzh-brest bzh-rennes)
+for n in 1 2 3; do
+  settings "$n" "${centres[$n]}"
+  "$bin/dragonflyroute" check "$work/entry-$n.json" >/dev/null || fail "settings are bad"
+  start "entry-$n" "$bin/dragonflyroute" serve --settings "$work/entry-$n.json"
+done
+# ready tells whether the first entry host hears the two others and knows all six endpoints.
+ready() {
+  "$bin/dragonflyroute" status >"$work/status.txt" 2>/dev/null || return 1
+  [ "$(grep -c '^entry host' "$work/status.txt")" = 3 ] && [ "$(grep -c '^endpoint' "$work/status.txt")" = 6 ]
+}
+until_ok 10 ready || fail "entry hosts did not find each other"
+"$bin/dragonflyroute" catalogue put "$work/catalogue.json" --base 0 >"$work/put.txt" || fail "catalogue refused"
+echo "1. $(cat "$work/put.txt")"
+
+until_ok 5 ask conseil-quick "Is the vault covered?" || fail "no quick answer"
+ask conseil-quick "What does the contract cover?" --max-tokens 12 --json --trace-file "$work/trace-caller.jsonl" >"$work/quick.json" || fail "quick answer failed"
+echo "2. quick answer: $(field tokens "$work/quick.json") tokens, the first after $(field first-token-ms "$work/quick.json") ms"
+
+pay() { ask caisse --call POST:/instalments --body '{"contract":"c-17","amount-cents":2500}' --key demo-payment-1 --json; }
+pay >"$work/pay-1.json" || fail "payment failed"
+pay >"$work/pay-2.json" || fail "retry of the payment failed"
+runs=$(get $((base + 4)) /runs)
+[ "$runs" = '{"demo-payment-1":1}' ] || fail "the payment ran as $runs"
+echo "3. payment and its retry with the same key: one run, both callers read $(field status "$work/pay-1.json") and $(field status "$work/pay-2.json")"
+
+long="Summarise the history of contract c-17 for the family."
+ask contrat-long "$long" --max-tokens 300 --json >"$work/long-unbroken.json" || fail "long answer failed"
+ask contrat-long "$long" --max-tokens 300 --json >"$work/long.json" 2>"$work/long.err" &
+asking=$!
+sleep 0.8
+post "$base" /cloud/reclaim '{"data-centre":"bzh-brest","notice-ms":1500}' >"$work/reclaim.txt" || fail "reclaim not given"
+wait "$asking" || fail "long answer was lost: $(cat "$work/long.err")"
+[ "$(field text "$work/long.json")" = "$(field text "$work/long-unbroken.json")" ] || fail "long answer differs after the reclaim"
+echo "4. bzh-brest reclaimed with 1.5 s notice during a long answer: all $(field tokens "$work/long.json") tokens came, the same as unbroken"
+
+ask contrat-long "$long" --max-tokens 300 --json >"$work/drain.json" 2>"$work/drain.err" &
+asking=$!
+sleep 0.5
+leaving=
+for n in 1 2 3; do
+  "$bin/dragonflyroute" status --at "127.0.0.1:$((base + 10 + n))" >"$work/status.txt"
+  grep -q "entry-$n .* revision 1, 1 running" "$work/status.txt" && leaving=$n
+done
+[ -n "$leaving" ] || fail "no entry host runs the long answer"
+staying=$((leaving % 3 + 1))
+export DRAGONFLYROUTE_AT="127.0.0.1:$((base + 10 + staying))"
+kill -TERM "${pid_of[entry-$leaving]}"
+wait "$asking" || fail "long answer was lost in the drain: $(cat "$work/drain.err")"
+wait "${pid_of[entry-$leaving]}" || fail "entry-$leaving did not stop cleanly"
+[ "$(field text "$work/drain.json")" = "$(field text "$work/long-unbroken.json")" ] || fail "long answer differs after the drain"
+echo "5. entry-$leaving stopped gracefully during a long answer: all $(field tokens "$work/drain.json") tokens came over $(field connections "$work/drain.json") connections"
+
+post $((base + 6)) /faults '{"fail-share":0.5}' >/dev/null || fail "fault not set"
+load() { "$bin/bench" load --at "$entries" --account mutuelle --entry caisse --call GET:/balance --rate 500 --for "$1" --json >"$work/load.json" 2>"$work/load.err"; }
+load 16s &
+loading=$!
+"$bin/dragonflyroute" move start caisse v2 --finish-by 14s >"$work/move.txt" || fail "move refused"
+"$bin/dragonflyroute" move show caisse --wait >"$work/move.txt" || fail "good move: $(cat "$work/move.txt")"
+echo "6. $(cat "$work/move.txt")"
+kill "$loading" 2>/dev/null
+wait "$loading" 2>/dev/null
+load 12s &
+loading=$!
+"$bin/dragonflyroute" move start caisse v3 --finish-by 11s >/dev/null || fail "move refused"
+"$bin/dragonflyroute" move show caisse --wait >"$work/move.txt" 2>/dev/null
+code=$?
+[ "$code" = 3 ] || fail "bad move was not taken back: $(cat "$work/move.txt")"
+echo "7. $(cat "$work/move.txt")"
+kill "$loading" 2>/dev/null
+wait "$loading" 2>/dev/null
+
+trace=$(grep -o '"SpanContext":{"TraceID":"[0-9a-f]*"' "$work/trace-caller.jsonl" | head -n 1 | cut -d'"' -f6)
+spans() { cat "$work"/trace-*.jsonl | grep -F "\"SpanContext\":{\"TraceID\":\"$trace\""; }
+# The hosts write spans in batches, so the last ones may take a moment.
+until_ok 10 eval 'spans | grep -q caller-request' || fail "no span of the entry host in trace $trace"
+echo "8. trace $trace, a span for each hop:"
+spans | sed -n 's/^{"Name":"\([^"]*\)".*"StartTime":"[^T]*T\([^+Z]*\)[^"]*","EndTime":"[^T]*T\([^+Z]*\).*/\2 \3 \1/p' | sort | while read -r from to name; do
+  echo "   $name  $from to $to"
+done
+for n in "${names[@]}"; do
+  kill -TERM "${pid_of[$n]}" 2>/dev/null
+done
+echo "demo ok"
--- /dev/null
+++ b/transport/daemon/daemon.go
@@ -0,0 +1,268 @@
+// Package daemon assembles an entry host's process.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/batch"
+	"github.com/dragonflyroute/dragonflyroute/coordination/budget"
+	"github.com/dragonflyroute/dragonflyroute/coordination/edits"
+	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
+	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
+	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
+	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
+	"github.com/dragonflyroute/dragonflyroute/coordination/once"
+	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
+	"github.com/dragonflyroute/dragonflyroute/coordination/relay"
+	"github.com/dragonflyroute/dragonflyroute/coordination/route"
+	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
+	"github.com/dragonflyroute/dragonflyroute/coordination/steer"
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/config"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/state/fleet"
+	"github.com/dragonflyroute/dragonflyroute/state/holder"
+	"github.com/dragonflyroute/dragonflyroute/state/pool"
+	"github.com/dragonflyroute/dragonflyroute/state/runs"
+	"github.com/dragonflyroute/dragonflyroute/state/score"
+	"github.com/dragonflyroute/dragonflyroute/state/server"
+	"github.com/dragonflyroute/dragonflyroute/transport/engine"
+	"github.com/dragonflyroute/dragonflyroute/transport/front"
+	"github.com/dragonflyroute/dragonflyroute/transport/meter"
+	"github.com/dragonflyroute/dragonflyroute/transport/peers"
+	"github.com/dragonflyroute/dragonflyroute/transport/plat"
+	"github.com/dragonflyroute/dragonflyroute/transport/spans"
+)
+
+const (
+	// missedHeartbeats is the number of silent heartbeat periods after which a peer counts as dead.
+	missedHeartbeats = 6
+	// retryRatio and retryMax bound retries after failures.
+	retryRatio = 0.2
+	retryMax   = 20
+	// maxHanded bounds the requests that peers may hand over.
+	maxHanded = 4096
+	// judgeAlpha bounds the chance of a wrong withdrawal in one process.
+	judgeAlpha = 0.001
+	// judgeMargin is the increase of the bad share that a new version may have.
+	judgeMargin = 0.02
+	// exposure bounds the share of requests that a move may turn bad.
+	exposure = 0.02
+	// idBytes is the length of ids, before hexadecimal.
+	idBytes = 16
+	// connectionsPerHost bounds the idle connections kept to one endpoint.
+	connectionsPerHost = 64
+)
+
+// Daemon is the process of one entry host.
+//
+// The exported fields are set before Run.
+type Daemon struct {
+	// Settings are the process's settings.
+	Settings *config.Settings
+	// Log takes JSON lines.
+	Log hclog.Logger
+
+	incarnation int64
+	start       time.Time
+	platform    *plat.Plat
+	batch       *batch.Batch
+	engine      *engine.Engine
+	peers       *peers.Peers
+	front       *front.Front
+	fleet       *fleet.Fleet
+	holder      *holder.Holder
+	pool        *pool.Pool
+	runs        *runs.Runs
+	score       *score.Score
+	spread      *spread.Spread
+	ledger      *once.Ledger
+	edits       *edits.Edits
+	mover       *mover.Mover
+	meter       *meter.Meter
+	spans       *spans.Spans
+	heart       heart
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (d *Daemon) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", d.Settings.Listen.Callers)
+	if err != nil {
+		return fault.Wrap(kind.Unavailable, err, "listen.callers")
+	}
+	inner, err := net.Listen("tcp", d.Settings.Listen.Peers)
+	if err != nil {
+		_ = callers.Close()
+		return fault.Wrap(kind.Unavailable, err, "listen.peers")
+	}
+	if err := d.build(ctx); err != nil {
+		return err
+	}
+	d.Log.Info("started", "host", d.Settings.Host, "incarnation", d.incarnation, "callers", callers.Addr().String(), "peers", inner.Addr().String())
+	err = d.runAll(ctx, callers, inner)
+	d.peers.Close()
+	stop, cancel := context.WithTimeout(context.Background(), d.Settings.Intervals.PlatformTimeout.Of())
+	defer cancel()
+	_ = d.spans.Close(stop)
+	_ = d.meter.Close()
+	d.Log.Info("stopped", "host", d.Settings.Host)
+	return err
+}
+
+// runAll runs every part until ctx ends and the drain is over.
+func (d *Daemon) runAll(ctx context.Context, callers, inner net.Listener) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g run.Group
+	add := func(part func(ctx context.Context) error) {
+		g.Add(func() error { return part(background) }, func(error) { stop() })
+	}
+	add(func(c context.Context) error { return d.front.Run(c, callers) })
+	add(func(c context.Context) error { return d.peers.Serve(c, inner) })
+	add(d.batch.Run)
+	add(d.every(d.Settings.Intervals.HostList.Of(), d.readHosts))
+	add(d.every(d.Settings.Intervals.Load.Of(), d.readLoads))
+	add(d.every(d.Settings.Intervals.Heartbeat.Of(), d.spread.Round))
+	add(d.every(d.Settings.Intervals.MoveStep.Of(), d.mover.Step))
+	add(d.every(d.Settings.Intervals.Heartbeat.Of(), d.reconcile))
+	add(d.readTable)
+	add(d.tellChanges)
+	add(func(c context.Context) error {
+		select {
+		case <-ctx.Done():
+			d.drain(c)
+		case <-c.Done():
+		}
+		return nil
+	})
+	return g.Run()
+}
+
+func newID() string {
+	id := make([]byte, idBytes)
+	_, _ = rand.Read(id)
+	return hex.EncodeToString(id)
+}
+
+func (d *Daemon) build(ctx context.Context) error {
+	s := d.Settings
+	d.start = time.Now()
+	d.incarnation = d.start.UnixNano()
+	d.spans = &spans.Spans{Host: string(s.Host), OTLP: s.Trace.OTLP, File: s.Trace.File}
+	if err := d.spans.Open(ctx); err != nil {
+		return err
+	}
+	d.meter = meter.New()
+	transport := &http.Transport{MaxIdleConnsPerHost: connectionsPerHost, DisableCompression: true}
+	d.platform = &plat.Plat{Base: s.Platform, Timeout: s.Intervals.PlatformTimeout.Of(), Client: &http.Client{Transport: transport}}
+	d.batch = batch.New(d.platform)
+	d.engine = &engine.Engine{Client: &http.Client{Transport: transport}}
+	d.buildState()
+	d.buildCoordination()
+	d.buildFront()
+	return nil
+}
+
+func (d *Daemon) buildState() {
+	s := d.Settings
+	d.fleet = &fleet.Fleet{Self: s.Host, Timeout: missedHeartbeats * s.Intervals.Heartbeat.Of()}
+	d.holder = &holder.Holder{}
+	d.pool = &pool.Pool{Self: s.Host, Subset: s.Bounds.Subset}
+	d.runs = &runs.Runs{Keep: s.Intervals.Drain.Of(), Max: maxHanded}
+	d.score = &score.Score{}
+}
+
+func (d *Daemon) buildCoordination() {
+	s := d.Settings
+	d.peers = &peers.Peers{Secret: s.PeerSecret, Service: &peerService{d}, Contacts: d.fleet.Contacts}
+	d.edits = &edits.Edits{Store: d.batch, NewID: newID, Now: time.Now}
+	d.ledger = &once.Ledger{Store: d.batch, Self: s.Host, Incarnation: d.incarnation, NewID: newID, Dead: d.fleet.Dead}
+	d.spread = &spread.Spread{
+		Peers:  d.peers,
+		Table:  d.edits,
+		Fleet:  d.fleet,
+		Holder: d.holder,
+		Score:  d.score,
+		Self:   d.pulse,
+		Now:    time.Now,
+		Rand:   mathrand.New(mathrand.NewPCG(uint64(d.incarnation), 0)),
+		MaxAge: s.Intervals.ConfigAge.Of(),
+	}
+	d.mover = &mover.Mover{
+		Catalogue: d.holder,
+		Scores:    d.score,
+		Edits:     d.edits,
+		Peers:     d.peers,
+		Ramp:      ramp.Ramp{Judge: judge.Judge{Alpha: judgeAlpha, Margin: judgeMargin}, Exposure: exposure},
+		Lease:     d.lease,
+		Now:       time.Now,
+		Log:       d.Log,
+	}
+}
+
+func (d *Daemon) lease(key string) *keeper.Keeper {
+	return &keeper.Keeper{
+		Store:       d.batch,
+		Key:         key,
+		Self:        d.Settings.Host,
+		Incarnation: d.incarnation,
+		Term:        d.Settings.Intervals.LeaseTerm.Of(),
+		Now:         time.Now,
+		NewID:       newID,
+	}
+}
+
+func (d *Daemon) buildFront() {
+	s := d.Settings
+	picker := route.Picker{Rand: mathrand.Float64}
+	st := &steer.Steer{Moves: d.score, Rand: mathrand.Float64}
+	r := &relay.Relay{
+		Engine:    d.engine,
+		Pool:      d.pool,
+		Steer:     st,
+		Scores:    d.score,
+		Retries:   &budget.Budget{Ratio: retryRatio, Max: retryMax},
+		Catalogue: d.holder,
+		Picker:    picker,
+		Now:       time.Now,
+		Trace:     traceAttempt,
+	}
+	share := 1 / float64(s.EntryHosts)
+	d.front = &front.Front{
+		Settings: s,
+		Log:      d.Log,
+		Meter:    d.meter,
+		Holder:   d.holder,
+		Fleet:    d.fleet,
+		Pool:     d.pool,
+		Runs:     d.runs,
+		Score:    d.score,
+		Gate:     &gate.Gate{Share: func(acct.ID, label.Name, time.Time) float64 { return share }},
+		Relay:    r,
+		Ledger:   d.ledger,
+		Spread:   d.spread,
+		Edits:    d.edits,
+		Steer:    st,
+		Picker:   picker,
+		Self:     d.pulse,
+		NewID:    newID,
+		Now:      time.Now,
+		HandOver: d.handOver,
+	}
+}
+
+func traceAttempt(ctx context.Context, name string, attempt int, s *server.Server) (context.Context, func(err error)) {
+	return spans.Start(ctx, name, attribute.Int("attempt", attempt), attribute.String("endpoint", string(s.Row().ID)))
+}
--- /dev/null
+++ b/transport/daemon/loops.go
@@ -0,0 +1,196 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
+	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
+)
+
+// entryBackend is the back end under which entry hosts are listed.
+const entryBackend label.Name = "entry"
+
+// heart holds the parts of the heartbeat that change.
+type heart struct {
+	mu      sync.Mutex
+	seq     int64
+	leaving bool
+}
+
+// every returns a part that calls do at once and then with the given period until its context ends.
+func (d *Daemon) every(period time.Duration, do func(ctx context.Context)) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			do(ctx)
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+			}
+		}
+	}
+}
+
+// pulse returns the process's next heartbeat.
+func (d *Daemon) pulse() pulse.Pulse {
+	d.heart.mu.Lock()
+	d.heart.seq++
+	seq, leaving := d.heart.seq, d.heart.leaving
+	d.heart.mu.Unlock()
+	state := pulse.Live
+	switch {
+	case leaving:
+		state = pulse.Leaving
+	case d.holder.Current() == nil:
+		state = pulse.Starting
+	}
+	return pulse.Pulse{
+		Host:            d.Settings.Host,
+		Incarnation:     d.incarnation,
+		Seq:             seq,
+		Callers:         d.Settings.Listen.Callers,
+		Peers:           d.Settings.Listen.Peers,
+		DataCentre:      d.Settings.DataCentre,
+		State:           state,
+		Revision:        d.holder.Revision(),
+		ConfirmedMillis: d.holder.Age(time.Now()).Milliseconds(),
+		Running:         d.runs.Running(),
+		Withdrawn:       d.score.AllWithdrawn(),
+	}
+}
+
+// readHosts lists this process and takes the platform's list; a failure keeps the last one.
+func (d *Daemon) readHosts(ctx context.Context) {
+	d.join(ctx)
+	rows, err := d.platform.Hosts(ctx)
+	if err != nil {
+		d.Log.Debug("host list not read", "error", err)
+		return
+	}
+	d.fleet.List(rows)
+	d.pool.Update(rows, time.Now())
+}
+
+func (d *Daemon) join(ctx context.Context) {
+	state := roster.Live
+	if d.pulse().State == pulse.Leaving {
+		state = roster.Leaving
+	}
+	row := roster.Row{
+		ID:         endpt.ID(d.Settings.Host),
+		Address:    d.Settings.Listen.Callers,
+		Backend:    entryBackend,
+		DataCentre: d.Settings.DataCentre,
+		State:      state,
+		Peers:      d.Settings.Listen.Peers,
+	}
+	if err := d.platform.Join(ctx, row); err != nil {
+		d.Log.Debug("not listed", "error", err)
+	}
+}
+
+// readLoads reads the load of every endpoint in a subset.
+func (d *Daemon) readLoads(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.Settings.Intervals.Load.Of())
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	for _, s := range d.pool.All() {
+		g.Go(func() error {
+			if err := d.engine.Load(ctx, s); err != nil {
+				d.Log.Trace("load not read", "endpoint", s.Row().ID, "error", err)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+func (d *Daemon) reconcile(ctx context.Context) {
+	if err := d.ledger.Reconcile(ctx); err != nil {
+		d.Log.Debug("outcomes wait for the table", "waiting", d.ledger.Pending(), "error", err)
+	}
+	d.meter.Gauge("pending_records", float64(d.ledger.Pending()))
+	d.meter.Gauge("catalogue_revision", float64(d.holder.Revision()))
+	d.meter.Gauge("running_requests", float64(d.runs.Running()))
+}
+
+// readTable reads the head row at jittered intervals.
+func (d *Daemon) readTable(ctx context.Context) error {
+	for {
+		if err := d.spread.ReadTable(ctx); err != nil {
+			d.Log.Debug("catalogue not read", "error", err)
+		}
+		timer := time.NewTimer(d.spread.ReadWait(d.Settings.Intervals.TableRead.Of()))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
+// tellChanges starts a round of heartbeats at each change of the catalogue.
+func (d *Daemon) tellChanges(ctx context.Context) error {
+	for {
+		changed := d.holder.Changed()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+			d.Log.Info("catalogue in force", "revision", d.holder.Revision())
+			d.spread.Round(ctx)
+		}
+	}
+}
+
+// peerService answers the other entry hosts.
+type peerService struct{ d *Daemon }
+
+// Pulse takes a peer's heartbeat and returns the process's own.
+func (p *peerService) Pulse(got pulse.Pulse) pulse.Pulse {
+	p.d.spread.Hear(got)
+	return p.d.pulse()
+}
+
+// Catalogue returns the newest catalogue, or nil.
+func (p *peerService) Catalogue() *catlog.Catalogue { return p.d.holder.Current() }
+
+// Offer takes a catalogue if it is newer.
+func (p *peerService) Offer(c *catlog.Catalogue) { p.d.holder.Offer(c) }
+
+// Evidence returns the process's own trials of a move.
+func (p *peerService) Evidence(move string) []trial.Trial { return p.d.score.Trials(move) }
+
+// Accept takes a running request that a leaving peer hands over.
+func (p *peerService) Accept(t ticket.Ticket) bool {
+	return p.d.pulse().State == pulse.Live && p.d.runs.Accept(t, time.Now())
+}
+
+// handOver gives a running request to a live peer and returns the peer's address for callers.
+func (d *Daemon) handOver(ctx context.Context, t ticket.Ticket) (string, error) {
+	for _, p := range d.fleet.Alive(time.Now()) {
+		if p.State != pulse.Live {
+			continue
+		}
+		if err := d.peers.HandOver(ctx, p.Peers, t); err != nil {
+			d.Log.Debug("peer refused a request", "peer", p.Host, "error", err)
+			continue
+		}
+		return p.Callers, nil
+	}
+	return "", fault.New(kind.Unavailable, "", "no live peer takes the request")
+}
--- /dev/null
+++ b/transport/front/apps.go
@@ -0,0 +1,209 @@
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/claim"
+	"github.com/dragonflyroute/dragonflyroute/protocol/class"
+	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/need"
+	"github.com/dragonflyroute/dragonflyroute/state/server"
+	"github.com/dragonflyroute/dragonflyroute/transport/plain"
+	"github.com/dragonflyroute/dragonflyroute/transport/spans"
+)
+
+const (
+	// keyHeader identifies a call that must not run twice.
+	keyHeader = "Idempotency-Key"
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 128
+	// claimPrefix starts the keys of claim rows.
+	claimPrefix = "claim/"
+	// repeatTries bounds the attempts of an idempotent call.
+	repeatTries = 3
+)
+
+// invocation is one application call on its way; it is the call that the ledger runs.
+type invocation struct {
+	front *Front
+	entry *entry.Entry
+	route int
+	call  *plain.Plain
+
+	target *server.Server
+	move   string
+	isNew  bool
+}
+
+// Contact chooses an endpoint and connects to it.
+func (v *invocation) Contact(ctx context.Context) error {
+	f := v.front
+	avoid := v.target
+	version, moveID, isNew := f.Steer.Choose(v.entry, f.Holder.Current().Move(v.entry.Name))
+	v.move, v.isNew = moveID, isNew
+	now := f.Now()
+	n := &need.Need{Class: class.Call, Answer: v.entry.Limits.Answer.Of(), Refund: v.entry.Refund, PriceCeiling: v.entry.PriceCeiling}
+	candidates := f.Pool.Candidates(v.entry.Backend, version)
+	v.target, _ = f.Picker.Pick(candidates, n, avoid, now)
+	if v.target == nil {
+		v.target, _ = f.Picker.Pick(candidates, n, nil, now)
+	}
+	if v.target == nil {
+		return fault.New(kind.Unavailable, "", "no endpoint of %s version %s is usable", v.entry.Backend, version).After(time.Second)
+	}
+	err := v.call.Contact(ctx, v.target.Row().Address)
+	if err != nil {
+		v.target.Failed(now)
+	}
+	return err
+}
+
+// Send sends the call on the last contact.
+func (v *invocation) Send(ctx context.Context) (claim.Claim, bool, error) {
+	f := v.front
+	target := v.target
+	ctx, end := spans.Start(ctx, "endpoint-attempt", attribute.String("endpoint", string(target.Row().ID)))
+	started := f.Now()
+	target.Begin(class.Call)
+	defer target.End(class.Call)
+	answer, sent, err := v.call.Send(ctx)
+	end(err)
+	if err != nil {
+		target.Failed(f.Now())
+	}
+	if v.move != "" {
+		late := f.Now().Sub(started) > v.entry.Limits.Answer.Of()
+		f.Score.Record(v.move, string(v.entry.Routes[v.route].Name), v.isNew, err != nil || answer.Status >= iris.StatusInternalServerError || late)
+	}
+	return answer, sent, err
+}
+
+// apps serves an application call.
+func (f *Front) apps(c iris.Context) {
+	started := f.Now()
+	ctx := otel.GetTextMapPropagator().Extract(c.Request().Context(), propagation.HeaderCarrier(c.Request().Header))
+	ctx, end := spans.Start(ctx, "caller-request", attribute.String("host", string(f.Settings.Host)))
+	e, answer, err := f.call(ctx, c)
+	end(err)
+	outcome := "ok"
+	if err != nil {
+		outcome = fault.KindOf(err).String()
+		f.refuse(c, err)
+	} else {
+		writeAnswer(c, answer)
+	}
+	if e != nil {
+		f.Meter.Request(e.Name, e.Class, outcome, f.Now().Sub(started))
+	}
+}
+
+func writeAnswer(c iris.Context, answer claim.Claim) {
+	w := c.ResponseWriter()
+	if answer.ContentType != "" {
+		w.Header().Set("Content-Type", answer.ContentType)
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+func (f *Front) call(ctx context.Context, c iris.Context) (*entry.Entry, claim.Claim, error) {
+	_, endAdmission := spans.Start(ctx, "admission")
+	e, account, leave, err := f.admit(c, label.Name(c.Params().Get("entry")))
+	endAdmission(err)
+	if err != nil {
+		return e, claim.Claim{}, err
+	}
+	defer leave()
+	if e.Class != class.Call {
+		return e, claim.Claim{}, fault.New(kind.BadRequest, "entry", "entry %s is a model", e.Name)
+	}
+	v := &invocation{front: f, entry: e, route: e.Route(c.Method(), "/"+c.Params().Get("path"))}
+	if v.route < 0 {
+		return e, claim.Claim{}, fault.New(kind.NotFound, "path", "entry %s has no route %s /%s", e.Name, c.Method(), c.Params().Get("path"))
+	}
+	body, err := f.readBody(c)
+	if err != nil {
+		return e, claim.Claim{}, err
+	}
+	v.call = f.plainCall(c, v, body)
+	defer v.call.Close()
+	if e.Routes[v.route].Idempotent {
+		answer, err := f.repeat(ctx, v)
+		return e, answer, err
+	}
+	answer, err := f.runOnce(ctx, account, v)
+	return e, answer, err
+}
+
+func (f *Front) plainCall(c iris.Context, v *invocation, body []byte) *plain.Plain {
+	path := v.entry.Routes[v.route].Path
+	if query := c.Request().URL.RawQuery; query != "" {
+		path += "?" + query
+	}
+	return &plain.Plain{
+		Method:      c.Method(),
+		Path:        path,
+		ContentType: c.GetHeader("Content-Type"),
+		Key:         c.GetHeader(keyHeader),
+		Body:        body,
+	}
+}
+
+// repeat runs an idempotent call, on another endpoint when one fails, within the retry budget and the limit.
+func (f *Front) repeat(ctx context.Context, v *invocation) (claim.Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, v.entry.Limits.Answer.Of())
+	defer cancel()
+	var err error
+	for try := range repeatTries {
+		if try > 0 && !f.Relay.Retries.Take() {
+			break
+		}
+		if err = v.Contact(ctx); err != nil {
+			continue
+		}
+		var answer claim.Claim
+		answer, _, err = v.Send(ctx)
+		if err == nil {
+			f.Relay.Retries.Succeed()
+			return answer, nil
+		}
+	}
+	f2 := fault.New(kind.Unavailable, "", "no endpoint of %s answered", v.entry.Backend).After(time.Second)
+	f2.Cause = err
+	return claim.Claim{}, f2
+}
+
+// runOnce runs a non-idempotent call under a claim; it goes on when the caller leaves.
+func (f *Front) runOnce(ctx context.Context, account acct.ID, v *invocation) (claim.Claim, error) {
+	key := v.call.Key
+	if key == "" || len(key) > maxKeyBytes {
+		return claim.Claim{}, fault.New(kind.BadRequest, keyHeader, "route %s needs a key of 1 to %d bytes", v.entry.Routes[v.route].Name, maxKeyBytes)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), v.entry.Limits.Answer.Of())
+	defer cancel()
+	ctx, end := spans.Start(ctx, "claim")
+	answer, err := f.Ledger.Run(ctx, claimPrefix+string(account)+"/"+key, v.digest(), v)
+	end(err)
+	return answer, err
+}
+
+func (v *invocation) digest() string {
+	h := sha256.New()
+	for _, part := range []string{string(v.entry.Name), v.call.Method, v.call.Path, string(v.call.Body)} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
--- /dev/null
+++ b/transport/front/models.go
@@ -0,0 +1,299 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"mime"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/class"
+	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/prompt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
+	"github.com/dragonflyroute/dragonflyroute/transport/spans"
+)
+
+// lastEventHeader carries the offset of the last token that a reconnecting caller has.
+const lastEventHeader = "Last-Event-ID"
+
+// errReconnect ends a stream on an entry host that leaves.
+var errReconnect = fault.New(kind.Draining, "", "this entry host leaves; reconnect elsewhere with "+lastEventHeader)
+
+type choice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// completions serves a model request, whole or as server-sent events.
+func (f *Front) completions(c iris.Context) {
+	started := f.Now()
+	ctx := otel.GetTextMapPropagator().Extract(c.Request().Context(), propagation.HeaderCarrier(c.Request().Header))
+	ctx, end := spans.Start(ctx, "caller-request", attribute.String("host", string(f.Settings.Host)))
+	e, err := f.complete(ctx, c)
+	end(err)
+	if e == nil {
+		return
+	}
+	outcome := "ok"
+	if err != nil {
+		outcome = fault.KindOf(err).String()
+	}
+	f.Meter.Request(e.Name, e.Class, outcome, f.Now().Sub(started))
+}
+
+func (f *Front) complete(ctx context.Context, c iris.Context) (*entry.Entry, error) {
+	p, err := f.readPrompt(c)
+	if err != nil {
+		f.refuse(c, err)
+		return nil, err
+	}
+	_, endAdmission := spans.Start(ctx, "admission")
+	e, account, leave, err := f.admit(c, p.Model)
+	endAdmission(err)
+	if err != nil {
+		f.refuse(c, err)
+		return e, err
+	}
+	defer leave()
+	t, skip, err := f.ticket(c, p, e)
+	if err != nil {
+		f.refuse(c, err)
+		return e, err
+	}
+	t.Account = account
+	if err := f.Relay.Admit(t, e); err != nil && len(t.Tokens) == 0 {
+		f.refuse(c, err)
+		return e, err
+	}
+	if p.Stream {
+		return e, f.stream(ctx, c, t, skip, e)
+	}
+	return e, f.whole(ctx, c, t, e)
+}
+
+func (f *Front) readPrompt(c iris.Context) (*prompt.Prompt, error) {
+	media, _, err := mime.ParseMediaType(c.GetHeader("Content-Type"))
+	if err != nil || media != "application/json" {
+		return nil, fault.New(kind.BadRequest, "Content-Type", "%q is not application/json", c.GetHeader("Content-Type"))
+	}
+	data, err := f.readBody(c)
+	if err != nil {
+		return nil, err
+	}
+	return prompt.Parse(data)
+}
+
+// ticket returns the request's ticket and the offset of the first token that the caller lacks.
+//
+// A reconnecting caller gets the ticket that another entry host handed over, or one built from its own tokens.
+func (f *Front) ticket(c iris.Context, p *prompt.Prompt, e *entry.Entry) (ticket.Ticket, int, error) {
+	if e.Class == class.Call {
+		return ticket.Ticket{}, 0, fault.New(kind.BadRequest, "model", "entry %s is a service", e.Name)
+	}
+	maxTokens := p.MaxTokens
+	if maxTokens == 0 {
+		maxTokens = e.Limits.MaxTokens
+	}
+	if maxTokens > e.Limits.MaxTokens {
+		return ticket.Ticket{}, 0, fault.New(kind.BadRequest, "max_tokens", "%d is above the entry's %d", maxTokens, e.Limits.MaxTokens)
+	}
+	id := c.GetHeader(requestIDHeader)
+	if id == "" {
+		id = f.NewID()
+	}
+	t := ticket.Ticket{ID: id, Entry: e.Name, Prompt: p.Prompt, MaxTokens: maxTokens, Tokens: p.Partial, Extra: p.Extra}
+	last := c.GetHeader(lastEventHeader)
+	if last != "" {
+		return f.resume(c, t, last)
+	}
+	if handed, ok := f.handed(c, t); ok {
+		return handed, len(p.Partial), nil
+	}
+	return t, len(p.Partial), nil
+}
+
+// handed takes the ticket that a leaving peer handed over, if it is of the same account and request.
+func (f *Front) handed(c iris.Context, t ticket.Ticket) (ticket.Ticket, bool) {
+	h, ok := f.Runs.Take(t.ID, f.Now())
+	same := h.Prompt == t.Prompt && h.Entry == t.Entry && h.MaxTokens == t.MaxTokens && string(h.Account) == c.GetHeader(accountHeader)
+	return h, ok && same
+}
+
+func (f *Front) resume(c iris.Context, t ticket.Ticket, last string) (ticket.Ticket, int, error) {
+	offset, err := strconv.Atoi(last)
+	if err != nil || offset < 0 || offset >= t.MaxTokens {
+		return t, 0, fault.New(kind.BadRequest, lastEventHeader, "%q is not a token offset below %d", last, t.MaxTokens)
+	}
+	skip := offset + 1
+	if handed, ok := f.handed(c, t); ok && len(handed.Tokens) >= skip {
+		return handed, skip, nil
+	}
+	if len(t.Tokens) == skip {
+		return t, skip, nil
+	}
+	return t, 0, fault.New(kind.NotFound, requestIDHeader, "request %s was not handed to this entry host; send the %d tokens that you have in partial", t.ID, skip)
+}
+
+// whole answers with the complete text.
+func (f *Front) whole(ctx context.Context, c iris.Context, t ticket.Ticket, e *entry.Entry) error {
+	text := strings.Builder{}
+	for _, token := range t.Tokens {
+		text.WriteString(token)
+	}
+	to, err := f.run(ctx, t, e, false, func(_ int, token string) error {
+		text.WriteString(token)
+		return nil
+	})
+	if to != nil {
+		c.ResponseWriter().Header().Set(requestIDHeader, t.ID)
+		c.ResponseWriter().Header().Set("Location", "http://"+to.Address+c.Path())
+	}
+	if err != nil {
+		f.refuse(c, err)
+		return err
+	}
+	stop := "length"
+	writeJSON(c, completion{
+		ID:      t.ID,
+		Object:  "text_completion",
+		Model:   string(e.Name),
+		Choices: []choice{{Text: text.String(), FinishReason: &stop}},
+		Usage:   &usage{CompletionTokens: t.MaxTokens},
+	})
+	return nil
+}
+
+// movable is a running model request that can be handed over.
+type movable struct {
+	stream bool
+	cancel context.CancelCauseFunc
+}
+
+// reconnect tells a caller where its request goes on.
+type reconnect struct {
+	Address   string `json:"address"`
+	RequestID string `json:"request-id"`
+	Offset    int    `json:"offset"`
+}
+
+// run runs the request here. When this entry host leaves, it hands the request over and returns where to go.
+func (f *Front) run(ctx context.Context, t ticket.Ticket, e *entry.Entry, stream bool, emit func(offset int, token string) error) (*reconnect, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var snapshot func() ticket.Ticket
+	begin := func(s func() ticket.Ticket) {
+		snapshot = s
+		if f.Runs.Begin(t.ID, s) {
+			f.moving.Store(t.ID, movable{stream: stream, cancel: cancel})
+		}
+	}
+	err := f.Relay.Run(ctx, t, e, begin, emit)
+	if _, ours := f.moving.LoadAndDelete(t.ID); ours {
+		f.Runs.End(t.ID)
+	}
+	if err == nil || context.Cause(ctx) != error(errReconnect) {
+		return nil, err
+	}
+	rest := snapshot()
+	address, handErr := f.HandOver(context.WithoutCancel(ctx), rest)
+	if handErr != nil {
+		f.Log.Warn("request not handed over", "request", t.ID, "error", handErr)
+	}
+	return &reconnect{Address: address, RequestID: t.ID, Offset: len(rest.Tokens) - 1}, err
+}
+
+// events writes server-sent events; the id of each is its token's offset.
+type events struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	timeout time.Duration
+	id      string
+	model   string
+}
+
+func (v *events) write(text string) error {
+	_ = v.control.SetWriteDeadline(time.Now().Add(v.timeout))
+	if _, err := v.w.Write([]byte(text)); err != nil {
+		return fault.Wrap(kind.OutcomeUnknown, err, "the caller does not read")
+	}
+	if err := v.control.Flush(); err != nil {
+		return fault.Wrap(kind.OutcomeUnknown, err, "the caller does not read")
+	}
+	return nil
+}
+
+func (v *events) token(offset int, token string, last bool) error {
+	ch := choice{Text: token}
+	if last {
+		stop := "length"
+		ch.FinishReason = &stop
+	}
+	data, err := json.Marshal(completion{ID: v.id, Object: "text_completion", Model: v.model, Choices: []choice{ch}})
+	if err != nil {
+		return fault.Wrap(kind.Internal, err, "event is not writable")
+	}
+	return v.write(fmt.Sprintf("id: %d\ndata: %s\n\n", offset, data))
+}
+
+func (v *events) event(name string, content any) error {
+	data, err := json.Marshal(content)
+	if err != nil {
+		return fault.Wrap(kind.Internal, err, "event is not writable")
+	}
+	return v.write(fmt.Sprintf("event: %s\ndata: %s\n\n", name, data))
+}
+
+// stream answers token by token, starting at offset skip.
+func (f *Front) stream(ctx context.Context, c iris.Context, t ticket.Ticket, skip int, e *entry.Entry) error {
+	w := c.ResponseWriter().Naive()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	w.Header().Set(requestIDHeader, t.ID)
+	v := &events{w: w, control: http.NewResponseController(w), timeout: f.Settings.Bounds.WriteTimeout.Of(), id: t.ID, model: string(e.Name)}
+	for offset := skip; offset < len(t.Tokens); offset++ {
+		if err := v.token(offset, t.Tokens[offset], offset == t.MaxTokens-1); err != nil {
+			return err
+		}
+	}
+	to, err := f.run(ctx, t, e, true, func(offset int, token string) error {
+		return v.token(offset, token, offset == t.MaxTokens-1)
+	})
+	return f.endStream(v, to, err)
+}
+
+func (f *Front) endStream(v *events, to *reconnect, err error) error {
+	switch {
+	case err == nil:
+		return v.write("data: [DONE]\n\n")
+	case to != nil:
+		return v.event("reconnect", to)
+	default:
+		f.Log.Debug("stream ended early", "request", v.id, "error", err)
+		_ = v.event("problem", fault.From(err))
+		return err
+	}
+}
--- /dev/null
+++ b/transport/peers/peers.go
@@ -0,0 +1,371 @@
+// Package peers carries the entry hosts' own protocol: JSON-RPC 2.0 over TCP.
+//
+// A connection is opened by a challenge: the server sends a nonce, the client answers with its HMAC under the
+// shared secret, so the secret itself never crosses the network.
+package peers
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
+	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
+	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
+)
+
+// The methods of the protocol.
+const (
+	methodChallenge = "challenge"
+	methodHello     = "hello"
+	methodPulse     = "pulse"
+	methodFetch     = "catalogue-fetch"
+	methodPush      = "catalogue-push"
+	methodEvidence  = "move-evidence"
+	methodHandOver  = "ticket-hand-over"
+)
+
+const (
+	callTimeout = time.Second
+	nonceBytes  = 32
+	// maxConnections bounds the connections that peers may open.
+	maxConnections = 256
+)
+
+type service interface {
+	// Pulse takes a peer's heartbeat and returns the process's own.
+	Pulse(p pulse.Pulse) pulse.Pulse
+	// Catalogue returns the newest catalogue, or nil.
+	Catalogue() *catlog.Catalogue
+	// Offer takes a catalogue if it is newer.
+	Offer(c *catlog.Catalogue)
+	// Evidence returns the process's own trials of a move.
+	Evidence(move string) []trial.Trial
+	// Accept takes a running request that a leaving peer hands over.
+	Accept(t ticket.Ticket) bool
+}
+
+// Peers is both sides of the entry hosts' protocol. All methods may be called concurrently.
+type Peers struct {
+	// Secret is shared by the entry hosts.
+	Secret string
+	// Service answers peers.
+	Service service
+	// Contacts returns the addresses of the other entry hosts.
+	Contacts func() []string
+
+	mu      sync.Mutex
+	clients map[string]*jsonrpc2.Conn
+	served  int
+}
+
+type moveParams struct {
+	Move string `json:"move"`
+}
+
+type accepted struct {
+	OK bool `json:"ok"`
+}
+
+type nonce struct {
+	Nonce []byte `json:"nonce"`
+}
+
+type proof struct {
+	MAC []byte `json:"mac"`
+}
+
+// Serve answers peers on l until ctx ends.
+func (p *Peers) Serve(ctx context.Context, l net.Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		<-ctx.Done()
+		return l.Close()
+	})
+	g.Go(func() error {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return ctx.Err()
+			}
+			p.accept(ctx, g, conn)
+		}
+	})
+	_ = g.Wait()
+	return nil
+}
+
+func (p *Peers) accept(ctx context.Context, g *errgroup.Group, conn net.Conn) {
+	if !p.enter() {
+		_ = conn.Close()
+		return
+	}
+	g.Go(func() error {
+		defer p.leave()
+		p.serve(ctx, conn)
+		return nil
+	})
+}
+
+func (p *Peers) enter() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.served >= maxConnections {
+		return false
+	}
+	p.served++
+	return true
+}
+
+func (p *Peers) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.served--
+}
+
+func (p *Peers) serve(ctx context.Context, conn net.Conn) {
+	n := make([]byte, nonceBytes)
+	if _, err := rand.Read(n); err != nil {
+		_ = conn.Close()
+		return
+	}
+	s := &session{peers: p, nonce: n}
+	c := jsonrpc2.NewConn(ctx, stream(conn), jsonrpc2.HandlerWithError(s.handle))
+	select {
+	case <-c.DisconnectNotify():
+	case <-ctx.Done():
+		_ = c.Close()
+	}
+}
+
+func stream(conn net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewPlainObjectStream(conn)
+}
+
+// session is one peer's connection to this process.
+type session struct {
+	peers *Peers
+	nonce []byte
+
+	mu   sync.Mutex
+	open bool
+}
+
+func (s *session) handle(_ context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	switch r.Method {
+	case methodChallenge:
+		return nonce{Nonce: s.nonce}, nil
+	case methodHello:
+		return s.hello(c, r)
+	}
+	s.mu.Lock()
+	open := s.open
+	s.mu.Unlock()
+	if !open {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: kind.Unauthorized.String()}
+	}
+	return s.dispatch(r)
+}
+
+func (s *session) hello(c *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	var got proof
+	if err := params(r, &got); err != nil {
+		return nil, err
+	}
+	if !hmac.Equal(got.MAC, mac(s.peers.Secret, s.nonce)) {
+		_ = c.Close()
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: kind.Unauthorized.String()}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open = true
+	return accepted{OK: true}, nil
+}
+
+func (s *session) dispatch(r *jsonrpc2.Request) (any, error) {
+	service := s.peers.Service
+	switch r.Method {
+	case methodPulse:
+		return answer(r, service.Pulse)
+	case methodFetch:
+		return service.Catalogue(), nil
+	case methodPush:
+		return answer(r, func(c *catlog.Catalogue) accepted {
+			service.Offer(c)
+			return accepted{OK: true}
+		})
+	case methodEvidence:
+		return answer(r, func(m moveParams) []trial.Trial { return service.Evidence(m.Move) })
+	case methodHandOver:
+		return answer(r, func(t ticket.Ticket) accepted { return accepted{OK: service.Accept(t)} })
+	default:
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+	}
+}
+
+func answer[P, A any](r *jsonrpc2.Request, do func(P) A) (any, error) {
+	var p P
+	if err := params(r, &p); err != nil {
+		return nil, err
+	}
+	return do(p), nil
+}
+
+func params(r *jsonrpc2.Request, to any) error {
+	if r.Params == nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: kind.BadRequest.String()}
+	}
+	if err := json.Unmarshal(*r.Params, to); err != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: kind.BadRequest.String()}
+	}
+	return nil
+}
+
+func mac(secret string, nonce []byte) []byte {
+	h := hmac.New(sha256.New, []byte(secret))
+	h.Write(nonce)
+	return h.Sum(nil)
+}
+
+// Pulse sends a heartbeat and returns the peer's own.
+func (p *Peers) Pulse(ctx context.Context, address string, own pulse.Pulse) (pulse.Pulse, error) {
+	var got pulse.Pulse
+	err := p.call(ctx, address, methodPulse, own, &got)
+	return got, err
+}
+
+// Fetch returns the peer's newest catalogue.
+func (p *Peers) Fetch(ctx context.Context, address string) (*catlog.Catalogue, error) {
+	c := &catlog.Catalogue{}
+	err := p.call(ctx, address, methodFetch, struct{}{}, c)
+	return c, err
+}
+
+// Push offers the peer a catalogue.
+func (p *Peers) Push(ctx context.Context, address string, c *catlog.Catalogue) error {
+	return p.call(ctx, address, methodPush, c, &accepted{})
+}
+
+// HandOver gives the peer a running request.
+func (p *Peers) HandOver(ctx context.Context, address string, t ticket.Ticket) error {
+	var got accepted
+	if err := p.call(ctx, address, methodHandOver, t, &got); err != nil {
+		return err
+	}
+	if !got.OK {
+		return fault.New(kind.Unavailable, "", "peer %s takes no more requests", address)
+	}
+	return nil
+}
+
+// Evidence returns the trials of a move on all peers that answer, by address.
+func (p *Peers) Evidence(ctx context.Context, move string) map[string][]trial.Trial {
+	var mu sync.Mutex
+	out := map[string][]trial.Trial{}
+	g, ctx := errgroup.WithContext(ctx)
+	for _, address := range p.Contacts() {
+		g.Go(func() error {
+			var got []trial.Trial
+			if p.call(ctx, address, methodEvidence, moveParams{Move: move}, &got) != nil {
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[address] = got
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return out
+}
+
+func (p *Peers) call(ctx context.Context, address, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c, err := p.client(ctx, address)
+	if err != nil {
+		return fault.Wrap(kind.Unavailable, err, "peer %s", address)
+	}
+	if err := c.Call(ctx, method, params, result); err != nil {
+		p.drop(address, c)
+		return fault.Wrap(kind.Unavailable, err, "peer %s: %s", address, method)
+	}
+	return nil
+}
+
+func (p *Peers) client(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	c := p.clients[address]
+	p.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.clients[address]; old != nil {
+		_ = c.Close()
+		return old, nil
+	}
+	if p.clients == nil {
+		p.clients = map[string]*jsonrpc2.Conn{}
+	}
+	p.clients[address] = c
+	return c, nil
+}
+
+func (p *Peers) open(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream(conn), jsonrpc2.HandlerWithError(refuse))
+	var n nonce
+	if err := c.Call(ctx, methodChallenge, struct{}{}, &n); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	if err := c.Call(ctx, methodHello, proof{MAC: mac(p.Secret, n.Nonce)}, &accepted{}); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: kind.NotFound.String()}
+}
+
+func (p *Peers) drop(address string, c *jsonrpc2.Conn) {
+	p.mu.Lock()
+	if p.clients[address] == c {
+		delete(p.clients, address)
+	}
+	p.mu.Unlock()
+	_ = c.Close()
+}
+
+// Close closes all connections to peers.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		_ = c.Close()
+	}
+	p.clients = nil
+}
--- /dev/null
+++ b/transport/plat/plat.go
@@ -0,0 +1,192 @@
+// Package plat reaches the platform: its transactional table and its list of hosts.
+//
+// The table is spoken to in the published JSON form of the etcd v3 API (/v3/kv/range, /v3/kv/txn); another
+// table replaces this package and nothing else.
+package plat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/record"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/protocol/table"
+)
+
+// maxAnswer bounds an answer of the platform, in bytes.
+const maxAnswer = 16 << 20
+
+// Plat is a client of the platform.
+//
+// A write that may have been carried out fails with kind OutcomeUnknown, everything else with Unavailable.
+// All methods may be called concurrently.
+type Plat struct {
+	// Base is the URL of the platform's services.
+	Base string
+	// Timeout bounds one request.
+	Timeout time.Duration
+	// Client sends requests.
+	Client *http.Client
+}
+
+type kv struct {
+	Key     []byte `json:"key"`
+	Value   []byte `json:"value"`
+	Version int64  `json:"mod_revision,string"`
+}
+
+type rangeRequest struct {
+	Key []byte `json:"key"`
+}
+
+type rangeResponse struct {
+	KVs []kv `json:"kvs"`
+}
+
+type compare struct {
+	Key     []byte `json:"key"`
+	Target  string `json:"target"`
+	Result  string `json:"result"`
+	Version string `json:"mod_revision"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+}
+
+type requestOp struct {
+	Put    *putRequest   `json:"requestPut,omitempty"`
+	Delete *rangeRequest `json:"requestDeleteRange,omitempty"`
+	Txn    *txnRequest   `json:"requestTxn,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []requestOp `json:"success"`
+}
+
+type txnResponse struct {
+	Header struct {
+		Revision int64 `json:"revision,string"`
+	} `json:"header"`
+	Succeeded bool `json:"succeeded"`
+	Responses []struct {
+		Txn *txnResponse `json:"responseTxn"`
+	} `json:"responses"`
+}
+
+// Read returns one row; an absent row has version 0.
+func (p *Plat) Read(ctx context.Context, key string) (record.Record, error) {
+	var answer rangeResponse
+	if err := p.post(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &answer); err != nil {
+		return record.Record{}, fault.Wrap(kind.Unavailable, err, "read of %s", key)
+	}
+	if len(answer.KVs) == 0 {
+		return record.Record{Key: key}, nil
+	}
+	row := answer.KVs[0]
+	return record.Record{Key: key, Value: row.Value, Version: row.Version}, nil
+}
+
+// Commit carries out one transaction and returns the version of the rows written, or 0 when a condition failed.
+func (p *Plat) Commit(ctx context.Context, t table.Txn) (int64, error) {
+	versions, err := p.CommitAll(ctx, []table.Txn{t})
+	if err != nil {
+		return 0, err
+	}
+	return versions[0], nil
+}
+
+// CommitAll carries out transactions in one commit; each one's conditions hold or fail on their own.
+func (p *Plat) CommitAll(ctx context.Context, txns []table.Txn) ([]int64, error) {
+	request := txnRequest{}
+	for _, t := range txns {
+		nested := encode(t)
+		request.Success = append(request.Success, requestOp{Txn: &nested})
+	}
+	var answer txnResponse
+	if err := p.post(ctx, "/v3/kv/txn", request, &answer); err != nil {
+		return nil, err
+	}
+	if len(answer.Responses) != len(txns) {
+		return nil, fault.New(kind.OutcomeUnknown, "", "the table answered %d of %d transactions", len(answer.Responses), len(txns))
+	}
+	versions := make([]int64, len(txns))
+	for i, r := range answer.Responses {
+		if r.Txn != nil && r.Txn.Succeeded {
+			versions[i] = answer.Header.Revision
+		}
+	}
+	return versions, nil
+}
+
+func encode(t table.Txn) txnRequest {
+	var r txnRequest
+	for _, c := range t.Conds {
+		r.Compare = append(r.Compare, compare{Key: []byte(c.Key), Target: "MOD", Result: "EQUAL", Version: strconv.FormatInt(c.Version, 10)})
+	}
+	for _, w := range t.Writes {
+		op := requestOp{Delete: &rangeRequest{Key: []byte(w.Key)}}
+		if w.Value != nil {
+			op = requestOp{Put: &putRequest{Key: []byte(w.Key), Value: w.Value}}
+		}
+		r.Success = append(r.Success, op)
+	}
+	return r
+}
+
+// Hosts returns the platform's lagging list of hosts.
+func (p *Plat) Hosts(ctx context.Context) ([]roster.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, p.Base+"/hosts", nil)
+	if err != nil {
+		return nil, fault.Wrap(kind.Internal, err, "host list")
+	}
+	var rows []roster.Row
+	return rows, p.do(r, &rows)
+}
+
+// Join lists an entry host, or changes its row.
+func (p *Plat) Join(ctx context.Context, row roster.Row) error {
+	return p.post(ctx, "/hosts", row, &struct{}{})
+}
+
+func (p *Plat) post(ctx context.Context, path string, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return fault.Wrap(kind.Internal, err, "request is not writable")
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, p.Base+path, bytes.NewReader(data))
+	if err != nil {
+		return fault.Wrap(kind.Internal, err, "request to the platform")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	return p.do(r, answer)
+}
+
+func (p *Plat) do(r *http.Request, answer any) error {
+	w, err := p.Client.Do(r)
+	if err != nil {
+		return fault.Wrap(kind.OutcomeUnknown, err, "the platform did not answer")
+	}
+	defer func() { _ = w.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(w.Body, maxAnswer))
+	if err != nil {
+		return fault.Wrap(kind.OutcomeUnknown, err, "the platform's answer broke off")
+	}
+	if w.StatusCode != http.StatusOK {
+		return fault.New(kind.Unavailable, "", "the platform answered status %d", w.StatusCode)
+	}
+	return fault.Wrap(kind.OutcomeUnknown, json.Unmarshal(data, answer), "the platform's answer is not readable")
+}
