Claim a call again before a take-over, so that a late release can't free it

A claim whose answer was lost was being released when a retry on the same host found the row held and unsent and took it over as it was; the release, delayed in the network, then landed and another host claimed the row. Ruled out: the read-back (the write ids matched), the pending-outcome note (the row had none). Change: a row that a process holds unsent is claimed again with a fresh write id before it is used, which fences off every older write. The histories gained endpoint cuts, early abandoning and a check for stuck claims. Conclusion: every use of a row is preceded by a write of it.

--- a/coordination/once/once.go
+++ b/coordination/once/once.go
@@ -82,17 +82,14 @@
 	if err != nil {
 		return claim.Claim{}, storeDown(err)
 	}
-	old, mine, err := l.settle(row, digest)
+	old, err := l.settle(row, digest)
 	if err != nil || old.State == claim.Finished {
 		return old, err
 	}
 	contactErr := l.contact(ctx, c)
-	held := pending{version: row.Version, row: old}
-	if !mine {
-		held, err = l.claim(ctx, key, digest, row)
-		if err != nil {
-			return claim.Claim{}, err
-		}
+	held, err := l.claim(ctx, key, digest, row)
+	if err != nil {
+		return claim.Claim{}, err
 	}
 	if contactErr != nil {
 		return claim.Claim{}, l.notRun(ctx, key, held, contactErr)
@@ -131,58 +128,59 @@
 	delete(l.active, key)
 }
 
-// settle reads an existing row: an answer to replay, a refusal, or a row that may be claimed (mine is false)
-// or is already held by this process and unsent (mine is true).
-func (l *Ledger) settle(row record.Record, digest string) (old claim.Claim, mine bool, err error) {
+// settle reads an existing row: an answer to replay, a refusal, or a row that may be claimed.
+//
+// A row that this process holds unsent is claimed again, which also fences off any write of it still on its way.
+func (l *Ledger) settle(row record.Record, digest string) (old claim.Claim, err error) {
 	if row.Version == 0 {
-		return old, false, nil
+		return old, nil
 	}
 	if err := json.Unmarshal(row.Value, &old); err != nil {
-		return old, false, fault.Wrap(kind.Internal, err, "claim %s is not readable", row.Key)
+		return old, fault.Wrap(kind.Internal, err, "claim %s is not readable", row.Key)
 	}
 	if old.Digest != digest {
-		return old, false, fault.New(kind.Conflict, "idempotency-key", "the key was used for another request")
+		return old, fault.New(kind.Conflict, "idempotency-key", "the key was used for another request")
 	}
 	switch old.State {
 	case claim.Finished, claim.Released:
-		return old, false, nil
+		return old, nil
 	case claim.NotRun:
-		return old, false, notRun(nil)
+		return old, notRun(nil)
 	case claim.Held:
 		return l.settleHeld(row.Key, old)
 	default:
-		return old, false, unknown(nil)
+		return old, unknown(nil)
 	}
 }
 
-func (l *Ledger) settleHeld(key string, old claim.Claim) (claim.Claim, bool, error) {
+func (l *Ledger) settleHeld(key string, old claim.Claim) (claim.Claim, error) {
 	if old.Holder == l.Self && old.Incarnation == l.Incarnation {
 		return l.settleOwn(key, old)
 	}
 	if l.Dead(old.Holder, old.Incarnation) {
-		return old, false, unknown(nil)
+		return old, unknown(nil)
 	}
-	return old, false, running()
+	return old, running()
 }
 
 // settleOwn reads a row that this process holds while no attempt is active: with a pending outcome it is
 // ended, without one the claim's answer was lost and nothing was sent.
-func (l *Ledger) settleOwn(key string, old claim.Claim) (claim.Claim, bool, error) {
+func (l *Ledger) settleOwn(key string, old claim.Claim) (claim.Claim, error) {
 	l.mu.Lock()
 	p, ended := l.pending[key]
 	l.mu.Unlock()
 	if !ended {
-		return old, true, nil
+		return old, nil
 	}
 	switch p.row.State {
 	case claim.Finished:
-		return p.row, false, nil
+		return p.row, nil
 	case claim.NotRun:
-		return p.row, false, notRun(nil)
+		return p.row, notRun(nil)
 	case claim.Released:
-		return old, true, nil
+		return old, nil
 	default:
-		return p.row, false, unknown(nil)
+		return p.row, unknown(nil)
 	}
 }
 
--- /dev/null
+++ b/model/calls/calls.go
@@ -0,0 +1,299 @@
+// Package calls plays seeded histories of non-idempotent calls under failures and counts what went wrong.
+package calls
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/once"
+	"github.com/dragonflyroute/dragonflyroute/model/sched"
+	"github.com/dragonflyroute/dragonflyroute/model/store"
+	"github.com/dragonflyroute/dragonflyroute/protocol/claim"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+)
+
+const (
+	entryHosts   = 3
+	keys         = 6
+	tries        = 5
+	storeLatency = 4 * time.Millisecond
+	callLatency  = 6 * time.Millisecond
+	callerWait   = 60 * time.Millisecond
+	historyTime  = time.Minute
+	settleTime   = 2 * time.Second
+	maxPause     = 400 * time.Millisecond
+)
+
+// Calls is one history: callers try a few keys on several entry hosts while processes are killed and paused, the
+// store fails and connections break.
+type Calls struct {
+	// Seed decides everything.
+	Seed uint64
+	// Naive retries without claims.
+	Naive bool
+	// Calm leaves out every failure.
+	Calm bool
+
+	// Calls counts the keys used.
+	Calls int
+	// DoubleRuns counts keys that ran more than once.
+	DoubleRuns int
+	// FalseNotRun counts keys that ran although a caller was told "not-run".
+	FalseNotRun int
+	// WrongAnswers counts answers that belong to another key.
+	WrongAnswers int
+	// Stuck counts claims that a live process still holds after the failures have ended.
+	Stuck int
+	// Unknown counts keys whose callers ended without an answer or "not-run".
+	Unknown int
+	// Answered counts keys whose callers got the answer.
+	Answered int
+	// Commits counts the table's commits.
+	Commits int
+	// Latency holds the virtual time that each answered first try took.
+	Latency []time.Duration
+
+	sched  *sched.Sched
+	store  *store.Store
+	hosts  []*process
+	runs   map[string]int
+	denied map[string]bool
+	cut    bool
+	ended  int
+	over   bool
+}
+
+// process is one entry host over its incarnations.
+type process struct {
+	id          host.ID
+	incarnation int64
+	ledger      *once.Ledger
+}
+
+// Run plays the history.
+func (c *Calls) Run() {
+	c.sched = sched.New(c.Seed)
+	c.store = &store.Store{Sched: c.sched, Latency: storeLatency}
+	c.runs = map[string]int{}
+	c.denied = map[string]bool{}
+	if !c.Calm {
+		c.store.LoseBefore = 0.1 * c.sched.Rand.Float64()
+		c.store.LoseAfter = 0.2 * c.sched.Rand.Float64()
+		c.store.Delay = 0.1 * c.sched.Rand.Float64()
+		c.sched.Go("nemesis", c.nemesis)
+	}
+	for i := range entryHosts {
+		p := &process{id: host.ID(fmt.Sprintf("entry-%d", i))}
+		c.hosts = append(c.hosts, p)
+		c.start(p)
+	}
+	for i := range keys {
+		c.sched.Go("callers", func() { c.caller(fmt.Sprintf("key-%d", i)) })
+	}
+	c.sched.Go("callers", c.settle)
+	c.sched.Run(historyTime)
+	c.count()
+}
+
+// settle ends the failures after the last caller and leaves time to reconcile.
+func (c *Calls) settle() {
+	for c.ended < keys {
+		c.sched.Sleep(callerWait)
+	}
+	c.store.LoseBefore, c.store.LoseAfter, c.store.Delay = 0, 0, 0
+	c.sched.Sleep(settleTime)
+	c.over = true
+}
+
+// stuck reports whether a live process holds the key's claim.
+func (c *Calls) stuck(key string) bool {
+	row := c.store.Peek(key)
+	if row.Version == 0 {
+		return false
+	}
+	var got claim.Claim
+	if err := json.Unmarshal(row.Value, &got); err != nil {
+		return true
+	}
+	return got.State == claim.Held && !c.dead(got.Holder, got.Incarnation)
+}
+
+func (c *Calls) count() {
+	c.Calls = keys
+	c.Commits = c.store.Commits
+	for i := range keys {
+		key := fmt.Sprintf("key-%d", i)
+		if c.runs[key] > 1 {
+			c.DoubleRuns++
+		}
+		if c.denied[key] && c.runs[key] > 0 {
+			c.FalseNotRun++
+		}
+		if c.stuck(key) {
+			c.Stuck++
+		}
+	}
+	c.Unknown = keys - c.Answered - len(c.denied)
+}
+
+func (c *Calls) start(p *process) {
+	p.incarnation++
+	n := 0
+	p.ledger = &once.Ledger{
+		Store:       c.store,
+		Self:        p.id,
+		Incarnation: p.incarnation,
+		NewID: func() string {
+			n++
+			return fmt.Sprintf("%s/%d/%d", p.id, p.incarnation, n)
+		},
+		Dead: c.dead,
+	}
+	ledger := p.ledger
+	c.sched.Go(string(p.id), func() {
+		for !c.over {
+			c.sched.Jitter(callerWait)
+			_ = ledger.Reconcile(context.Background())
+		}
+	})
+}
+
+func (c *Calls) dead(id host.ID, incarnation int64) bool {
+	for _, p := range c.hosts {
+		if p.id == id {
+			return p.incarnation > incarnation
+		}
+	}
+	return false
+}
+
+// nemesis kills, pauses and cuts until the callers have ended.
+func (c *Calls) nemesis() {
+	for c.ended < keys {
+		c.sched.Jitter(2 * callerWait)
+		p := c.hosts[c.sched.Rand.IntN(entryHosts)]
+		switch c.sched.Rand.IntN(5) {
+		case 0:
+			c.sched.Kill(string(p.id))
+			c.start(p)
+		case 1:
+			c.sched.Pause(string(p.id), time.Duration(c.sched.Rand.Int64N(int64(maxPause))))
+		case 2:
+			c.store.Down = true
+			c.sched.Jitter(callerWait)
+			c.store.Down = false
+		case 3:
+			c.cut = true
+			c.sched.Jitter(callerWait)
+			c.cut = false
+		default:
+		}
+	}
+}
+
+type outcome struct {
+	answer claim.Claim
+	err    error
+	done   bool
+}
+
+// caller tries a key on random entry hosts, without waiting for the answer of an earlier try for ever.
+func (c *Calls) caller(key string) {
+	defer func() { c.ended++ }()
+	for try := range tries {
+		p := c.hosts[c.sched.Rand.IntN(entryHosts)]
+		out := &outcome{}
+		started := c.sched.Now()
+		ledger := p.ledger
+		c.sched.Go(string(p.id), func() {
+			out.answer, out.err = c.serve(ledger, key)
+			out.done = true
+		})
+		c.await(out)
+		if !out.done {
+			continue
+		}
+		if c.final(key, out) {
+			if out.err == nil && try == 0 {
+				c.Latency = append(c.Latency, c.sched.Now().Sub(started))
+			}
+			return
+		}
+		c.sched.Jitter(callerWait)
+	}
+}
+
+func (c *Calls) await(out *outcome) {
+	deadline := c.sched.Now().Add(time.Duration(c.sched.Rand.Int64N(int64(callerWait))))
+	for !out.done && c.sched.Now().Before(deadline) {
+		c.sched.Sleep(time.Millisecond)
+	}
+}
+
+func (c *Calls) final(key string, out *outcome) bool {
+	if out.err == nil {
+		c.Answered++
+		if string(out.answer.Body) != key {
+			c.WrongAnswers++
+		}
+		return true
+	}
+	if fault.KindOf(out.err) == kind.NotRun {
+		c.denied[key] = true
+		return true
+	}
+	return false
+}
+
+func (c *Calls) serve(l *once.Ledger, key string) (claim.Claim, error) {
+	call := &remote{calls: c, key: key}
+	if !c.Naive {
+		return l.Run(context.Background(), key, "digest-"+key, call)
+	}
+	var err error
+	for range tries {
+		var answer claim.Claim
+		if answer, _, err = call.Send(context.Background()); err == nil {
+			return answer, nil
+		}
+	}
+	return claim.Claim{}, err
+}
+
+// remote is a call to a service that may be unreachable, break before or after the effect, or answer late.
+type remote struct {
+	calls *Calls
+	key   string
+}
+
+// Contact connects.
+func (r *remote) Contact(context.Context) error {
+	r.calls.sched.Jitter(callLatency)
+	if r.calls.cut || r.fails(0.15) {
+		return fault.New(kind.Unavailable, "", "no connection")
+	}
+	return nil
+}
+
+// Send sends the call.
+func (r *remote) Send(context.Context) (claim.Claim, bool, error) {
+	if r.fails(0.1) {
+		return claim.Claim{}, false, fault.New(kind.Unavailable, "", "broke before a byte")
+	}
+	r.calls.sched.Jitter(callLatency)
+	if r.fails(0.1) {
+		return claim.Claim{}, true, fault.New(kind.OutcomeUnknown, "", "broke before the effect")
+	}
+	r.calls.runs[r.key]++
+	r.calls.sched.Jitter(callLatency)
+	if r.fails(0.15) {
+		return claim.Claim{}, true, fault.New(kind.OutcomeUnknown, "", "broke after the effect")
+	}
+	return claim.Claim{Status: 201, Body: []byte(r.key)}, true, nil
+}
+
+func (r *remote) fails(p float64) bool { return !r.calls.Calm && r.calls.sched.Chance(p) }
--- /dev/null
+++ b/model/calls/calls_test.go
@@ -0,0 +1,53 @@
+package calls_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/model/calls"
+)
+
+func TestCalls(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "calls")
+}
+
+const histories = 2000
+
+func play(naive bool) (total calls.Calls) {
+	for seed := range uint64(histories) {
+		c := &calls.Calls{Seed: seed, Naive: naive}
+		c.Run()
+		if !naive {
+			Expect(c.DoubleRuns).To(BeZero(), "double run with seed %d", seed)
+			Expect(c.FalseNotRun).To(BeZero(), "false not-run with seed %d", seed)
+			Expect(c.Stuck).To(BeZero(), "stuck claim with seed %d", seed)
+			Expect(c.WrongAnswers).To(BeZero(), "wrong answer with seed %d", seed)
+		}
+		total.Calls += c.Calls
+		total.DoubleRuns += c.DoubleRuns
+		total.Answered += c.Answered
+		total.Unknown += c.Unknown
+	}
+	return total
+}
+
+var _ = Describe("non-idempotent calls", func() {
+	It("run at most once, and never after a not-run, over kills, pauses, lost answers and outages", func() {
+		total := play(false)
+		Expect(total.Answered).To(BeNumerically(">", total.Calls/4))
+	})
+
+	It("run twice without claims, so that the histories can show it", func() {
+		Expect(play(true).DoubleRuns).To(BeNumerically(">", 0))
+	})
+
+	It("all get their answer when nothing fails", func() {
+		c := &calls.Calls{Seed: 1, Calm: true}
+		c.Run()
+		Expect(c.Answered).To(Equal(c.Calls))
+		Expect(c.Unknown).To(BeZero())
+	})
+})
--- /dev/null
+++ b/model/sched/sched.go
@@ -0,0 +1,160 @@
+// Package sched runs concurrent code step by step on a virtual clock, in an order drawn from a seed.
+package sched
+
+import (
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+type actor struct {
+	group  string
+	wake   time.Time
+	resume chan struct{}
+	killed bool
+	done   bool
+}
+
+// Sched lets one actor run at a time; an actor gives way only in Sleep, so every run of a seed is the same.
+//
+// Its methods are called by actors, or before Run.
+type Sched struct {
+	// Rand is the source of every random decision.
+	Rand *rand.Rand
+
+	now     time.Time
+	actors  []*actor
+	current *actor
+	yielded chan struct{}
+	paused  map[string]time.Time
+	g       errgroup.Group
+}
+
+// New returns a scheduler for a seed.
+func New(seed uint64) *Sched {
+	return &Sched{
+		Rand:    rand.New(rand.NewPCG(seed, seed)),
+		now:     time.Unix(1_000_000, 0),
+		yielded: make(chan struct{}),
+		paused:  map[string]time.Time{},
+	}
+}
+
+// Now returns the virtual time.
+func (s *Sched) Now() time.Time { return s.now }
+
+// Go starts an actor of a group, such as a process.
+func (s *Sched) Go(group string, f func()) {
+	a := &actor{group: group, wake: s.now, resume: make(chan struct{})}
+	s.actors = append(s.actors, a)
+	s.g.Go(func() error {
+		defer func() {
+			a.done = true
+			s.yielded <- struct{}{}
+		}()
+		<-a.resume
+		if !a.killed {
+			f()
+		}
+		return nil
+	})
+}
+
+// Sleep lets the others run for at least d; a killed actor never returns from it.
+func (s *Sched) Sleep(d time.Duration) {
+	a := s.current
+	if a.killed {
+		runtime.Goexit()
+	}
+	a.wake = s.now.Add(d)
+	s.yielded <- struct{}{}
+	<-a.resume
+	if a.killed {
+		runtime.Goexit()
+	}
+}
+
+// Jitter sleeps for a random time below d.
+func (s *Sched) Jitter(d time.Duration) { s.Sleep(time.Duration(s.Rand.Int64N(int64(d)))) }
+
+// Chance reports true with the given probability.
+func (s *Sched) Chance(p float64) bool { return s.Rand.Float64() < p }
+
+// Kill ends all actors of a group, wherever they are.
+func (s *Sched) Kill(group string) {
+	for _, a := range s.actors {
+		if a.group == group {
+			a.killed = true
+		}
+	}
+}
+
+// Pause keeps all actors of a group from running for d, as a stopped process.
+func (s *Sched) Pause(group string, d time.Duration) { s.paused[group] = s.now.Add(d) }
+
+// Run runs until every actor has ended, or until the virtual time limit, and then ends those left.
+func (s *Sched) Run(limit time.Duration) {
+	end := s.now.Add(limit)
+	for {
+		a := s.next()
+		if a == nil {
+			break
+		}
+		if a.wake.After(end) {
+			s.killAll()
+		}
+		s.step(a)
+	}
+	_ = s.g.Wait()
+}
+
+func (s *Sched) killAll() {
+	for _, a := range s.actors {
+		a.killed = true
+	}
+}
+
+func (s *Sched) step(a *actor) {
+	if !a.killed {
+		s.now = later(s.now, s.due(a))
+	}
+	s.current = a
+	a.resume <- struct{}{}
+	<-s.yielded
+	if a.done {
+		s.actors = slices.DeleteFunc(s.actors, func(b *actor) bool { return b == a })
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (s *Sched) due(a *actor) time.Time { return later(a.wake, s.paused[a.group]) }
+
+// next draws one of the actors that are due first.
+func (s *Sched) next() *actor {
+	var best []*actor
+	for _, a := range s.actors {
+		if a.killed {
+			return a
+		}
+		at := later(s.now, s.due(a))
+		switch {
+		case len(best) == 0 || at.Before(later(s.now, s.due(best[0]))):
+			best = append(best[:0], a)
+		case at.Equal(later(s.now, s.due(best[0]))):
+			best = append(best, a)
+		}
+	}
+	if len(best) == 0 {
+		return nil
+	}
+	return best[s.Rand.IntN(len(best))]
+}
