--- a/coordination/edits/edits.go
+++ b/coordination/edits/edits.go
@@ -237,7 +237,9 @@
 		if err == nil && written {
 			return next, nil
 		}
-		last = err
+		if err != nil {
+			last = err
+		}
 	}
 	if last == nil {
 		return nil, fault.New(kind.Conflict, "", "%d other changes came first", commitTries)
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -116,7 +116,9 @@
 func (s *Spread) Hear(p pulse.Pulse) {
 	now := s.Now()
 	s.Fleet.Observe(p, now)
-	s.Holder.Confirm(p.Revision, now.Add(-time.Duration(p.ConfirmedMillis)*time.Millisecond))
+	if p.ConfirmedMillis >= 0 && p.ConfirmedMillis < s.MaxAge.Milliseconds() {
+		s.Holder.Confirm(p.Revision, now.Add(-time.Duration(p.ConfirmedMillis)*time.Millisecond))
+	}
 	for _, id := range p.Withdrawn {
 		s.Score.Withdraw(id)
 	}
--- a/model/cats/cats.go
+++ b/model/cats/cats.go
@@ -76,7 +76,8 @@
 	name        host.ID
 	incarnation int64
 	seq         int64
-	cut         bool
+	// cut tells that the process reaches only others that are cut off, and no table.
+	cut bool
 	shown       int64
 	stale       time.Time
 	holder      *holder.Holder
@@ -207,9 +208,10 @@
 			c.sched.Jitter(maxPause)
 			c.store.Down = false
 		case 3:
-			p.cut = true
+			q := c.processes[c.sched.Rand.IntN(hosts)]
+			p.cut, q.cut = true, true
 			c.sched.Jitter(maxCut)
-			p.cut = false
+			p.cut, q.cut = false, false
 		default:
 		}
 	}
@@ -342,7 +344,7 @@
 func (n *network) to(address string) (*process, error) {
 	n.cats.sched.Jitter(peerLatency)
 	for _, p := range n.cats.processes {
-		if string(p.name) == address && !p.cut && !n.from.cut {
+		if string(p.name) == address && p.cut == n.from.cut {
 			return p, nil
 		}
 	}
--- a/model/cats/cats_test.go
+++ b/model/cats/cats_test.go
@@ -14,7 +14,7 @@
 	RunSpecs(t, "cats")
 }
 
-const histories = 200
+const histories = 250
 
 var _ = Describe("catalogue changes", func() {
 	It("are never lost, doubled or reverted, and reach every host, over kills, cuts, pauses and lost answers", func() {
--- a/state/holder/holder.go
+++ b/state/holder/holder.go
@@ -63,10 +63,16 @@
 	}
 }
 
+// never is the age of a revision that was not confirmed yet.
+const never = 100 * 365 * 24 * time.Hour
+
 // Age returns the time since the current revision was last confirmed.
 func (h *Holder) Age(now time.Time) time.Duration {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
+	if h.confirmed.IsZero() {
+		return never
+	}
 	return now.Sub(h.confirmed)
 }
 
