Lend limits among entry hosts, and keep a frozen peer from stalling the others

Cause: limits were divided by a constant, so a single busy host had a seventh of them; and the scenario of a mover frozen past its lease never ended: a round of heartbeats waited a second for the frozen peer, so the live ones took each other for dead, and the new mover's lease lapsed while it waited for the frozen peer's evidence. Ruled out: the lease (it was taken over), the judge (it withdrew the version), the load (it flowed). Change: loans of limits for a term, counted so that the parts in use never exceed the whole; rounds are bounded by the heartbeat's period and evidence by 250 ms; a start takes no traffic for one term of loans. Before: 'ramping' after 60 s. Conclusion: nothing on a timer may wait for a peer longer than its period.

--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -14,8 +14,14 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 )
 
-// busyWait is the time to come back when an account has too many requests running.
-const busyWait = 500 * time.Millisecond
+const (
+	// busyWait is the time to come back when an account has too many requests running.
+	busyWait = 500 * time.Millisecond
+	// maxWait bounds the time to come back.
+	maxWait = 30 * time.Second
+	// usageTime is the time over which the use of a rate is averaged.
+	usageTime = time.Second
+)
 
 type key struct {
 	account acct.ID
@@ -25,6 +31,9 @@
 type line struct {
 	limiter *rate.Limiter
 	running int
+	// recent is the requests of about the last usageTime, as of at.
+	recent float64
+	at     time.Time
 }
 
 // Gate holds one process's part of every account's limits.
@@ -34,6 +43,8 @@
 type Gate struct {
 	// Share returns the process's part of the limits at a time.
 	Share func(account acct.ID, entry label.Name, now time.Time) float64
+	// Started is when the process started; tokens accrue from then on.
+	Started time.Time
 
 	mu    sync.Mutex
 	lines map[key]*line
@@ -46,16 +57,18 @@
 	share := scale * g.Share(account, e.Name, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.line(key{account: account, entry: e.Name})
+	l := g.line(key{account: account, entry: e.Name}, e, share)
 	l.adapt(e, share, now)
 	if float64(l.running+1) > float64(e.Limits.Concurrent)*share {
 		return nil, fault.New(kind.OverLimit, "account", "account %s has %d requests of %s running here", account, l.running, e.Name).After(busyWait)
 	}
 	wait := l.reserve(now)
 	if wait > 0 {
-		return nil, fault.New(kind.OverLimit, "account", "account %s is over its rate on %s", account, e.Name).After(wait)
+		return nil, fault.New(kind.OverLimit, "account", "account %s is over its rate on %s", account, e.Name).After(min(wait, maxWait))
 	}
 	l.running++
+	l.recent = l.decayed(now) + 1
+	l.at = now
 	return g.leaver(l), nil
 }
 
@@ -70,22 +83,27 @@
 	}
 }
 
-func (g *Gate) line(k key) *line {
+// line returns the account's line on an entry; a new one has the tokens that accrued since the process started.
+func (g *Gate) line(k key, e *entry.Entry, share float64) *line {
 	if g.lines == nil {
 		g.lines = map[key]*line{}
 	}
 	l := g.lines[k]
 	if l == nil {
-		l = &line{limiter: rate.NewLimiter(0, 0)}
+		burst := burstOf(e, share)
+		l = &line{limiter: rate.NewLimiter(rate.Limit(e.Limits.Rate*share), burst)}
+		l.limiter.AllowN(g.Started, burst)
 		g.lines[k] = l
 	}
 	return l
 }
 
+func burstOf(e *entry.Entry, share float64) int { return int(float64(e.Limits.Burst) * share) }
+
 // adapt sets the limiter to the process's part of the limits.
 func (l *line) adapt(e *entry.Entry, share float64, now time.Time) {
 	limit := rate.Limit(e.Limits.Rate * share)
-	burst := int(float64(e.Limits.Burst) * share)
+	burst := burstOf(e, share)
 	if l.limiter.Limit() != limit {
 		l.limiter.SetLimitAt(now, limit)
 	}
@@ -107,13 +125,20 @@
 	return wait
 }
 
-// Running returns the requests that an account has running on an entry here.
-func (g *Gate) Running(account acct.ID, name label.Name) int {
+func (l *line) decayed(now time.Time) float64 {
+	age := max(0, now.Sub(l.at))
+	return l.recent * float64(usageTime) / float64(usageTime+age)
+}
+
+// Used returns the part, 0 to 1, of an account's limits on an entry that is in use here.
+func (g *Gate) Used(account acct.ID, scale float64, e *entry.Entry, now time.Time) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.lines[key{account: account, entry: name}]
+	l := g.lines[key{account: account, entry: e.Name}]
 	if l == nil {
 		return 0
 	}
-	return l.running
+	places := float64(l.running) / (float64(e.Limits.Concurrent) * scale)
+	often := l.decayed(now) / usageTime.Seconds() / (e.Limits.Rate * scale)
+	return max(places, often)
 }
--- a/coordination/mover/mover.go
+++ b/coordination/mover/mover.go
@@ -155,8 +155,8 @@
 	if next == mv {
 		return
 	}
-	if next.State == move.TakenBack {
-		m.Scores.Withdraw(mv.ID)
+	if next.State == move.TakenBack && m.Scores.Withdraw(mv.ID) {
+		m.Log.Warn("version withdrawn", "move", mv.ID, "entry", mv.Entry, "version", mv.To, "reason", next.Reason)
 	}
 	m.commit(ctx, next, k)
 }
--- /dev/null
+++ b/coordination/quota/quota_test.go
@@ -0,0 +1,126 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
+	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
+	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/limit"
+	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+)
+
+func TestQuota(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quota")
+}
+
+const (
+	hosts = 5
+	term  = 2 * time.Second
+	steps = 3000
+)
+
+// network is a set of processes whose loans may be lost on the way, and which restart.
+type network struct {
+	rand   *rand.Rand
+	now    time.Time
+	quotas []*quota.Quota
+}
+
+func newNetwork(seed uint64) *network {
+	n := &network{rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0)}
+	for range hosts {
+		n.quotas = append(n.quotas, &quota.Quota{Hosts: hosts, Term: term, Started: n.now, Fresh: true})
+	}
+	return n
+}
+
+func (n *network) pass() {
+	n.now = n.now.Add(time.Duration(n.rand.Int64N(int64(100 * time.Millisecond))))
+}
+
+func (n *network) lend(used float64) {
+	lender, borrower := n.quotas[n.rand.IntN(hosts)], n.quotas[n.rand.IntN(hosts)]
+	if lender == borrower {
+		return
+	}
+	asked := n.now
+	n.pass()
+	grant := lender.Lend(loan.Loan{Account: "a", Entry: "e", Share: n.rand.Float64()}, used, n.now)
+	n.pass()
+	if n.rand.Float64() < 0.7 {
+		borrower.Borrow(grant, asked)
+	}
+}
+
+func (n *network) restart() {
+	n.quotas[n.rand.IntN(hosts)] = &quota.Quota{Hosts: hosts, Term: term, Started: n.now}
+}
+
+func (n *network) sum() float64 {
+	sum := 0.0
+	for _, q := range n.quotas {
+		sum += q.Share("a", "e", n.now)
+	}
+	return sum
+}
+
+var _ = Describe("Quota", func() {
+	for seed := range uint64(20) {
+		It(fmt.Sprintf("never adds up to more than the whole, over lost loans and restarts (seed %d)", seed), func() {
+			n := newNetwork(seed)
+			most := 0.0
+			for range steps {
+				n.lend(n.rand.Float64() * 0.3)
+				if n.rand.Float64() < 0.01 {
+					n.restart()
+				}
+				Expect(n.sum()).To(BeNumerically("<=", 1+1e-9))
+				most = max(most, n.sum())
+			}
+			Expect(most).To(BeNumerically(">", 0.8))
+		})
+	}
+
+	It("gives a single busy host most of the limits", func() {
+		n := newNetwork(1)
+		for _, q := range n.quotas[1:] {
+			n.quotas[0].Borrow(q.Lend(loan.Loan{Account: "a", Entry: "e", Share: 1}, 0, n.now), n.now)
+		}
+		Expect(n.quotas[0].Share("a", "e", n.now)).To(BeNumerically(">", 0.8))
+		n.now = n.now.Add(term)
+		Expect(n.quotas[0].Share("a", "e", n.now)).To(BeNumerically("~", 1.0/hosts))
+	})
+
+	for seed := range uint64(10) {
+		It(fmt.Sprintf("holds an account's rate and burst over all gates (seed %d)", seed), func() {
+			n := newNetwork(seed)
+			e := &entry.Entry{Name: "e", Limits: limit.Limits{Rate: 40, Burst: 20, Concurrent: 1 << 20}}
+			gates := make([]*gate.Gate, hosts)
+			for i := range gates {
+				gates[i] = &gate.Gate{Share: n.quotas[i].Share, Started: n.now}
+			}
+			start, admitted := n.now, 0
+			for range steps {
+				n.now = n.now.Add(time.Duration(n.rand.Int64N(int64(4 * time.Millisecond))))
+				i := n.rand.IntN(hosts)
+				if _, err := gates[i].Enter("a", 1, e, n.now); err == nil {
+					admitted++
+				}
+				if n.rand.Float64() < 0.1 {
+					n.lend(gates[i].Used("a", 1, e, n.now))
+				}
+				budget := e.Limits.Rate*n.now.Sub(start).Seconds() + float64(e.Limits.Burst)
+				Expect(float64(admitted)).To(BeNumerically("<=", budget+1e-6))
+			}
+			Expect(admitted).To(BeNumerically(">", steps/20))
+		})
+	}
+})
--- /dev/null
+++ b/coordination/route/route_test.go
@@ -0,0 +1,114 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/route"
+	"github.com/dragonflyroute/dragonflyroute/protocol/class"
+	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/need"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/state/server"
+)
+
+func TestRoute(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "route")
+}
+
+var now = time.Unix(1000, 0)
+
+func servers(r *rand.Rand, n int) []*server.Server {
+	var out []*server.Server
+	for i := range n {
+		s := server.New(roster.Row{ID: endpt.ID(fmt.Sprint(i)), State: roster.Live, Price: 100_000 + r.Int64N(900_000)}, now)
+		var running, waiting [class.Call + 1]int
+		running[class.Quick], waiting[class.Long] = r.IntN(10), r.IntN(10)
+		s.SetLoad(running, waiting, 8, time.Duration(1+r.IntN(40))*time.Millisecond, 1000+r.Float64()*9000)
+		if r.IntN(5) == 0 {
+			s.SetRow(roster.Row{ID: s.Row().ID, State: roster.Leaving, Price: s.Row().Price}, now)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func request() *need.Need {
+	return &need.Need{Class: class.Quick, PromptTokens: 400, OutTokens: 50, FirstToken: 1200 * time.Millisecond, Answer: 4 * time.Second, Refund: 2000, PriceCeiling: 900_000}
+}
+
+// cheapest is the naive twin: a scan for the lowest estimate.
+func cheapest(all []*server.Server, n *need.Need) (best float64) {
+	best = -1
+	for _, s := range all {
+		if _, cost := route.Estimate(s, n, now); !s.Leaving() && s.Row().Price <= n.PriceCeiling && (best < 0 || cost < best) {
+			best = cost
+		}
+	}
+	return best
+}
+
+var _ = Describe("Picker", func() {
+	It("is as cheap as a naive scan, up to its tie-breaking, and never takes a leaving or too dear endpoint", func() {
+		for seed := range uint64(300) {
+			r := rand.New(rand.NewPCG(seed, 0))
+			all, n := servers(r, 1+r.IntN(12)), request()
+			got, _ := (&route.Picker{Rand: r.Float64}).Pick(all, n, nil, now)
+			want := cheapest(all, n)
+			if want < 0 {
+				Expect(got).To(BeNil())
+				continue
+			}
+			Expect(got.Leaving()).To(BeFalse())
+			Expect(got.Row().Price).To(BeNumerically("<=", n.PriceCeiling))
+			_, cost := route.Estimate(got, n, now)
+			Expect(cost).To(BeNumerically("<=", want*1.0201), "seed %d", seed)
+		}
+	})
+
+	It("does not see long work in front of quick work", func() {
+		s := server.New(roster.Row{State: roster.Live}, now)
+		var running, waiting [class.Call + 1]int
+		running[class.Long], waiting[class.Long] = 8, 50
+		s.SetLoad(running, waiting, 8, 10*time.Millisecond, 10_000)
+		quick, _ := route.Estimate(s, request(), now)
+		long := request()
+		long.Class = class.Long
+		slow, _ := route.Estimate(s, long, now)
+		Expect(quick).To(BeNumerically("<", time.Second))
+		Expect(slow).To(BeNumerically(">", 2*time.Second))
+	})
+
+	It("counts what was sent since the last report", func() {
+		s := server.New(roster.Row{State: roster.Live}, now)
+		s.SetLoad([class.Call + 1]int{}, [class.Call + 1]int{}, 2, 10*time.Millisecond, 10_000)
+		before, _ := route.Estimate(s, request(), now)
+		for range 4 {
+			s.Begin(class.Quick)
+		}
+		after, _ := route.Estimate(s, request(), now)
+		Expect(after).To(BeNumerically(">", before))
+	})
+
+	It("prefers an endpoint that is likely to cache the prompt's prefix, less so with time", func() {
+		a, b := server.New(roster.Row{State: roster.Live}, now), server.New(roster.Row{State: roster.Live}, now)
+		n := request()
+		n.Prefix, n.PromptTokens = 7, 20_000
+		b.Remember(7, now)
+		got, _ := (&route.Picker{Rand: func() float64 { return 0 }}).Pick([]*server.Server{a, b}, n, nil, now)
+		Expect(got).To(BeIdenticalTo(b))
+		Expect(b.PrefixChance(7, now.Add(time.Hour))).To(BeNumerically("<", 0.1))
+	})
+
+	It("allocates nothing", func() {
+		r := rand.New(rand.NewPCG(1, 0))
+		all, n, p := servers(r, 32), request(), &route.Picker{Rand: r.Float64}
+		Expect(testing.AllocsPerRun(100, func() { p.Pick(all, n, nil, now) })).To(BeZero())
+	})
+})
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -63,6 +63,8 @@
 	// MaxAge bounds the age of an unconfirmed catalogue.
 	MaxAge time.Duration
 
+	// RoundTime bounds one round, so that a frozen peer does not keep the others from being heard.
+	RoundTime time.Duration
 	// Started is when the process started.
 	Started time.Time
 
@@ -73,6 +75,8 @@
 
 // Round exchanges heartbeats with a few random peers, or with all in a small fleet.
 func (s *Spread) Round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.RoundTime)
+	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, address := range s.draw() {
 		g.Go(func() error {
--- a/model/cats/cats.go
+++ b/model/cats/cats.go
@@ -77,12 +77,12 @@
 	incarnation int64
 	seq         int64
 	// cut tells that the process reaches only others that are cut off, and no table.
-	cut bool
-	shown       int64
-	stale       time.Time
-	holder      *holder.Holder
-	spread      *spread.Spread
-	edits       *edits.Edits
+	cut    bool
+	shown  int64
+	stale  time.Time
+	holder *holder.Holder
+	spread *spread.Spread
+	edits  *edits.Edits
 }
 
 // Run plays the history.
--- a/protocol/config/config.go
+++ b/protocol/config/config.go
@@ -93,7 +93,11 @@
 	Intervals intervals `json:"intervals"`
 }
 
-const minKeyBytes = 16
+const (
+	minKeyBytes = 16
+	// minLeaseTerm is several times what a holder needs to gather evidence before it acts.
+	minLeaseTerm = time.Second
+)
 
 // Default returns settings with every optional value set.
 func Default() *Settings {
@@ -156,6 +160,7 @@
 	require(s.Bounds.HeaderBytes > 0, "bounds.header-bytes", "must be above 0")
 	require(s.Bounds.Connections > 0, "bounds.connections", "must be above 0")
 	require(s.Bounds.Subset > 0, "bounds.subset", "must be above 0")
+	require(s.Intervals.LeaseTerm.Of() >= minLeaseTerm, "intervals.lease-term", "must be at least %s", minLeaseTerm)
 	for name, p := range s.periods() {
 		require(p > 0, name, "must be above 0")
 	}
--- /dev/null
+++ b/protocol/loan/loan.go
@@ -0,0 +1,17 @@
+// Package loan holds a part of an account's limits that one entry host lends another.
+package loan
+
+import (
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+)
+
+// Loan is a request for a part of the limits, and its answer.
+type Loan struct {
+	// Account is whose limits are lent.
+	Account acct.ID `json:"account"`
+	// Entry is the catalogue entry that they are for.
+	Entry label.Name `json:"entry"`
+	// Share is the part, 0 to 1, that is wanted or granted.
+	Share float64 `json:"share"`
+}
--- /dev/null
+++ b/test/scene/failures_test.go
@@ -0,0 +1,313 @@
+package scene_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+)
+
+func nothing(int) {}
+
+var _ = Describe("a long answer", func() {
+	var w *world
+	var unbroken string
+	BeforeEach(func() {
+		w = newWorld(3, 2)
+		unbroken, _ = w.stream(w.caller(), 200, nothing)
+	})
+
+	// busy returns the engine that generates tokens now.
+	busy := func() *process {
+		before := map[*process]float64{}
+		for _, e := range w.engines {
+			before[e] = tokens(e)
+		}
+		var found *process
+		Eventually(func() bool {
+			for _, e := range w.engines {
+				if tokens(e) > before[e] {
+					found = e
+				}
+			}
+			return found != nil
+		}).Should(BeTrue())
+		return found
+	}
+
+	at := func(n int, do func()) func(int) {
+		return func(got int) {
+			if got == n {
+				do()
+			}
+		}
+	}
+
+	It("is whole when its engine is killed", func() {
+		text, _ := w.stream(w.caller(), 200, at(50, func() { busy().signal(syscall.SIGKILL) }))
+		Expect(text).To(Equal(unbroken))
+	})
+
+	It("is whole when its engine freezes", func() {
+		text, _ := w.stream(w.caller(), 200, at(50, func() { freeze(busy()) }))
+		Expect(text).To(Equal(unbroken))
+	})
+
+	It("is whole when its entry host is killed", func() {
+		c := w.caller(w.entries[0])
+		text, connections := w.stream(c, 200, at(50, func() {
+			for _, e := range w.entries {
+				if w.running(e) > 0 {
+					e.signal(syscall.SIGKILL)
+				}
+			}
+		}))
+		Expect(text).To(Equal(unbroken))
+		Expect(connections).To(BeNumerically(">", 1))
+	})
+
+	It("is whole when its data centre is reclaimed, and the leaving engine gets no new work", func() {
+		text, _ := w.stream(w.caller(), 200, at(50, func() {
+			leaving := busy()
+			Expect(send(http.MethodPost, leaving.address+"/reclaim", nil, `{"notice-ms":60000}`).status).To(Equal(200))
+			Eventually(func() string { return send(http.MethodGet, w.entries[0].address+"/operator/status", operator, "").body }).Should(ContainSubstring(`"leaving":true`))
+			Eventually(func() string { return send(http.MethodGet, w.entries[1].address+"/operator/status", operator, "").body }).Should(ContainSubstring(`"leaving":true`))
+			accepted := stats(leaving)["requests"]
+			for range 20 {
+				_, err := w.caller().Stream(context.Background(), "conseil-quick", "p", 2, func(string) {})
+				Expect(err).NotTo(HaveOccurred())
+			}
+			Expect(stats(leaving)["requests"]).To(Equal(accepted))
+		}))
+		Expect(text).To(Equal(unbroken))
+	})
+
+	It("goes on through an outage of the platform", func() {
+		text, _ := w.stream(w.caller(), 200, at(20, func() { w.fault(w.platform, `{"outage":true}`) }))
+		Expect(text).To(Equal(unbroken))
+	})
+
+	It("is handed over when its entry host stops gracefully, which ends cleanly", func() {
+		var stopped *process
+		text, connections := w.stream(w.caller(), 200, at(50, func() {
+			for _, e := range w.entries {
+				if w.running(e) > 0 {
+					stopped = e
+				}
+			}
+			stopped.signal(syscall.SIGTERM)
+		}))
+		Expect(text).To(Equal(unbroken))
+		Expect(connections).To(BeNumerically(">=", 1))
+		Expect(stopped.wait()).To(Succeed())
+	})
+})
+
+func stats(p *process) map[string]any {
+	out := map[string]any{}
+	Expect(json.Unmarshal([]byte(send(http.MethodGet, p.address+"/stats", nil, "").body), &out)).To(Succeed())
+	return out
+}
+
+func tokens(p *process) float64 {
+	r, err := http.Get("http://" + p.address + "/stats")
+	if err != nil {
+		return 0
+	}
+	defer r.Body.Close()
+	var out struct{ Tokens float64 }
+	_ = json.NewDecoder(r.Body).Decode(&out)
+	return out.Tokens
+}
+
+func (w *world) running(e *process) int {
+	var r struct {
+		Self struct{ Running int }
+	}
+	Expect(json.Unmarshal([]byte(send(http.MethodGet, e.address+"/operator/status", operator, "").body), &r)).To(Succeed())
+	return r.Self.Running
+}
+
+var _ = Describe("a payment", func() {
+	var w *world
+	BeforeEach(func() { w = newWorld(1, 2) })
+
+	pay := func(key string, entries ...*process) error {
+		_, _, err := w.caller(entries...).Call(context.Background(), "caisse", http.MethodPost, "/instalments", key, []byte(`{"contract":"c","amount-cents":5}`))
+		return err
+	}
+
+	It("runs once when its answer is lost, is outcome-unknown, and is never sent again", func() {
+		w.fault(w.apps[0], `{"lose-answer":true}`)
+		for range 3 {
+			Expect(fault.KindOf(pay("k-1"))).To(Equal(kind.OutcomeUnknown))
+		}
+		w.fault(w.apps[0], `{}`)
+		Expect(fault.KindOf(pay("k-1"))).To(Equal(kind.OutcomeUnknown))
+		Expect(runs(w.apps[0])).To(Equal(map[string]int{"k-1": 1}))
+	})
+
+	It("runs once for each key while the table loses every second answer", func() {
+		w.fault(w.platform, `{"lose-every":2}`)
+		for i := range 15 {
+			key := fmt.Sprintf("k-%d", i)
+			Expect(pay(key)).To(Succeed())
+			Expect(pay(key)).To(Succeed())
+		}
+		w.fault(w.platform, `{}`)
+		Expect(runs(w.apps[0])).To(HaveLen(15))
+		for key, n := range runs(w.apps[0]) {
+			Expect(n).To(Equal(1), key)
+		}
+	})
+
+	It("is refused without a run while the table is down, and runs once after", func() {
+		w.fault(w.platform, `{"outage":true}`)
+		got := send(http.MethodPost, w.entries[0].address+"/apps/caisse/instalments",
+			map[string]string{"Content-Type": "application/json", "X-Account": string(account), "Idempotency-Key": "k-1"}, `{"contract":"c","amount-cents":5}`)
+		Expect(got.status).To(Equal(503))
+		Expect(got.field("type")).To(Equal("urn:dragonflyroute:problem:unavailable"))
+		Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(runs(w.apps[0])).To(BeEmpty())
+		Expect(send(http.MethodGet, w.entries[0].address+"/apps/caisse/balance?contract=c", map[string]string{"X-Account": string(account)}, "").status).To(Equal(200))
+		w.fault(w.platform, `{}`)
+		Expect(pay("k-1")).To(Succeed())
+		Expect(runs(w.apps[0])).To(Equal(map[string]int{"k-1": 1}))
+	})
+
+	It("is not-run for good when no endpoint can be reached", func() {
+		w.apps[0].signal(syscall.SIGKILL)
+		Expect(fault.KindOf(pay("k-1"))).To(Equal(kind.NotRun))
+		app := w.app("v1")
+		tries := 0
+		Eventually(func() error {
+			tries++
+			return pay(fmt.Sprintf("again-%d", tries))
+		}).Should(Succeed())
+		Expect(fault.KindOf(pay("k-1"))).To(Equal(kind.NotRun))
+		Expect(runs(app)).NotTo(HaveKey("k-1"))
+	})
+
+	It("with the key of another one is a conflict", func() {
+		Expect(pay("k-1")).To(Succeed())
+		_, _, err := w.caller().Call(context.Background(), "caisse", http.MethodPost, "/instalments", "k-1", []byte(`{"contract":"c","amount-cents":6}`))
+		Expect(fault.KindOf(err)).To(Equal(kind.Conflict))
+	})
+})
+
+var _ = Describe("the catalogue", func() {
+	It("never reverts on an entry host that is frozen over changes, and reaches it when it is let go", func() {
+		w := newWorld(1, 3)
+		freeze(w.entries[2])
+		for i := range 3 {
+			w.put(strings.Replace(catalogue, `"note":"scene"`, fmt.Sprintf(`"note":"change %d"`, i), 1), int64(i+1))
+		}
+		letGo(w.entries[2])
+		last := int64(0)
+		Eventually(func() int64 {
+			got := w.status(w.entries[2]).Self.Revision
+			Expect(got).To(BeNumerically(">=", last))
+			last = got
+			return got
+		}).Should(Equal(int64(4)))
+	})
+
+	It("gives one of two racing operators a conflict with the difference", func() {
+		w := newWorld(1, 2)
+		w.put(strings.Replace(catalogue, `"scale":4`, `"scale":5`, 1), 1)
+		got := send(http.MethodPut, w.entries[1].address+"/operator/catalogue?base=1", operator, catalogue)
+		Expect(got.status).To(Equal(409))
+		Expect(got.field("detail")).To(ContainSubstring("~ account mutuelle"))
+	})
+})
+
+var _ = Describe("a version move", func() {
+	load := func(w *world, seconds int) *exec.Cmd {
+		var at []string
+		for _, e := range w.entries {
+			at = append(at, e.address)
+		}
+		cmd := exec.Command(filepath.Join(programs, "bench"), "load", "--at", strings.Join(at, ","), "--account", string(account), "--entry", "caisse",
+			"--call", "GET:/balance", "--rate", "400", "--for", fmt.Sprintf("%ds", seconds), "--json")
+		cmd.Stdout, cmd.Stderr = GinkgoWriter, GinkgoWriter
+		Expect(cmd.Start()).To(Succeed())
+		DeferCleanup(func() {
+			_ = cmd.Process.Signal(os.Interrupt)
+			_ = cmd.Wait()
+		})
+		return cmd
+	}
+	begin := func(w *world) {
+		order := fmt.Sprintf(`{"entry":"caisse","version":"v2","finish-by":%q}`, time.Now().Add(patience).Format(time.RFC3339))
+		Expect(send(http.MethodPost, w.entries[0].address+"/operator/moves", operator, order).status).To(Equal(200))
+	}
+	state := func(w *world, e *process) func() string {
+		return func() string {
+			moves := w.status(e).Moves
+			if len(moves) == 0 {
+				return ""
+			}
+			return moves[0].State
+		}
+	}
+
+	It("of a bad version is taken back although its mover is frozen past its lease", func() {
+		w := newWorld(1, 3)
+		w.fault(w.app("v2"), `{"fail-share":0.6}`)
+		begin(w)
+		var mover *process
+		Eventually(func() *process {
+			for _, e := range w.entries {
+				if strings.Contains(e.logged(), "move step") {
+					mover = e
+				}
+			}
+			return mover
+		}).ShouldNot(BeNil())
+		freeze(mover)
+		load(w, 60)
+		for _, e := range w.entries {
+			if e != mover {
+				Eventually(state(w, e)).Should(Equal("taken-back"))
+			}
+		}
+		letGo(mover)
+		Eventually(state(w, mover)).Should(Equal("taken-back"))
+		Consistently(state(w, mover), time.Second).Should(Equal("taken-back"))
+	})
+
+	It("of a bad version stops at once while the platform is down, and is recorded when it answers", func() {
+		w := newWorld(1, 2)
+		app := w.app("v2")
+		begin(w)
+		load(w, 60)
+		Eventually(func() string {
+			return send(http.MethodGet, w.entries[0].address+"/operator/moves/caisse", operator, "").body
+		}).ShouldNot(ContainSubstring(`"share":0,`))
+		w.fault(w.platform, `{"outage":true}`)
+		w.fault(app, `{"fail-share":1}`)
+		Eventually(func() string { return w.entries[0].logged() + w.entries[1].logged() }).Should(ContainSubstring("version stopped on own evidence"))
+		w.fault(w.platform, `{}`)
+		Eventually(state(w, w.entries[0])).Should(Equal("taken-back"))
+	})
+
+	It("of a good version is done", func() {
+		w := newWorld(1, 2)
+		w.app("v2")
+		begin(w)
+		load(w, 60)
+		Eventually(state(w, w.entries[1])).Should(Equal("done"))
+	})
+})
--- /dev/null
+++ b/test/style/style_test.go
@@ -0,0 +1,39 @@
+package style_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/test/style"
+)
+
+func TestStyle(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "style")
+}
+
+var _ = Describe("house style", func() {
+	It("holds in the whole tree", func() {
+		faults, err := style.Check("../..")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(faults).To(BeEmpty(), strings.Join(faults, "\n"))
+	})
+
+	It("is found broken for each planted violation", func() {
+		faults, err := style.Check("testdata/bad")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(faults).To(Equal([]string{
+			"coordination/toolongname/name.go: package-name: toolongname",
+			"protocol/twotwo: exported-types: One, Two",
+			"state/badly/bad.go: bare-error: errors.New on line 16",
+			"state/badly/bad.go: bare-error: fmt.Errorf on line 17",
+			"state/badly/bad.go: bare-go: line 15",
+			"state/badly/bad.go: import-direction: transport/front",
+			"state/badly/bad.go: kebab-case: not_kebab",
+			"state/badly/bad_test.go: external-test: package badly",
+		}))
+	})
+})
--- /dev/null
+++ b/test/style/testdata/bad/state/badly/bad_test.go
@@ -0,0 +1,1 @@
+package badly
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -22,16 +22,15 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
+	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/coordination/relay"
 	"github.com/dragonflyroute/dragonflyroute/coordination/route"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
 	"github.com/dragonflyroute/dragonflyroute/coordination/steer"
-	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/config"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
-	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/state/fleet"
 	"github.com/dragonflyroute/dragonflyroute/state/holder"
 	"github.com/dragonflyroute/dragonflyroute/state/pool"
@@ -60,6 +59,8 @@
 	judgeMargin = 0.02
 	// exposure bounds the share of requests that a move may turn bad.
 	exposure = 0.02
+	// loanTerm is how long a part of an account's limits is lent.
+	loanTerm = 2 * time.Second
 	// idBytes is the length of ids, before hexadecimal.
 	idBytes = 16
 	// connectionsPerHost bounds the idle connections kept to one endpoint.
@@ -82,6 +83,8 @@
 	engine      *engine.Engine
 	peers       *peers.Peers
 	front       *front.Front
+	gate        *gate.Gate
+	quota       *quota.Quota
 	fleet       *fleet.Fleet
 	holder      *holder.Holder
 	pool        *pool.Pool
@@ -94,6 +97,7 @@
 	meter       *meter.Meter
 	spans       *spans.Spans
 	heart       heart
+	asked       askedFor
 }
 
 // Run serves until ctx ends, then drains and returns.
@@ -182,6 +186,8 @@
 	d.pool = &pool.Pool{Self: s.Host, Subset: s.Bounds.Subset}
 	d.runs = &runs.Runs{Keep: s.Intervals.Drain.Of(), Max: maxHanded}
 	d.score = &score.Score{}
+	d.quota = &quota.Quota{Hosts: s.EntryHosts, Term: loanTerm, Started: d.start}
+	d.gate = &gate.Gate{Share: d.quota.Share, Started: d.start}
 }
 
 func (d *Daemon) buildCoordination() {
@@ -200,7 +206,8 @@
 		Rand:   mathrand.New(mathrand.NewPCG(uint64(d.incarnation), 0)),
 		MaxAge: s.Intervals.ConfigAge.Of(),
 
-		Started: d.start,
+		RoundTime: s.Intervals.Heartbeat.Of(),
+		Started:   d.start,
 	}
 	d.mover = &mover.Mover{
 		Catalogue: d.holder,
@@ -241,7 +248,6 @@
 		Now:       time.Now,
 		Trace:     traceAttempt,
 	}
-	share := 1 / float64(s.EntryHosts)
 	d.front = &front.Front{
 		Settings: s,
 		Log:      d.Log,
@@ -251,7 +257,8 @@
 		Pool:     d.pool,
 		Runs:     d.runs,
 		Score:    d.score,
-		Gate:     &gate.Gate{Share: func(acct.ID, label.Name, time.Time) float64 { return share }},
+		Gate:     d.gate,
+		Borrow:   d.borrow,
 		Relay:    r,
 		Ledger:   d.ledger,
 		Spread:   d.spread,
--- /dev/null
+++ b/transport/daemon/limits.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+)
+
+const (
+	// askAgain is the time between requests for more of the same limits.
+	askAgain = 100 * time.Millisecond
+	// maxAsked bounds the accounts and entries whose last request is remembered.
+	maxAsked = 4096
+)
+
+// askedFor remembers when limits were asked for, so that a flood does not flood the peers.
+type askedFor struct {
+	mu   sync.Mutex
+	last map[loan.Loan]time.Time
+}
+
+func (a *askedFor) due(ask loan.Loan, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.last[ask]) < askAgain {
+		return false
+	}
+	if a.last == nil || len(a.last) >= maxAsked {
+		a.last = map[loan.Loan]time.Time{}
+	}
+	a.last[ask] = now
+	return true
+}
+
+// borrow asks all peers at once for what an account lacks here, and reports whether any gave something.
+func (d *Daemon) borrow(ctx context.Context, ask loan.Loan) bool {
+	asked := time.Now()
+	if !d.asked.due(ask, asked) {
+		return false
+	}
+	var mu sync.Mutex
+	got := false
+	g, ctx := errgroup.WithContext(ctx)
+	for _, p := range d.fleet.Alive(asked) {
+		g.Go(func() error {
+			grant, err := d.peers.Borrow(ctx, p.Peers, ask)
+			if err != nil || grant.Share <= 0 {
+				return nil
+			}
+			d.quota.Borrow(grant, asked)
+			mu.Lock()
+			defer mu.Unlock()
+			got = true
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return got
+}
+
+// Lend grants a part of an account's limits that is not used here.
+func (p *peerService) Lend(ask loan.Loan) loan.Loan {
+	now := time.Now()
+	cat := p.d.holder.Current()
+	refused := loan.Loan{Account: ask.Account, Entry: ask.Entry}
+	if cat == nil {
+		return refused
+	}
+	e, scale := cat.Entry(ask.Entry), cat.Scale(ask.Account)
+	if e == nil || scale == 0 {
+		return refused
+	}
+	return p.d.quota.Lend(ask, p.d.gate.Used(ask.Account, scale, e, now), now)
+}
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -54,7 +54,7 @@
 	switch {
 	case leaving:
 		state = pulse.Leaving
-	case d.holder.Current() == nil:
+	case d.holder.Current() == nil, time.Since(d.start) < loanTerm:
 		state = pulse.Starting
 	}
 	return pulse.Pulse{
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -11,7 +11,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/kataras/iris/v12"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/edits"
@@ -29,6 +28,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/state/fleet"
@@ -44,6 +44,8 @@
 	accountHeader = "X-Account"
 	// requestIDHeader names the request.
 	requestIDHeader = "X-Request-Id"
+	// borrowPart is the part of a peer's own limits that is asked of it when those here are used up.
+	borrowPart = 0.5
 	// closeTime bounds the end of open connections at a stop.
 	closeTime = 2 * time.Second
 )
@@ -91,6 +93,8 @@
 	// Now returns the time.
 	Now func() time.Time
 
+	// Borrow asks the peers for a part of an account's limits and reports whether any gave something.
+	Borrow func(ctx context.Context, ask loan.Loan) bool
 	// HandOver gives a running request to a peer and returns the peer's address for callers.
 	HandOver func(ctx context.Context, t ticket.Ticket) (address string, err error)
 
@@ -137,7 +141,7 @@
 		return s.Shutdown(stop)
 	})
 	g.Go(func() error {
-		err := s.Serve(netutil.LimitListener(l, f.Settings.Bounds.Connections))
+		err := s.Serve(&door{Listener: l, max: int64(f.Settings.Bounds.Connections)})
 		if err == http.ErrServerClosed {
 			return nil
 		}
@@ -226,6 +230,9 @@
 		return nil, account, nil, fault.New(kind.NotFound, "model", "no entry %q", name)
 	}
 	leave, err = f.Gate.Enter(account, scale, e, f.Now())
+	if err != nil && f.Borrow(c.Request().Context(), loan.Loan{Account: account, Entry: e.Name, Share: borrowPart / float64(f.Settings.EntryHosts)}) {
+		leave, err = f.Gate.Enter(account, scale, e, f.Now())
+	}
 	return e, account, leave, err
 }
 
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
@@ -34,11 +35,14 @@
 	methodPush      = "catalogue-push"
 	methodEvidence  = "move-evidence"
 	methodHandOver  = "ticket-hand-over"
+	methodBorrow    = "limit-borrow"
 )
 
 const (
 	callTimeout = time.Second
-	nonceBytes  = 32
+	// evidenceTimeout bounds the gathering of evidence, well below any lease's term.
+	evidenceTimeout = 250 * time.Millisecond
+	nonceBytes      = 32
 	// maxConnections bounds the connections that peers may open.
 	maxConnections = 256
 )
@@ -54,6 +58,8 @@
 	Evidence(move string) []trial.Trial
 	// Accept takes a running request that a leaving peer hands over.
 	Accept(t ticket.Ticket) bool
+	// Lend grants a part of an account's limits.
+	Lend(ask loan.Loan) loan.Loan
 }
 
 // Peers is both sides of the entry hosts' protocol. All methods may be called concurrently.
@@ -209,6 +215,8 @@
 		return answer(r, func(m moveParams) []trial.Trial { return service.Evidence(m.Move) })
 	case methodHandOver:
 		return answer(r, func(t ticket.Ticket) accepted { return accepted{OK: service.Accept(t)} })
+	case methodBorrow:
+		return answer(r, service.Lend)
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	}
@@ -273,6 +281,8 @@
 func (p *Peers) Evidence(ctx context.Context, move string) map[string][]trial.Trial {
 	var mu sync.Mutex
 	out := map[string][]trial.Trial{}
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
+	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	for _, address := range p.Contacts() {
 		g.Go(func() error {
@@ -290,6 +300,13 @@
 	return out
 }
 
+// Borrow asks a peer for a part of an account's limits.
+func (p *Peers) Borrow(ctx context.Context, address string, ask loan.Loan) (loan.Loan, error) {
+	var got loan.Loan
+	err := p.call(ctx, address, methodBorrow, ask, &got)
+	return got, err
+}
+
 func (p *Peers) call(ctx context.Context, address, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
