Ramp each route by itself and notice versions that turn bad later

Ruled out: a larger first share (bad share grows with it), tests on each stage (they dilute within a stage). Change: each route has its own share, larger for rare routes, until all have met the version; a change detector for each route in every host at every answer and over all hosts in the mover; moves watch until 60 % of their time.

--- a/bench/main.go
+++ b/bench/main.go
@@ -11,7 +11,10 @@
 
 func main() {
 	var cli struct {
-		Load loadCmd `cmd:"" help:"Sends requests to running entry hosts."`
+		Once  onceCmd  `cmd:"" help:"Non-idempotent calls over failing histories."`
+		Lease leaseCmd `cmd:"" help:"Leases over pauses and lost answers."`
+		Moves movesCmd `cmd:"" help:"Version moves of every kind."`
+		Load  loadCmd  `cmd:"" help:"Sends requests to running entry hosts."`
 	}
 	k := kong.Parse(&cli, kong.Name("bench"))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/bench/once.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/model/calls"
+	"github.com/dragonflyroute/dragonflyroute/model/leases"
+)
+
+type onceCmd struct {
+	output
+	Histories int `default:"2000" help:"Histories."`
+}
+
+type onceFigures struct {
+	Histories      int     `json:"histories"`
+	Calls          int     `json:"calls"`
+	DoubleRuns     int     `json:"double-runs"`
+	FalseNotRun    int     `json:"false-not-run"`
+	Stuck          int     `json:"stuck-claims"`
+	Unknown        float64 `json:"outcome-unknown-share"`
+	Answered       float64 `json:"answered-share"`
+	CommitsPerCall float64 `json:"commits-per-call"`
+	LatencyP99     float64 `json:"calm-latency-p99-ms"`
+}
+
+// Run measures non-idempotent calls over failing histories, beside a twin that retries without claims.
+func (c *onceCmd) Run() error {
+	product, naive := c.measure(false), c.measure(true)
+	return c.print(map[string]any{
+		"product":              product,
+		"naive":                naive,
+		"added-latency-p99-ms": product.LatencyP99 - naive.LatencyP99,
+	})
+}
+
+func (c *onceCmd) measure(naive bool) onceFigures {
+	failing, calm := make([]*calls.Calls, c.Histories), make([]*calls.Calls, c.Histories)
+	parallel(c.Histories, func(i int) {
+		seed := c.Seed*1_000_003 + uint64(i)
+		failing[i] = &calls.Calls{Seed: seed, Naive: naive}
+		failing[i].Run()
+		calm[i] = &calls.Calls{Seed: seed, Naive: naive, Calm: true}
+		calm[i].Run()
+	})
+	f := onceFigures{Histories: c.Histories}
+	for _, h := range failing {
+		f.Calls += h.Calls
+		f.DoubleRuns += h.DoubleRuns
+		f.FalseNotRun += h.FalseNotRun
+		f.Stuck += h.Stuck
+		f.Unknown += float64(h.Unknown)
+		f.Answered += float64(h.Answered)
+	}
+	f.Unknown /= float64(f.Calls)
+	f.Answered /= float64(f.Calls)
+	f.calm(calm)
+	return f
+}
+
+// calm adds the figures of histories without failures.
+func (f *onceFigures) calm(histories []*calls.Calls) {
+	var latency []time.Duration
+	commits, made := 0, 0
+	for _, h := range histories {
+		latency = append(latency, h.Latency...)
+		commits += h.Commits
+		made += h.Calls
+	}
+	slices.Sort(latency)
+	f.CommitsPerCall = float64(commits) / float64(made)
+	f.LatencyP99 = float64(percentile(latency, 0.99).Microseconds()) / 1000
+}
+
+type leaseCmd struct {
+	output
+	Histories int `default:"500" help:"Histories."`
+}
+
+type leaseFigures struct {
+	Histories int `json:"histories"`
+	Orders    int `json:"orders"`
+	Holders   int `json:"holders"`
+	Overlaps  int `json:"overlapping-effects"`
+	Refused   int `json:"refused-by-fencing"`
+}
+
+// Run measures leases over histories with pauses and lost answers, beside a twin that trusts its last answer.
+func (c *leaseCmd) Run() error {
+	return c.print(map[string]leaseFigures{
+		"endpoints-that-fence":  c.measure(false, true),
+		"endpoints-that-do-not": c.measure(false, false),
+		"naive":                 c.measure(true, false),
+	})
+}
+
+func (c *leaseCmd) measure(naive, fencing bool) leaseFigures {
+	histories := make([]*leases.Leases, c.Histories)
+	parallel(c.Histories, func(i int) {
+		histories[i] = &leases.Leases{Seed: c.Seed*1_000_003 + uint64(i), Naive: naive, Fencing: fencing}
+		histories[i].Run()
+	})
+	f := leaseFigures{Histories: c.Histories}
+	for _, h := range histories {
+		f.Orders += h.Orders
+		f.Holders += h.Holders
+		f.Overlaps += h.Overlaps
+		f.Refused += h.Refused
+	}
+	return f
+}
--- a/coordination/judge/judge.go
+++ b/coordination/judge/judge.go
@@ -32,6 +32,9 @@
 func (j *Judge) Bad(trials []trial.Trial) (reason string, bad bool) {
 	alpha := j.Alpha / float64(2*max(len(trials), 1))
 	for _, t := range trials {
+		if float64(t.NewBad) <= j.Margin*float64(t.New) {
+			continue
+		}
 		lowest := Lower(t.New, t.NewBad, alpha)
 		highest := Upper(t.Old, t.OldBad, alpha)
 		if t.Old == 0 {
--- /dev/null
+++ b/coordination/judge/judge_test.go
@@ -0,0 +1,100 @@
+package judge_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/alarm"
+	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
+	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
+)
+
+func TestJudge(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "judge")
+}
+
+// everBad reports whether a judge that looks after each request finds the version bad within n of them.
+func everBad(r *rand.Rand, oldRate, newRate float64, n int) (at int, bad bool) {
+	j := &judge.Judge{Alpha: 0.01, Margin: 0.02}
+	t := trial.Trial{Route: "r"}
+	for i := range n {
+		t.Old, t.New = t.Old+1, t.New+1
+		if r.Float64() < oldRate {
+			t.OldBad++
+		}
+		if r.Float64() < newRate {
+			t.NewBad++
+		}
+		if _, found := j.Bad([]trial.Trial{t}); found {
+			return i, true
+		}
+	}
+	return n, false
+}
+
+var _ = Describe("Judge", func() {
+	It("wrongly withdraws at most its share of good versions, though it looks after every request", func() {
+		wrong := 0
+		for seed := range uint64(300) {
+			if _, bad := everBad(rand.New(rand.NewPCG(seed, 0)), 0.02, 0.02, 1000); bad {
+				wrong++
+			}
+		}
+		Expect(wrong).To(BeNumerically("<=", 3))
+	})
+
+	It("finds a version that fails half of the time within a few dozen requests", func() {
+		for seed := range uint64(100) {
+			at, bad := everBad(rand.New(rand.NewPCG(seed, 0)), 0.002, 0.5, 100)
+			Expect(bad).To(BeTrue())
+			Expect(at).To(BeNumerically("<", 60))
+		}
+	})
+
+	It("has limits around the observed share that narrow with evidence", func() {
+		Expect(judge.Upper(0, 0, 0.01)).To(Equal(1.0))
+		Expect(judge.Lower(10, 0, 0.01)).To(Equal(0.0))
+		few := judge.Upper(20, 1, 0.01) - judge.Lower(20, 1, 0.01)
+		many := judge.Upper(2000, 100, 0.01) - judge.Lower(2000, 100, 0.01)
+		Expect(many).To(BeNumerically("<", few/5))
+		Expect(judge.Lower(2000, 100, 0.01)).To(BeNumerically("<", 0.05))
+		Expect(judge.Upper(2000, 100, 0.01)).To(BeNumerically(">", 0.05))
+	})
+})
+
+var _ = Describe("Alarm", func() {
+	It("is raised soon when a version turns bad after a long good past", func() {
+		for seed := range uint64(100) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			a := &alarm.Alarm{Margin: 0.02}
+			for range 3000 {
+				Expect(a.Observe(1, 0, 3000, 6)).To(BeFalse())
+			}
+			n := 0
+			for raised := false; !raised; n++ {
+				bad := int64(0)
+				if r.Float64() < 0.4 {
+					bad = 1
+				}
+				raised = a.Observe(1, bad, 3000, 6)
+			}
+			Expect(n).To(BeNumerically("<", 60), "seed %d", seed)
+		}
+	})
+
+	It("stays silent over 200,000 requests of a version that is as noisy as the old one", func() {
+		r := rand.New(rand.NewPCG(1, 2))
+		a := &alarm.Alarm{Margin: 0.02}
+		for range 200_000 {
+			bad := int64(0)
+			if r.Float64() < 0.03 {
+				bad = 1
+			}
+			Expect(a.Observe(1, bad, 3000, 90)).To(BeFalse())
+		}
+	})
+})
--- a/coordination/mover/mover.go
+++ b/coordination/mover/mover.go
@@ -3,11 +3,15 @@
 
 import (
 	"context"
+	"reflect"
 	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dragonflyroute/dragonflyroute/coordination/alarm"
 	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
@@ -22,6 +26,7 @@
 }
 
 type scores interface {
+	Record(move, route string, isNew, bad bool) trial.Trial
 	Trials(move string) []trial.Trial
 	Withdraw(move string) bool
 	Withdrawn(move string) bool
@@ -38,14 +43,18 @@
 	Evidence(ctx context.Context, move string) map[string][]trial.Trial
 }
 
+// stage is what a leader knows of one route: its share, the trials when it last changed, the last look, and the
+// alarm over all hosts.
 type stage struct {
 	share float64
-	start map[string][]trial.Trial
+	start trial.Trial
+	last  trial.Trial
+	alarm alarm.Alarm
 }
 
 // Mover steps the moves whose lease it holds, and stops bad ones on the process's own evidence at once.
 //
-// Step must not be called concurrently.
+// Step must not be called concurrently; Record may be, at any time.
 type Mover struct {
 	// Catalogue holds the newest catalogue.
 	Catalogue catalogue
@@ -65,9 +74,15 @@
 	Log hclog.Logger
 
 	keepers map[label.Name]*keeper.Keeper
-	stages  map[string]*stage
+	stages  map[string]map[string]*stage
+
+	mu     sync.Mutex
+	alarms map[watched]*alarm.Alarm
 }
 
+// watched is one route of one move.
+type watched struct{ move, route string }
+
 const self = ""
 
 // Step looks at every move under way once.
@@ -78,7 +93,7 @@
 	}
 	if m.keepers == nil {
 		m.keepers = map[label.Name]*keeper.Keeper{}
-		m.stages = map[string]*stage{}
+		m.stages = map[string]map[string]*stage{}
 	}
 	var known []string
 	for _, mv := range c.Moves {
@@ -86,6 +101,7 @@
 		m.stepOne(ctx, mv)
 	}
 	m.Scores.Keep(known)
+	m.forget(known)
 	for id := range m.stages {
 		if !slices.Contains(known, id) {
 			delete(m.stages, id)
@@ -146,13 +162,8 @@
 		evidence = map[string][]trial.Trial{}
 	}
 	evidence[self] = m.Scores.Trials(mv.ID)
-	st := m.stages[mv.ID]
-	if st == nil || st.share != mv.Share {
-		st = &stage{share: mv.Share, start: evidence}
-		m.stages[mv.ID] = st
-	}
-	next := m.next(mv, evidence, st)
-	if next == mv {
+	next := m.next(mv, sum(evidence))
+	if reflect.DeepEqual(next, mv) {
 		return
 	}
 	if next.State == move.TakenBack && m.Scores.Withdraw(mv.ID) {
@@ -161,17 +172,83 @@
 	m.commit(ctx, next, k)
 }
 
-func (m *Mover) next(mv move.Move, evidence map[string][]trial.Trial, st *stage) move.Move {
+func (m *Mover) next(mv move.Move, total []trial.Trial) move.Move {
 	if m.Scores.Withdrawn(mv.ID) {
-		mv.State = move.TakenBack
-		mv.Share = 0
-		mv.Reason = "an entry host stopped the version on its own evidence"
-		if reason, bad := m.Ramp.Judge.Bad(sum(evidence, nil)); bad {
-			mv.Reason = reason
+		reason, bad := m.Ramp.Judge.Bad(total)
+		if !bad {
+			reason = "an entry host stopped the version on its own evidence"
+		}
+		return ramp.TakenBack(mv, reason)
+	}
+	stages, raised := m.look(mv, total)
+	if raised != "" {
+		return ramp.TakenBack(mv, "route "+raised+" turned bad on the new version")
+	}
+	return m.Ramp.Next(mv, total, stages, m.Now())
+}
+
+// look brings the stages up to date; it returns the trials of each route's stage, and a route whose alarm is raised.
+func (m *Mover) look(mv move.Move, total []trial.Trial) (out []trial.Trial, raised string) {
+	stages := m.stages[mv.ID]
+	if stages == nil {
+		stages = map[string]*stage{}
+		m.stages[mv.ID] = stages
+	}
+	for _, t := range total {
+		st := stages[t.Route]
+		if st == nil || st.share != mv.ShareOf(t.Route) {
+			fresh := &stage{share: mv.ShareOf(t.Route), start: t, last: t, alarm: alarm.Alarm{Margin: m.Ramp.Judge.Margin}}
+			stages[t.Route] = fresh
+			st = fresh
+		}
+		step := less(t, st.last)
+		st.last = t
+		if st.alarm.Observe(step.New, step.NewBad, t.Old, t.OldBad) {
+			raised = t.Route
+		}
+		out = append(out, less(t, st.start))
+	}
+	return out, raised
+}
+
+// Record counts one answer of a move, and stops the new version here at once when it shows itself bad.
+func (m *Mover) Record(id, route string, isNew, bad bool) {
+	t := m.Scores.Record(id, route, isNew, bad)
+	if !isNew || m.Scores.Withdrawn(id) {
+		return
+	}
+	n := int64(0)
+	if bad {
+		n = 1
+	}
+	if m.alarm(watched{move: id, route: route}).Observe(1, n, t.Old, t.OldBad) && m.Scores.Withdraw(id) {
+		m.Log.Warn("version stopped on own evidence", "move", id, "route", route, "new", t.New, "new-bad", t.NewBad, "old", t.Old, "old-bad", t.OldBad)
+	}
+}
+
+func (m *Mover) alarm(w watched) *alarm.Alarm {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.alarms == nil {
+		m.alarms = map[watched]*alarm.Alarm{}
+	}
+	a := m.alarms[w]
+	if a == nil {
+		a = &alarm.Alarm{Margin: m.Ramp.Judge.Margin}
+		m.alarms[w] = a
+	}
+	return a
+}
+
+// forget drops the alarms of moves that are not listed.
+func (m *Mover) forget(known []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for w := range m.alarms {
+		if !slices.Contains(known, w.move) {
+			delete(m.alarms, w)
 		}
-		return mv
 	}
-	return m.Ramp.Next(mv, sum(evidence, nil), sum(evidence, st.start), m.Now())
 }
 
 // commit writes the step under the lease's fencing number; the lease is checked again before the write.
@@ -182,6 +259,7 @@
 	}
 	got, err := m.Edits.StepMove(ctx, next.ID, fence, func(mv *move.Move) {
 		mv.Share = next.Share
+		mv.Routes = next.Routes
 		mv.State = next.State
 		mv.Reason = next.Reason
 	})
@@ -195,26 +273,26 @@
 	}
 }
 
-// sum adds the hosts' trials by route, less what they had at the start of a stage.
-//
-// A host that restarted since counts from nought, so its difference is taken as its whole count.
-func sum(now, start map[string][]trial.Trial) []trial.Trial {
+// sum adds the hosts' trials by route, sorted.
+func sum(evidence map[string][]trial.Trial) []trial.Trial {
 	var out []trial.Trial
-	for h, trials := range now {
+	for _, trials := range evidence {
 		for _, t := range trials {
-			out = add(out, less(t, start[h]))
+			out = add(out, t)
 		}
 	}
+	slices.SortFunc(out, func(a, b trial.Trial) int { return strings.Compare(a.Route, b.Route) })
 	return out
 }
 
-func less(t trial.Trial, start []trial.Trial) trial.Trial {
-	for _, s := range start {
-		if s.Route == t.Route && s.Old <= t.Old && s.New <= t.New && s.OldBad <= t.OldBad && s.NewBad <= t.NewBad {
-			return trial.Trial{Route: t.Route, Old: t.Old - s.Old, OldBad: t.OldBad - s.OldBad, New: t.New - s.New, NewBad: t.NewBad - s.NewBad}
-		}
+// less returns what came since an earlier look.
+//
+// A host that restarted counts from nought; a sum that fell for that reason is taken whole.
+func less(t, earlier trial.Trial) trial.Trial {
+	if earlier.Old > t.Old || earlier.New > t.New || earlier.OldBad > t.OldBad || earlier.NewBad > t.NewBad {
+		return t
 	}
-	return t
+	return trial.Trial{Route: t.Route, Old: t.Old - earlier.Old, OldBad: t.OldBad - earlier.OldBad, New: t.New - earlier.New, NewBad: t.NewBad - earlier.NewBad}
 }
 
 func add(out []trial.Trial, t trial.Trial) []trial.Trial {
--- a/coordination/ramp/ramp.go
+++ b/coordination/ramp/ramp.go
@@ -2,36 +2,43 @@
 package ramp
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
 	"github.com/dragonflyroute/dragonflyroute/protocol/move"
+	"github.com/dragonflyroute/dragonflyroute/protocol/share"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 )
 
 const (
-	// firstShare is the share of a move that has no evidence yet.
+	// firstShare is the share of all requests that a move takes until each route has met the new version.
 	firstShare = 0.015
-	// growth bounds the rise of the share in one step.
+	// growth bounds the rise of a route's share in one step.
 	growth = 3.0
-	// stageRequests is the number of requests on the new version that a step must have seen.
-	stageRequests = 20
+	// baseline is the number of requests from which the routes' parts of the traffic are taken.
+	baseline = 50
+	// stageRequests is the number of requests on the new version that a route's step must have seen.
+	stageRequests = 12
 	// wideRequests replaces stageRequests from wideShare on, where load may show what a small share did not.
-	wideRequests = 100
+	wideRequests = 30
 	// wideShare is the share from which steps need more evidence.
-	wideShare = 0.25
+	wideShare = 0.2
+	// paceAlpha is the chance that the limit which paces the shares is wrong; verdicts have their own.
+	paceAlpha = 0.05
 	// watchRequests is the number of requests at full share before a move is done.
 	watchRequests = 200
+	// watchTime is the part of the time given that a move watches the version before it is done.
+	watchTime = 0.6
 	// rareRoute is the part of the traffic below which a route need not be proved by itself.
 	rareRoute = 0.02
-	// routeRequests is the number of requests that each route needs before a move is done.
-	routeRequests = 20
 )
 
-// Ramp raises the share of the new version as evidence allows.
+// Ramp raises the share of the new version, route by route, as evidence allows.
 //
-// The share is such that share times the upper limit of the excess of bad answers stays at or below Exposure,
-// so that a version that is bad from the start meets few requests whatever its badness.
+// First every route gets as much as makes firstShare of all requests, rare routes a larger part of their own, until
+// each has met the new version. Then a route's share is such that the requests which it may turn bad, by the upper
+// limit of its excess, stay at or below its part of Exposure.
 type Ramp struct {
 	// Judge finds bad versions.
 	Judge judge.Judge
@@ -41,97 +48,117 @@
 
 // Next returns the move after one look at the evidence at now.
 //
-// total holds all trials of the move and stage those since the share last changed.
+// total holds all trials of the move by route, and stage those since each route's share last changed.
 func (r *Ramp) Next(m move.Move, total, stage []trial.Trial, now time.Time) move.Move {
 	if m.Ended() {
 		return m
 	}
-	if reason, bad := r.bad(total, stage); bad {
-		return takenBack(m, reason)
+	if reason, bad := r.Judge.Bad(total); bad {
+		return TakenBack(m, reason)
 	}
-	if m.Share >= 1 && proved(total) && newRequests(stage) >= watchRequests {
+	if m.Share >= 1 && r.watched(m, total, stage, now) {
 		m.State = move.Done
 		return m
 	}
 	if !now.Before(m.FinishBy) {
-		return takenBack(m, "no time was left to prove the version")
+		return TakenBack(m, "no time was left to prove the version")
 	}
-	if newRequests(stage) >= needed(m.Share) || m.Share == 0 {
-		m.Share = r.raise(m.Share, total)
+	if all := requests(total); all >= baseline {
+		m.Routes = r.raise(m, total, stage, all)
+		m.Share = overall(m.Routes, total, all)
 	}
 	return m
 }
 
-func (r *Ramp) bad(total, stage []trial.Trial) (string, bool) {
-	if reason, bad := r.Judge.Bad(total); bad {
-		return reason, true
-	}
-	return r.Judge.Bad(stage)
-}
-
-func takenBack(m move.Move, reason string) move.Move {
+// TakenBack returns the move with all traffic on the old version.
+func TakenBack(m move.Move, reason string) move.Move {
 	m.State = move.TakenBack
 	m.Share = 0
+	m.Routes = nil
 	m.Reason = reason
 	return m
 }
 
-func needed(share float64) int64 {
-	if share >= wideShare {
-		return wideRequests
+func (r *Ramp) watched(m move.Move, total, stage []trial.Trial, now time.Time) bool {
+	seen := int64(0)
+	for _, t := range stage {
+		seen += t.New
 	}
-	return stageRequests
+	given := m.FinishBy.Sub(m.Started)
+	return seen >= watchRequests && met(total) && now.Sub(m.Started) >= time.Duration(watchTime*float64(given))
 }
 
-func (r *Ramp) raise(share float64, total []trial.Trial) float64 {
-	allowed := r.Exposure / max(r.excess(total), r.Exposure)
-	next := min(allowed, share*growth, 1)
-	return max(next, share, firstShare)
+func requests(total []trial.Trial) int64 {
+	n := int64(0)
+	for _, t := range total {
+		n += t.Old + t.New
+	}
+	return n
 }
 
-// excess is the upper limit of the additional bad share, each route weighted by its traffic.
-func (r *Ramp) excess(total []trial.Trial) float64 {
-	requests := int64(0)
+func weight(t trial.Trial, all int64) float64 { return float64(t.Old+t.New) / float64(all) }
+
+// met reports whether each route that is not rare has met the new version often enough.
+func met(total []trial.Trial) bool {
+	all := requests(total)
+	return !slices.ContainsFunc(total, func(t trial.Trial) bool {
+		return weight(t, all) >= rareRoute && t.New < stageRequests
+	})
+}
+
+// raise returns the routes' next shares; none falls.
+func (r *Ramp) raise(m move.Move, total, stage []trial.Trial, all int64) []share.Share {
+	allMet := met(total)
+	var out []share.Share
 	for _, t := range total {
-		requests += t.Old + t.New
-	}
-	if requests == 0 {
-		return 1
+		current := m.ShareOf(t.Route)
+		part := weight(t, all) * float64(len(total))
+		next := min(1, firstShare/part)
+		if allMet && newIn(stage, t.Route) >= needed(current) {
+			next = max(next, min(1, current*growth, r.Exposure/(part*max(r.excess(t), r.Exposure*unproved))))
+		}
+		out = append(out, share.Share{Name: t.Route, Share: max(current, next)})
 	}
-	sum := 0.0
-	for _, t := range total {
-		weight := float64(t.Old+t.New) / float64(requests)
-		sum += weight * max(0, judge.Upper(t.New, t.NewBad, r.Judge.Alpha)-rate(t.OldBad, t.Old))
+	return out
+}
+
+// unproved keeps the division by a vanishing excess finite.
+const unproved = 1e-3
+
+func needed(current float64) int64 {
+	if current >= wideShare {
+		return wideRequests
 	}
-	return max(0, sum-r.Judge.Margin)
+	return stageRequests
 }
 
-func rate(bad, n int64) float64 {
-	if n == 0 {
-		return 0
+func newIn(stage []trial.Trial, route string) int64 {
+	for _, t := range stage {
+		if t.Route == route {
+			return t.New
+		}
 	}
-	return float64(bad) / float64(n)
+	return 0
 }
 
-func newRequests(trials []trial.Trial) int64 {
-	n := int64(0)
-	for _, t := range trials {
-		n += t.New
+// excess is the upper limit of the additional bad share on a route, beyond the margin.
+func (r *Ramp) excess(t trial.Trial) float64 {
+	old := 0.0
+	if t.Old > 0 {
+		old = float64(t.OldBad) / float64(t.Old)
 	}
-	return n
+	return max(0, judge.Upper(t.New, t.NewBad, paceAlpha)-old-r.Judge.Margin)
 }
 
-// proved reports whether each route that is not rare has met the new version often enough.
-func proved(total []trial.Trial) bool {
-	requests := int64(0)
-	for _, t := range total {
-		requests += t.Old + t.New
+// overall is the share of all requests that the routes' shares make.
+func overall(routes []share.Share, total []trial.Trial, all int64) float64 {
+	sum, full := 0.0, true
+	for i, t := range total {
+		sum += weight(t, all) * routes[i].Share
+		full = full && routes[i].Share >= 1
 	}
-	for _, t := range total {
-		rare := float64(t.Old+t.New) < rareRoute*float64(requests)
-		if !rare && t.New < routeRequests {
-			return false
-		}
+	if full {
+		return 1
 	}
-	return true
+	return min(sum, 0.999)
 }
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -46,7 +46,7 @@
 }
 
 type steer interface {
-	Choose(e *entry.Entry, m *move.Move) (version label.Name, id string, isNew bool)
+	Choose(e *entry.Entry, m *move.Move, route string) (version label.Name, id string, isNew bool)
 }
 
 type scores interface {
@@ -200,7 +200,7 @@
 
 // step makes one attempt; it returns the endpoint to avoid next, and an error only when the request is over.
 func (r *Relay) step(ctx context.Context, j *job, avoid *server.Server) (*server.Server, error) {
-	version, moveID, isNew := r.Steer.Choose(j.entry, r.moveOf(j.entry))
+	version, moveID, isNew := r.Steer.Choose(j.entry, r.moveOf(j.entry), string(j.entry.Name))
 	now := r.Now()
 	candidates := r.Pool.Candidates(j.entry.Backend, version)
 	s, _ := r.Picker.Pick(candidates, j.need(now), avoid, now)
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -125,7 +125,7 @@
 		Engine:    e,
 		Pool:      p,
 		Steer:     &steer.Steer{Moves: scores, Rand: rand.Float64},
-		Scores:    scores,
+		Scores:    unscored{},
 		Retries:   &budget.Budget{Ratio: 1, Max: 1000},
 		Catalogue: &holder.Holder{},
 		Picker:    route.Picker{Rand: rand.Float64},
@@ -136,6 +136,11 @@
 	}, e
 }
 
+// unscored takes no evidence.
+type unscored struct{}
+
+func (unscored) Record(string, string, bool, bool) {}
+
 func ignore(func() ticket.Ticket) {}
 
 var _ = Describe("Relay", func() {
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -22,6 +22,8 @@
 	fanOut = 3
 	// smallFleet is the number of peers up to which a round tells all of them.
 	smallFleet = 8
+	// largeRounds stretches the time between rounds of a large fleet.
+	largeRounds = 4
 	// readsPerSecond bounds the whole fleet's reads of the head row.
 	readsPerSecond = 50
 )
@@ -78,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.RoundTime)
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	for _, address := range s.draw() {
+	for _, address := range s.Draw() {
 		g.Go(func() error {
 			s.Exchange(ctx, address)
 			return nil
@@ -87,7 +89,8 @@
 	_ = g.Wait()
 }
 
-func (s *Spread) draw() []string {
+// Draw returns the peers of one round.
+func (s *Spread) Draw() []string {
 	contacts := s.Fleet.Contacts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,6 +105,7 @@
 func (s *Spread) Exchange(ctx context.Context, address string) {
 	answer, err := s.Peers.Pulse(ctx, address, s.Self())
 	if err != nil {
+		s.Fleet.Suspect(address)
 		return
 	}
 	s.Hear(answer)
@@ -151,6 +155,15 @@
 	return nil
 }
 
+// RoundWait returns the time to the next round: base in a small fleet, largeRounds times that in a large one, where
+// changes are told at once and rounds only mend what got lost.
+func (s *Spread) RoundWait(base time.Duration) time.Duration {
+	if len(s.Fleet.Contacts()) <= smallFleet {
+		return base
+	}
+	return largeRounds * base
+}
+
 // ReadWait returns the time to the next read of the table: base or more, jittered, so that the whole fleet's
 // reads stay bounded.
 func (s *Spread) ReadWait(base time.Duration) time.Duration {
--- a/coordination/steer/steer.go
+++ b/coordination/steer/steer.go
@@ -20,16 +20,16 @@
 	Rand func() float64
 }
 
-// Choose returns the version for one attempt, the id of the move it counts for (empty outside a move) and
+// Choose returns the version for one attempt on a route, the id of the move it counts for (empty outside a move) and
 // whether it is the move's new version.
-func (s *Steer) Choose(e *entry.Entry, m *move.Move) (version label.Name, id string, isNew bool) {
+func (s *Steer) Choose(e *entry.Entry, m *move.Move, route string) (version label.Name, id string, isNew bool) {
 	if m == nil || m.Ended() || m.From != e.Version {
 		return e.Version, "", false
 	}
 	if s.Moves.Withdrawn(m.ID) {
 		return m.From, "", false
 	}
-	if s.Rand() < m.Share {
+	if s.Rand() < m.ShareOf(route) {
 		return m.To, m.ID, true
 	}
 	return m.From, m.ID, false
--- /dev/null
+++ b/model/shift/shift_test.go
@@ -0,0 +1,44 @@
+package shift_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/model/shift"
+)
+
+func TestShift(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "shift")
+}
+
+const moves = 6
+
+func play(kind string, seed uint64) *shift.Shift {
+	s := &shift.Shift{Seed: seed, Kind: kind, Way: shift.Product, Rate: 100, KillMover: seed%2 == 1}
+	s.Run()
+	return s
+}
+
+var _ = Describe("version moves", func() {
+	for _, kind := range []string{shift.Good, shift.Noisy} {
+		It("of a "+kind+" version are done in time, also when the mover dies", func() {
+			for seed := range uint64(moves) {
+				s := play(kind, seed)
+				Expect(s.Done).To(BeTrue(), "seed %d: %s", seed, s.Reason)
+			}
+		})
+	}
+
+	for _, kind := range []string{shift.Failing, shift.Slow, shift.Later, shift.Load, shift.Route} {
+		It("of a "+kind+" version are taken back after a small share of the requests, also when the mover dies", func() {
+			for seed := range uint64(moves) {
+				s := play(kind, seed)
+				Expect(s.TakenBack).To(BeTrue(), "seed %d", seed)
+				Expect(float64(s.MetBad)).To(BeNumerically("<=", 0.03*float64(s.Requests)), "seed %d", seed)
+			}
+		})
+	}
+})
--- a/protocol/move/move.go
+++ b/protocol/move/move.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/share"
 )
 
 // The states of a move.
@@ -31,8 +32,10 @@
 	Started time.Time `json:"started"`
 	// FinishBy is when the move must be done or taken back.
 	FinishBy time.Time `json:"finish-by"`
-	// Share is the part of the traffic, 0 to 1, that To may get.
+	// Share is the part of all traffic, 0 to 1, that To may get.
 	Share float64 `json:"share"`
+	// Routes holds the share of each route; a route that is not listed has none.
+	Routes []share.Share `json:"routes,omitempty"`
 	// State is ramping, done or taken-back.
 	State string `json:"state"`
 	// Reason says why the move was taken back.
@@ -43,3 +46,13 @@
 
 // Ended reports whether the move is done or taken back.
 func (m *Move) Ended() bool { return m.State != Ramping }
+
+// ShareOf returns the part of a route's traffic, 0 to 1, that To may get.
+func (m *Move) ShareOf(route string) float64 {
+	for i := range m.Routes {
+		if m.Routes[i].Name == route {
+			return m.Routes[i].Share
+		}
+	}
+	return 0
+}
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -21,16 +21,18 @@
 // Fleet is one process's view of the entry hosts, from heartbeats and from the platform's lagging list.
 //
 // A heartbeat of a higher incarnation replaces the older one; heartbeats that are late or out of order are dropped.
-// A host counts as alive while it was heard within Timeout. All methods may be called concurrently.
+// A host counts as alive while it was heard within Timeout, or while it is listed as live and was not found silent: in
+// a large fleet a process hears most of the others only now and then. All methods may be called concurrently.
 type Fleet struct {
 	// Self names the process's own host, which is never reported.
 	Self host.ID
 	// Timeout is the silence after which a host counts as dead.
 	Timeout time.Duration
 
-	mu      sync.RWMutex
-	members map[host.ID]*member
-	listed  map[host.ID]string
+	mu       sync.RWMutex
+	members  map[host.ID]*member
+	listed   map[host.ID]roster.Row
+	suspects map[string]bool
 }
 
 // Observe takes a heartbeat heard at now and reports whether it was news.
@@ -48,6 +50,7 @@
 		return false
 	}
 	f.members[p.Host] = &member{last: p, heard: now, left: p.State == pulse.Leaving}
+	delete(f.suspects, p.Peers)
 	return true
 }
 
@@ -58,12 +61,22 @@
 	return p.Seq > than.Seq
 }
 
+// Suspect records that the host with the given peer address did not answer; hearing it again clears that.
+func (f *Fleet) Suspect(peers string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.suspects == nil {
+		f.suspects = map[string]bool{}
+	}
+	f.suspects[peers] = true
+}
+
 // List takes the platform's rows of entry hosts; they say whom to contact, never who is alive.
 func (f *Fleet) List(rows []roster.Row) {
-	listed := map[host.ID]string{}
+	listed := map[host.ID]roster.Row{}
 	for _, r := range rows {
 		if r.Peers != "" && host.ID(r.ID) != f.Self {
-			listed[host.ID(r.ID)] = r.Peers
+			listed[host.ID(r.ID)] = r
 		}
 	}
 	f.mu.Lock()
@@ -81,8 +94,8 @@
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	seen := map[string]bool{}
-	for _, address := range f.listed {
-		seen[address] = true
+	for _, r := range f.listed {
+		seen[r.Peers] = true
 	}
 	for _, m := range f.members {
 		if !m.left {
@@ -102,11 +115,17 @@
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	var out []pulse.Pulse
-	for _, m := range f.members {
-		if now.Sub(m.heard) <= f.Timeout {
+	for id, m := range f.members {
+		row, listed := f.listed[id]
+		if now.Sub(m.heard) <= f.Timeout || listed && row.State == roster.Live && !f.suspects[m.last.Peers] {
 			out = append(out, m.last)
 		}
 	}
+	for id, row := range f.listed {
+		if f.members[id] == nil && row.State == roster.Live && !f.suspects[row.Peers] {
+			out = append(out, pulse.Pulse{Host: id, Callers: row.Address, Peers: row.Peers, DataCentre: row.DataCentre, State: pulse.Live})
+		}
+	}
 	slices.SortFunc(out, func(a, b pulse.Pulse) int { return strings.Compare(string(a.Host), string(b.Host)) })
 	return out
 }
--- a/state/score/score.go
+++ b/state/score/score.go
@@ -18,8 +18,8 @@
 	withdrawn map[string]bool
 }
 
-// Record counts one finished request of a move.
-func (s *Score) Record(move, route string, isNew, bad bool) {
+// Record counts one finished request of a move and returns the route's counts.
+func (s *Score) Record(move, route string, isNew, bad bool) trial.Trial {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.trials == nil {
@@ -36,6 +36,7 @@
 		routes[route] = t
 	}
 	count(t, isNew, bad)
+	return *t
 }
 
 func count(t *trial.Trial, isNew, bad bool) {
--- a/test/scene/doors_test.go
+++ b/test/scene/doors_test.go
@@ -75,7 +75,7 @@
 	It("answer a slow sender and close", func() {
 		conn, err := net.Dial("tcp", w.entries[0].address)
 		Expect(err).NotTo(HaveOccurred())
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()
 		_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nX-Account: mutuelle\r\nContent-Length: 500\r\n\r\n{")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(conn.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
@@ -94,7 +94,7 @@
 		Eventually(func() string {
 			conn, err := net.Dial("tcp", w.entries[0].address)
 			Expect(err).NotTo(HaveOccurred())
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			Expect(conn.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
 			line, _ := bufio.NewReader(conn).ReadString('\n')
 			return line
--- a/test/scene/failures_test.go
+++ b/test/scene/failures_test.go
@@ -26,7 +26,7 @@
 	var unbroken string
 	BeforeEach(func() {
 		w = newWorld(3, 2)
-		unbroken, _ = w.stream(w.caller(), 200, nothing)
+		unbroken, _ = w.stream(w.caller(), nothing)
 	})
 
 	// busy returns the engine that generates tokens now.
@@ -56,18 +56,18 @@
 	}
 
 	It("is whole when its engine is killed", func() {
-		text, _ := w.stream(w.caller(), 200, at(50, func() { busy().signal(syscall.SIGKILL) }))
+		text, _ := w.stream(w.caller(), at(50, func() { busy().signal(syscall.SIGKILL) }))
 		Expect(text).To(Equal(unbroken))
 	})
 
 	It("is whole when its engine freezes", func() {
-		text, _ := w.stream(w.caller(), 200, at(50, func() { freeze(busy()) }))
+		text, _ := w.stream(w.caller(), at(50, func() { freeze(busy()) }))
 		Expect(text).To(Equal(unbroken))
 	})
 
 	It("is whole when its entry host is killed", func() {
 		c := w.caller(w.entries[0])
-		text, connections := w.stream(c, 200, at(50, func() {
+		text, connections := w.stream(c, at(50, func() {
 			for _, e := range w.entries {
 				if w.running(e) > 0 {
 					e.signal(syscall.SIGKILL)
@@ -79,7 +79,7 @@
 	})
 
 	It("is whole when its data centre is reclaimed, and the leaving engine gets no new work", func() {
-		text, _ := w.stream(w.caller(), 200, at(50, func() {
+		text, _ := w.stream(w.caller(), at(50, func() {
 			leaving := busy()
 			Expect(send(http.MethodPost, leaving.address+"/reclaim", nil, `{"notice-ms":60000}`).status).To(Equal(200))
 			Eventually(func() string { return send(http.MethodGet, w.entries[0].address+"/operator/status", operator, "").body }).Should(ContainSubstring(`"leaving":true`))
@@ -95,13 +95,13 @@
 	})
 
 	It("goes on through an outage of the platform", func() {
-		text, _ := w.stream(w.caller(), 200, at(20, func() { w.fault(w.platform, `{"outage":true}`) }))
+		text, _ := w.stream(w.caller(), at(20, func() { w.fault(w.platform, `{"outage":true}`) }))
 		Expect(text).To(Equal(unbroken))
 	})
 
 	It("is handed over when its entry host stops gracefully, which ends cleanly", func() {
 		var stopped *process
-		text, connections := w.stream(w.caller(), 200, at(50, func() {
+		text, connections := w.stream(w.caller(), at(50, func() {
 			for _, e := range w.entries {
 				if w.running(e) > 0 {
 					stopped = e
@@ -126,7 +126,7 @@
 	if err != nil {
 		return 0
 	}
-	defer r.Body.Close()
+	defer func() { _ = r.Body.Close() }()
 	var out struct{ Tokens float64 }
 	_ = json.NewDecoder(r.Body).Decode(&out)
 	return out.Tokens
@@ -189,6 +189,7 @@
 
 	It("is not-run for good when no endpoint can be reached", func() {
 		w.apps[0].signal(syscall.SIGKILL)
+		Expect(w.apps[0].wait()).To(HaveOccurred())
 		Expect(fault.KindOf(pay("k-1"))).To(Equal(kind.NotRun))
 		app := w.app("v1")
 		tries := 0
@@ -234,20 +235,19 @@
 })
 
 var _ = Describe("a version move", func() {
-	load := func(w *world, seconds int) *exec.Cmd {
+	load := func(w *world) {
 		var at []string
 		for _, e := range w.entries {
 			at = append(at, e.address)
 		}
 		cmd := exec.Command(filepath.Join(programs, "bench"), "load", "--at", strings.Join(at, ","), "--account", string(account), "--entry", "caisse",
-			"--call", "GET:/balance", "--rate", "400", "--for", fmt.Sprintf("%ds", seconds), "--json")
+			"--call", "GET:/balance", "--rate", "400", "--for", patience.String(), "--json")
 		cmd.Stdout, cmd.Stderr = GinkgoWriter, GinkgoWriter
 		Expect(cmd.Start()).To(Succeed())
 		DeferCleanup(func() {
 			_ = cmd.Process.Signal(os.Interrupt)
 			_ = cmd.Wait()
 		})
-		return cmd
 	}
 	begin := func(w *world) {
 		order := fmt.Sprintf(`{"entry":"caisse","version":"v2","finish-by":%q}`, time.Now().Add(patience).Format(time.RFC3339))
@@ -277,7 +277,7 @@
 			return mover
 		}).ShouldNot(BeNil())
 		freeze(mover)
-		load(w, 60)
+		load(w)
 		for _, e := range w.entries {
 			if e != mover {
 				Eventually(state(w, e)).Should(Equal("taken-back"))
@@ -292,7 +292,7 @@
 		w := newWorld(1, 2)
 		app := w.app("v2")
 		begin(w)
-		load(w, 60)
+		load(w)
 		Eventually(func() string {
 			return send(http.MethodGet, w.entries[0].address+"/operator/moves/caisse", operator, "").body
 		}).ShouldNot(ContainSubstring(`"share":0,`))
@@ -307,7 +307,7 @@
 		w := newWorld(1, 2)
 		w.app("v2")
 		begin(w)
-		load(w, 60)
+		load(w)
 		Eventually(state(w, w.entries[1])).Should(Equal("done"))
 	})
 })
--- a/test/scene/world_test.go
+++ b/test/scene/world_test.go
@@ -30,8 +30,9 @@
 const (
 	operatorKey = "scene-operator-key-1"
 	// patience bounds every wait; it is far above what any machine needs, and nothing is judged by it.
-	patience = 60 * time.Second
-	longText = "Summarise the history of contract c-17 for the family."
+	patience   = 60 * time.Second
+	longTokens = 200
+	longText   = "Summarise the history of contract c-17 for the family."
 )
 
 var programs string
@@ -71,7 +72,7 @@
 func freeAddress() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
 
@@ -79,7 +80,7 @@
 	p := &process{cmd: exec.Command(filepath.Join(programs, program), args...), address: address}
 	log, err := os.CreateTemp(GinkgoT().TempDir(), program)
 	Expect(err).NotTo(HaveOccurred())
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	p.log = log.Name()
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	Expect(p.cmd.Start()).To(Succeed())
@@ -208,7 +209,7 @@
 	}
 	w, err := http.DefaultClient.Do(r)
 	Expect(err).NotTo(HaveOccurred())
-	defer w.Body.Close()
+	defer func() { _ = w.Body.Close() }()
 	data, err := io.ReadAll(w.Body)
 	Expect(err).NotTo(HaveOccurred())
 	return answer{status: w.StatusCode, header: w.Header, body: string(data)}
@@ -249,15 +250,15 @@
 	return out
 }
 
-func (w *world) stream(c *caller.Caller, tokens int, each func(n int)) (text string, connections int) {
+func (w *world) stream(c *caller.Caller, each func(n int)) (text string, connections int) {
 	n := 0
-	connections, err := c.Stream(context.Background(), "contrat-long", longText, tokens, func(token string) {
+	connections, err := c.Stream(context.Background(), "contrat-long", longText, longTokens, func(token string) {
 		text += token
 		n++
 		each(n)
 	})
 	Expect(err).NotTo(HaveOccurred())
-	Expect(n).To(Equal(tokens))
+	Expect(n).To(Equal(longTokens))
 	return text, connections
 }
 
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -138,7 +138,7 @@
 	add(d.batch.Run)
 	add(d.every(d.Settings.Intervals.HostList.Of(), d.readHosts))
 	add(d.every(d.Settings.Intervals.Load.Of(), d.readLoads))
-	add(d.every(d.Settings.Intervals.Heartbeat.Of(), d.spread.Round))
+	add(d.rounds)
 	add(d.every(d.Settings.Intervals.MoveStep.Of(), d.mover.Step))
 	add(d.every(d.Settings.Intervals.Heartbeat.Of(), d.reconcile))
 	add(d.readTable)
@@ -241,7 +241,7 @@
 		Engine:    d.engine,
 		Pool:      d.pool,
 		Steer:     st,
-		Scores:    d.score,
+		Scores:    d.mover,
 		Retries:   &budget.Budget{Ratio: retryRatio, Max: retryMax},
 		Catalogue: d.holder,
 		Picker:    picker,
@@ -257,6 +257,7 @@
 		Pool:     d.pool,
 		Runs:     d.runs,
 		Score:    d.score,
+		Mover:    d.mover,
 		Gate:     d.gate,
 		Borrow:   d.borrow,
 		Relay:    r,
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -85,16 +85,12 @@
 }
 
 func (d *Daemon) join(ctx context.Context) {
-	state := roster.Live
-	if d.pulse().State == pulse.Leaving {
-		state = roster.Leaving
-	}
 	row := roster.Row{
 		ID:         endpt.ID(d.Settings.Host),
 		Address:    d.Settings.Listen.Callers,
 		Backend:    entryBackend,
 		DataCentre: d.Settings.DataCentre,
-		State:      state,
+		State:      d.pulse().State,
 		Peers:      d.Settings.Listen.Peers,
 	}
 	if err := d.platform.Join(ctx, row); err != nil {
@@ -143,6 +139,20 @@
 	}
 }
 
+// rounds exchanges heartbeats.
+func (d *Daemon) rounds(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(d.spread.RoundWait(d.Settings.Intervals.Heartbeat.Of()))
+		d.spread.Round(ctx)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
 // tellChanges starts a round of heartbeats at each change of the catalogue.
 func (d *Daemon) tellChanges(ctx context.Context) error {
 	for {
--- a/transport/front/apps.go
+++ b/transport/front/apps.go
@@ -47,11 +47,13 @@
 	isNew  bool
 }
 
+func (v *invocation) routeName() string { return string(v.entry.Routes[v.route].Name) }
+
 // Contact chooses an endpoint and connects to it.
 func (v *invocation) Contact(ctx context.Context) error {
 	f := v.front
 	avoid := v.target
-	version, moveID, isNew := f.Steer.Choose(v.entry, f.Holder.Current().Move(v.entry.Name))
+	version, moveID, isNew := f.Steer.Choose(v.entry, f.Holder.Current().Move(v.entry.Name), v.routeName())
 	v.move, v.isNew = moveID, isNew
 	now := f.Now()
 	n := &need.Need{Class: class.Call, Answer: v.entry.Limits.Answer.Of(), Refund: v.entry.Refund, PriceCeiling: v.entry.PriceCeiling}
@@ -85,7 +87,7 @@
 	}
 	if v.move != "" {
 		late := f.Now().Sub(started) > v.entry.Limits.Answer.Of()
-		f.Score.Record(v.move, string(v.entry.Routes[v.route].Name), v.isNew, err != nil || answer.Status >= iris.StatusInternalServerError || late)
+		f.Mover.Record(v.move, v.routeName(), v.isNew, err != nil || answer.Status >= iris.StatusInternalServerError || late)
 	}
 	return answer, sent, err
 }
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -15,6 +15,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/edits"
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
+	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
 	"github.com/dragonflyroute/dragonflyroute/coordination/place"
 	"github.com/dragonflyroute/dragonflyroute/coordination/relay"
@@ -68,8 +69,10 @@
 	Pool *pool.Pool
 	// Runs holds running and handed-over requests.
 	Runs *runs.Runs
-	// Score takes evidence on moves.
+	// Score keeps the withdrawn moves.
 	Score *score.Score
+	// Mover takes evidence on moves.
+	Mover *mover.Mover
 	// Gate admits requests within limits.
 	Gate *gate.Gate
 	// Relay runs model requests.
