Measure cost beside naive policies; renew loans of limits; move KV caches

Answers that leave a reclaimed engine were prefilled again in full. Ruled out: larger terms (a lost lender's part is idle for longer), the rates themselves (use was under half of them). Change: loans are kept by lender and renewed ahead of need; a small account has one home, with spares behind it; resumed attempts name the leaving engine that still keeps the KV cache (vLLM's kv_transfer_params), and engines that refuse compute it again.

--- a/bench/main.go
+++ b/bench/main.go
@@ -11,6 +11,7 @@
 
 func main() {
 	var cli struct {
+		Cost  costCmd  `cmd:"" help:"Cost at the latency limit for both users."`
 		Once  onceCmd  `cmd:"" help:"Non-idempotent calls over failing histories."`
 		Lease leaseCmd `cmd:"" help:"Leases over pauses and lost answers."`
 		Moves movesCmd `cmd:"" help:"Version moves of every kind."`
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -13,26 +13,35 @@
 )
 
 const (
-	// minHosts is the number of entry hosts given to the smallest account.
-	minHosts = 2
-	// scalePerHost is the account scale that adds one entry host.
+	// spareHosts is the number of entry hosts given beside an account's homes, for when those do not answer.
+	spareHosts = 2
+	// scalePerHost is the account scale that one home carries.
 	scalePerHost = 2.0
 )
 
 // Place orders entry hosts by rendezvous hash of account and host.
-type Place struct{}
+//
+// An account has few homes, one unless it is large, so that its limits and its prompts' prefixes live in few places.
+type Place struct {
+	// Shuffle permutes n things; it spreads a large account's callers over its homes.
+	Shuffle func(n int, swap func(i, j int))
+}
+
+// Homes returns the number of entry hosts that an account of the given scale uses at one time.
+func Homes(scale float64) int { return max(1, int(scale/scalePerHost)) }
 
 // Answer returns the callers' addresses for an account, best first.
 //
 // Hosts that are live come first; when there is none, any known host is better than an empty answer.
-func (Place) Answer(account acct.ID, scale float64, hosts []pulse.Pulse) []string {
+func (p Place) Answer(account acct.ID, scale float64, hosts []pulse.Pulse) []string {
 	ranked := usable(hosts)
 	slices.SortFunc(ranked, func(a, b pulse.Pulse) int {
 		return cmp.Compare(weight(account, b), weight(account, a))
 	})
-	n := minHosts + int(scale/scalePerHost)
+	homes := ranked[:min(Homes(scale), len(ranked))]
+	p.Shuffle(len(homes), func(i, j int) { homes[i], homes[j] = homes[j], homes[i] })
 	var out []string
-	for _, h := range ranked[:min(n, len(ranked))] {
+	for _, h := range ranked[:min(len(homes)+spareHosts, len(ranked))] {
 		out = append(out, h.Callers)
 	}
 	return out
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -2,17 +2,21 @@
 package quota
 
 import (
-	"slices"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 )
 
 // reserve is the part of its own base share that a host keeps back, so that it never starts from nothing.
-const reserve = 0.2
+const reserve = 0.1
+
+// wantShare is the use of the part held from which more is asked for.
+const wantShare = 0.4
 
 type key struct {
 	account acct.ID
@@ -25,8 +29,8 @@
 }
 
 type ledger struct {
-	lent     []term
-	borrowed []term
+	lent     map[host.ID]term
+	borrowed map[host.ID]term
 }
 
 // Quota is one process's part of every account's limits.
@@ -36,6 +40,8 @@
 // messages are lost. A process that starts owns nothing for one Term, because an earlier incarnation may have lent it.
 // All methods may be called concurrently.
 type Quota struct {
+	// Self names the process's host.
+	Self host.ID
 	// Hosts bounds the processes at one time.
 	Hosts int
 	// Term is how long a loan lasts.
@@ -74,16 +80,16 @@
 	k := key{account: account, entry: entry}
 	l := q.ledgers[k]
 	if l == nil {
-		l = &ledger{}
+		l = &ledger{lent: map[host.ID]term{}, borrowed: map[host.ID]term{}}
 		q.ledgers[k] = l
 	}
-	over := func(t term) bool { return !now.Before(t.until) }
-	l.lent = slices.DeleteFunc(l.lent, over)
-	l.borrowed = slices.DeleteFunc(l.borrowed, over)
+	over := func(_ host.ID, t term) bool { return !now.Before(t.until) }
+	maps.DeleteFunc(l.lent, over)
+	maps.DeleteFunc(l.borrowed, over)
 	return l
 }
 
-func total(terms []term) float64 {
+func total(terms map[host.ID]term) float64 {
 	sum := 0.0
 	for _, t := range terms {
 		sum += t.share
@@ -93,21 +99,24 @@
 
 // Lend grants up to what is asked of the own part that is neither lent nor in use; used is the part in use here.
 //
-// Only the own part is lent on, never a borrowed one, so that a loan can't outlive the part that it came from.
+// A host that has a loan gets it for a new term, so that a busy account keeps its place; a loan never shrinks before
+// its term is over. Only the own part is lent on, never a borrowed one, so that a loan can't outlive its source.
 func (q *Quota) Lend(ask loan.Loan, used float64, now time.Time) loan.Loan {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l := q.ledger(ask.Account, ask.Entry, now)
-	own := q.own(now)
-	free := own*(1-reserve) - total(l.lent) - max(0, used-total(l.borrowed))
-	ask.Share = max(0, min(ask.Share, free))
-	if ask.Share > 0 {
-		l.lent = append(l.lent, term{share: ask.Share, until: now.Add(q.Term)})
+	free := q.own(now)*(1-reserve) - total(l.lent) - max(0, used-total(l.borrowed))
+	held := l.lent[ask.By].share
+	grant := max(held, min(ask.Share, held+free))
+	if free < 0 || grant <= 0 || ask.Share <= 0 {
+		grant = 0
+	} else {
+		l.lent[ask.By] = term{share: grant, until: now.Add(q.Term)}
 	}
-	return ask
+	return loan.Loan{Account: ask.Account, Entry: ask.Entry, By: q.Self, Share: grant}
 }
 
-// Borrow adds a grant that was asked for at asked.
+// Borrow takes a grant that was asked for at asked, in place of an earlier one of the same lender.
 func (q *Quota) Borrow(grant loan.Loan, asked time.Time) {
 	if grant.Share <= 0 || grant.Share > 1 {
 		return
@@ -115,5 +124,24 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l := q.ledger(grant.Account, grant.Entry, asked)
-	l.borrowed = append(l.borrowed, term{share: grant.Share, until: asked.Add(q.Term)})
+	l.borrowed[grant.By] = term{share: grant.Share, until: asked.Add(q.Term)}
+}
+
+// Wants reports whether it is time to ask for more: the use nears the part held, or the loans in use run out soon.
+func (q *Quota) Wants(account acct.ID, entry label.Name, used float64, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.ledger(account, entry, now)
+	if used > wantShare*q.share(l, now) {
+		return true
+	}
+	if used <= wantShare*q.own(now) {
+		return false
+	}
+	for _, t := range l.borrowed {
+		if t.until.Sub(now) < q.Term/2 {
+			return true
+		}
+	}
+	return false
 }
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/limit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 )
@@ -34,10 +35,12 @@
 	quotas []*quota.Quota
 }
 
+func name(i int) host.ID { return host.ID(fmt.Sprintf("entry-%d", i)) }
+
 func newNetwork(seed uint64) *network {
 	n := &network{rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0)}
-	for range hosts {
-		n.quotas = append(n.quotas, &quota.Quota{Hosts: hosts, Term: term, Started: n.now, Fresh: true})
+	for i := range hosts {
+		n.quotas = append(n.quotas, &quota.Quota{Self: name(i), Hosts: hosts, Term: term, Started: n.now, Fresh: true})
 	}
 	return n
 }
@@ -47,13 +50,14 @@
 }
 
 func (n *network) lend(used float64) {
-	lender, borrower := n.quotas[n.rand.IntN(hosts)], n.quotas[n.rand.IntN(hosts)]
-	if lender == borrower {
+	i, j := n.rand.IntN(hosts), n.rand.IntN(hosts)
+	if i == j {
 		return
 	}
+	lender, borrower := n.quotas[i], n.quotas[j]
 	asked := n.now
 	n.pass()
-	grant := lender.Lend(loan.Loan{Account: "a", Entry: "e", Share: n.rand.Float64()}, used, n.now)
+	grant := lender.Lend(loan.Loan{Account: "a", Entry: "e", By: name(j), Share: n.rand.Float64()}, used, n.now)
 	n.pass()
 	if n.rand.Float64() < 0.7 {
 		borrower.Borrow(grant, asked)
@@ -61,7 +65,8 @@
 }
 
 func (n *network) restart() {
-	n.quotas[n.rand.IntN(hosts)] = &quota.Quota{Hosts: hosts, Term: term, Started: n.now}
+	i := n.rand.IntN(hosts)
+	n.quotas[i] = &quota.Quota{Self: name(i), Hosts: hosts, Term: term, Started: n.now}
 }
 
 func (n *network) sum() float64 {
@@ -92,13 +97,25 @@
 	It("gives a single busy host most of the limits", func() {
 		n := newNetwork(1)
 		for _, q := range n.quotas[1:] {
-			n.quotas[0].Borrow(q.Lend(loan.Loan{Account: "a", Entry: "e", Share: 1}, 0, n.now), n.now)
+			n.quotas[0].Borrow(q.Lend(loan.Loan{Account: "a", Entry: "e", By: name(0), Share: 1}, 0, n.now), n.now)
 		}
 		Expect(n.quotas[0].Share("a", "e", n.now)).To(BeNumerically(">", 0.8))
 		n.now = n.now.Add(term)
 		Expect(n.quotas[0].Share("a", "e", n.now)).To(BeNumerically("~", 1.0/hosts))
 	})
 
+	It("keeps a busy host's loan for as long as it renews it, and gives the lender its part back after", func() {
+		n := newNetwork(1)
+		for range 10 {
+			asked := n.now
+			n.quotas[0].Borrow(n.quotas[1].Lend(loan.Loan{Account: "a", Entry: "e", By: name(0), Share: 0.1}, 0, n.now), asked)
+			Expect(n.quotas[0].Share("a", "e", n.now)).To(BeNumerically("~", 1.0/hosts+0.1))
+			n.now = n.now.Add(term * 2 / 3)
+		}
+		n.now = n.now.Add(term)
+		Expect(n.quotas[1].Share("a", "e", n.now)).To(BeNumerically("~", 1.0/hosts))
+	})
+
 	for seed := range uint64(10) {
 		It(fmt.Sprintf("holds an account's rate and burst over all gates (seed %d)", seed), func() {
 			n := newNetwork(seed)
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/route"
+	"github.com/dragonflyroute/dragonflyroute/coordination/stay"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
@@ -32,8 +33,6 @@
 	giveUp = 3
 	// retryWait is the mean wait before an attempt after a failed one.
 	retryWait = 25 * time.Millisecond
-	// hopeless is how many times the answer limit may be expected at the door; beyond it a request is refused.
-	hopeless = 1.0
 )
 
 type engine interface {
@@ -94,7 +93,9 @@
 	entry   *entry.Entry
 	started time.Time
 	first   time.Time
-	emit    func(offset int, token string) error
+	// keptBy is the address of the leaving endpoint that keeps the KV cache of the answer so far.
+	keptBy string
+	emit   func(offset int, token string) error
 }
 
 func (j *job) snapshot() ticket.Ticket {
@@ -170,8 +171,7 @@
 	if best == nil {
 		return fault.New(kind.TooLate, "model", "no endpoint of %s version %s is usable", e.Backend, e.Version).After(time.Second)
 	}
-	limit := time.Duration(hopeless * float64(e.Limits.Answer.Of()))
-	if expected > limit {
+	if limit := e.Limits.Answer.Of(); !stay.InTime(expected, limit) {
 		return fault.New(kind.TooLate, "model", "the answer would take %s of %s allowed", expected.Round(time.Millisecond), limit).After(expected - limit)
 	}
 	return nil
--- a/coordination/relay/try.go
+++ b/coordination/relay/try.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflyroute/dragonflyroute/coordination/stay"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/order"
@@ -72,8 +73,10 @@
 		Text:      j.text(),
 		MaxTokens: j.left(),
 		Class:     j.entry.Class,
+		KeptBy:    j.keptBy,
 		Extra:     j.ticket.Extra,
 	}
+	j.keptBy = ""
 	ctx, end := r.Trace(ctx, "endpoint-attempt", o.Attempt, s)
 	defer func() { end(err) }()
 	s.Begin(j.entry.Class)
@@ -126,6 +129,7 @@
 			return errStalled
 		case <-left:
 			if !r.finishes(j, s) {
+				j.keptBy = s.Row().Address
 				return errMoved
 			}
 			left = nil
@@ -160,15 +164,11 @@
 	return tokenPatience * j.entry.Limits.BetweenTokens.Of()
 }
 
-// noticeShare is the part of the notice within which an answer must be whole to stay on a leaving endpoint.
-const noticeShare = 0.5
-
 // finishes reports whether the rest of the answer fits well into the leaving endpoint's notice.
 func (r *Relay) finishes(j *job, s *server.Server) bool {
 	l := s.Load()
 	if l == nil || j.first.IsZero() {
 		return false
 	}
-	rest := time.Duration(j.left()) * l.TokenTime
-	return rest < time.Duration(noticeShare*float64(s.Notice(r.Now())))
+	return stay.Finishes(j.left(), l.TokenTime, s.Notice(r.Now()))
 }
--- /dev/null
+++ b/model/serve/serve.go
@@ -0,0 +1,362 @@
+// Package serve plays a user's fleet under load, reclaims and bursts with different routing policies, event by event
+// on a virtual clock, and counts what it costs.
+package serve
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
+	"github.com/dragonflyroute/dragonflyroute/coordination/place"
+	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
+	"github.com/dragonflyroute/dragonflyroute/coordination/route"
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/class"
+	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/state/pool"
+)
+
+// The policies.
+const (
+	// Product uses the product's decisions on reclaimable hosts and a few on-demand ones.
+	Product = "product"
+	// LeastOutstanding sends to the endpoint with the fewest requests of the sender, on on-demand hosts only.
+	LeastOutstanding = "least-outstanding-on-demand"
+	// RoundRobin sends to each endpoint in turn, on reclaimable hosts, and runs lost requests again from the start.
+	RoundRobin = "round-robin-reclaimable"
+)
+
+const (
+	dataCentres  = 3
+	accounts     = 5
+	listLag      = time.Second
+	reportPeriod = 250 * time.Millisecond
+	onDemand     = 1_800_000
+	reclaimable  = 600_000
+	playTime     = 30 * time.Minute
+	loanTerm     = 2 * time.Second
+)
+
+// user is one user's sizes.
+type user struct {
+	// engines is the number of model servers.
+	engines int
+	// spare is the number of on-demand servers that the product holds beside the reclaimable ones.
+	spare int
+	// entryHosts is the number of entry hosts.
+	entryHosts int
+	// quickRate and longRate are requests per second.
+	quickRate, longRate float64
+	quick, long         *entry.Entry
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push adds an event.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop removes the last event.
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// Serve is one run of a user's fleet under a policy.
+type Serve struct {
+	// Seed decides everything.
+	Seed uint64
+	// User is kerlann or aliance.
+	User string
+	// Policy is how requests are routed.
+	Policy string
+
+	// Sent, Refused and Lost count requests; Lost ones were accepted and never answered.
+	Sent, Refused, Lost int
+	// RefusedLate counts the refused ones that could not have been in time; the others were over a limit.
+	RefusedLate int
+	// RefusedWrongly counts the refused ones that one gate for the whole system would have admitted.
+	RefusedWrongly int
+	// RefusedFlood counts the refused ones of the flooding account while it floods.
+	RefusedFlood int
+	// QuickAccepted, QuickInTime, LongAccepted and LongInTime count answers.
+	QuickAccepted, QuickInTime, LongAccepted, LongInTime int
+	// SmallQuick and SmallQuickInTime count quick answers to small accounts while a large one floods.
+	SmallQuick, SmallQuickInTime int
+	// Recomputed counts tokens that were computed more than once.
+	Recomputed int
+	// Price and Refunds are micro-euros.
+	Price, Refunds float64
+
+	rand    *rand.Rand
+	now     time.Time
+	start   time.Time
+	queue   events
+	seq     int
+	user    user
+	engines []*engine
+	hosts   []*entryHost
+	central *gate.Gate
+	flood   bool
+	burst   float64
+	turn    int
+}
+
+// entryHost is one entry host with the product's own packages.
+type entryHost struct {
+	pool   *pool.Pool
+	gate   *gate.Gate
+	quota  *quota.Quota
+	picker route.Picker
+	sent   map[*engine]int
+	known  map[*engine]bool
+}
+
+// Run plays the fleet.
+func (s *Serve) Run() {
+	s.rand = rand.New(rand.NewPCG(s.Seed, 7))
+	s.start = time.Unix(1_000_000, 0)
+	s.now = s.start
+	s.burst = 1
+	s.central = &gate.Gate{Started: s.start.Add(-time.Minute), Share: func(acct.ID, label.Name, time.Time) float64 { return 1 }}
+	s.user = users[s.User]
+	s.build()
+	s.arrive()
+	s.after(0, s.report)
+	s.script()
+	for len(s.queue) > 0 {
+		e := heap.Pop(&s.queue).(event)
+		if e.at.Sub(s.start) > playTime {
+			break
+		}
+		s.now = e.at
+		e.do()
+	}
+	s.count()
+}
+
+func (s *Serve) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{at: s.now.Add(d), seq: s.seq, do: do})
+}
+
+func (s *Serve) build() {
+	n, spare, price := s.user.engines, 0, int64(reclaimable)
+	switch s.Policy {
+	case Product:
+		spare = s.user.spare
+	case LeastOutstanding:
+		price = onDemand
+	}
+	for i := range n + spare {
+		e := &engine{serve: s, id: fmt.Sprintf("e-%d", i), dc: i % dataCentres, price: price, cache: map[uint64]bool{}}
+		if i >= n {
+			e.price = onDemand
+		}
+		s.engines = append(s.engines, e)
+		e.boot()
+	}
+	for i := range s.user.entryHosts {
+		h := &entryHost{
+			pool:   &pool.Pool{Self: host.ID(fmt.Sprint(i)), Subset: 32},
+			quota:  &quota.Quota{Self: host.ID(fmt.Sprint(i)), Hosts: s.user.entryHosts, Term: loanTerm, Started: s.start, Fresh: true},
+			picker: route.Picker{Rand: s.rand.Float64},
+			sent:   map[*engine]int{},
+			known:  map[*engine]bool{},
+		}
+		h.gate = &gate.Gate{Share: h.quota.Share, Started: s.start.Add(-time.Minute)}
+		s.hosts = append(s.hosts, h)
+	}
+	s.list()
+}
+
+// list gives every entry host the platform's list, which is listLag old.
+func (s *Serve) list() {
+	var rows []roster.Row
+	for _, e := range s.engines {
+		if e.up {
+			rows = append(rows, e.row())
+		}
+	}
+	s.after(listLag, func() {
+		for _, h := range s.hosts {
+			h.pool.Update(rows, s.now)
+		}
+	})
+	s.after(listLag, s.list)
+}
+
+// report gives every entry host the engines' load, as of one report period ago.
+func (s *Serve) report() {
+	for _, e := range s.engines {
+		if !e.up {
+			continue
+		}
+		running, waiting := e.load()
+		s.after(reportPeriod, func() {
+			for _, h := range s.hosts {
+				if known := h.server(e); known != nil {
+					known.SetLoad(running, waiting, slots, tokenTime, prefillRate)
+				}
+			}
+		})
+	}
+	s.after(reportPeriod, s.report)
+}
+
+// script is the wave of reclaims, the lost data centre, the burst and the flood.
+func (s *Serve) script() {
+	at := func(minute float64, do func()) { s.after(time.Duration(minute*float64(time.Minute)), do) }
+	at(5, func() {
+		for _, e := range s.engines {
+			if e.dc == 0 {
+				e.reclaim(30*time.Second, 5*time.Minute)
+			}
+		}
+	})
+	at(15, func() {
+		for _, e := range s.engines {
+			if s.rand.Float64() < 0.3 {
+				e.reclaim(5*time.Second, 3*time.Minute)
+			}
+		}
+	})
+	at(20, func() { s.burst = burstFactor })
+	at(21, func() { s.burst = 1 })
+	at(24, func() { s.flood = true })
+	at(25, func() { s.flood = false })
+}
+
+// arrive draws requests, each class by itself.
+func (s *Serve) arrive() {
+	s.next(s.user.quick, s.user.quickRate)
+	s.next(s.user.long, s.user.longRate)
+}
+
+func (s *Serve) next(e *entry.Entry, rate float64) {
+	wait := time.Duration(s.rand.ExpFloat64() / (rate * s.burst) * float64(time.Second))
+	s.after(wait, func() {
+		s.send(e, s.account())
+		for range s.floods(e) {
+			s.send(e, floodAccount)
+		}
+		s.next(e, rate)
+	})
+}
+
+// floodAccount is the large account that floods.
+const (
+	floodAccount acct.ID = "account-0"
+	floodFactor          = 3
+	burstFactor          = 2.5
+)
+
+func (s *Serve) floods(e *entry.Entry) int {
+	if s.flood && e.Class == class.Quick {
+		return floodFactor
+	}
+	return 0
+}
+
+// account draws the sender; the first account is the large one.
+func (s *Serve) account() acct.ID {
+	if s.rand.Float64() < 0.4 {
+		return floodAccount
+	}
+	return acct.ID(fmt.Sprintf("account-%d", 1+s.rand.IntN(accounts-1)))
+}
+
+func scale(id acct.ID) float64 {
+	if id == floodAccount {
+		return largeScale
+	}
+	return 1
+}
+
+// largeScale is the scale of the large account.
+const largeScale = 4
+
+func (s *Serve) count() {
+	for _, e := range s.engines {
+		s.Price += float64(e.price) * e.held(s.now).Hours()
+		for _, j := range e.all() {
+			if s.now.Sub(j.sent) > j.entry.Limits.Answer.Of()*2 {
+				s.Lost++
+			}
+		}
+	}
+}
+
+// home returns the entry host that an account's request comes to.
+func (s *Serve) home(id acct.ID) *entryHost {
+	var n int
+	_, _ = fmt.Sscanf(string(id), "account-%d", &n)
+	return s.hosts[(n+s.rand.IntN(place.Homes(scale(id))))%len(s.hosts)]
+}
+
+// admitted asks the product's gate, and beside it one gate for the whole system, which is the oracle.
+func (s *Serve) admitted(h *entryHost, id acct.ID, e *entry.Entry) func() {
+	if s.Policy != Product {
+		return func() {}
+	}
+	whole, wholeErr := s.central.Enter(id, scale(id), e, s.now)
+	leave := s.enter(h, id, e)
+	switch {
+	case leave == nil && wholeErr == nil:
+		s.RefusedWrongly++
+		whole()
+		return nil
+	case leave == nil || wholeErr != nil:
+		return leave
+	}
+	return func() {
+		leave()
+		whole()
+	}
+}
+
+// enter asks one host's gate, which borrows from the other hosts before its own part is used up.
+func (s *Serve) enter(h *entryHost, id acct.ID, e *entry.Entry) func() {
+	leave, err := h.gate.Enter(id, scale(id), e, s.now)
+	if err != nil || h.quota.Wants(id, e.Name, h.gate.Used(id, scale(id), e, s.now), s.now) {
+		s.borrow(h, id, e)
+	}
+	if err == nil {
+		return leave
+	}
+	if leave, err = h.gate.Enter(id, scale(id), e, s.now); err != nil {
+		return nil
+	}
+	return leave
+}
+
+func (s *Serve) borrow(h *entryHost, id acct.ID, e *entry.Entry) {
+	ask := loan.Loan{Account: id, Entry: e.Name, By: h.quota.Self, Share: 0.9 / float64(len(s.hosts)*place.Homes(scale(id)))}
+	for _, other := range s.hosts {
+		if other != h {
+			h.quota.Borrow(other.quota.Lend(ask, other.gate.Used(id, scale(id), e, s.now), s.now), s.now)
+		}
+	}
+}
--- a/protocol/loan/loan.go
+++ b/protocol/loan/loan.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 )
 
@@ -12,6 +13,8 @@
 	Account acct.ID `json:"account"`
 	// Entry is the catalogue entry that they are for.
 	Entry label.Name `json:"entry"`
-	// Share is the part, 0 to 1, that is wanted or granted.
+	// By is the entry host that asks, or the one that grants.
+	By host.ID `json:"by"`
+	// Share is the part, 0 to 1, that is wanted from one host in all, or granted.
 	Share float64 `json:"share"`
 }
--- a/protocol/order/order.go
+++ b/protocol/order/order.go
@@ -21,6 +21,8 @@
 	MaxTokens int
 	// Class decides the priority.
 	Class class.Class
+	// KeptBy is the address of an endpoint that still keeps the KV cache of Text, empty for none.
+	KeptBy string
 	// Extra holds the caller's further parameters, passed on as they are.
 	Extra map[string]json.RawMessage
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,8 @@
 	FromRunning int `json:"from-running"`
 	// BreakAfter breaks each stream after that many tokens; 0 breaks none.
 	BreakAfter int `json:"break-after-tokens"`
+	// RefuseKV keeps the engine from taking another one's KV cache.
+	RefuseKV bool `json:"refuse-kv"`
 }
 
 type engineStats struct {
@@ -50,6 +53,7 @@
 	Tokens    atomic.Int64
 	Prefilled atomic.Int64
 	Late      atomic.Int64
+	Fetched   atomic.Int64
 }
 
 type engine struct {
@@ -59,12 +63,18 @@
 	faults atomic.Pointer[engineFaults]
 	stats  engineStats
 	cache  sync.Map
+	kept   sync.Map
 }
 
 type generateRequest struct {
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
 	Priority  int    `json:"priority"`
+	Transfer  *struct {
+		Engine string `json:"remote_engine_id"`
+		Host   string `json:"remote_host"`
+		Port   string `json:"remote_port"`
+	} `json:"kv_transfer_params"`
 }
 
 // Run serves the engine until ctx ends.
@@ -87,6 +97,7 @@
 	m.HandleFunc("POST /v1/completions", e.complete)
 	m.HandleFunc("GET /metrics", e.metrics)
 	m.HandleFunc("POST /reclaim", e.reclaim)
+	m.HandleFunc("GET /kv/{id}", e.keep)
 	m.HandleFunc("POST /faults", e.setFaults)
 	m.HandleFunc("GET /stats", e.getStats)
 	return serve(ctx, c.Listen, m, e.join)
@@ -112,6 +123,7 @@
 		"tokens":               e.stats.Tokens.Load(),
 		"prefilled":            e.stats.Prefilled.Load(),
 		"accepted-while-going": e.stats.Late.Load(),
+		"kv-fetched":           e.stats.Fetched.Load(),
 		"leaving":              leaving,
 	})
 }
@@ -145,13 +157,46 @@
 		return
 	}
 	defer e.queue.leave(q.Priority)
-	if !e.prefill(r.Context(), q.Prompt) {
+	if !e.fetch(r.Context(), q) && !e.prefill(r.Context(), q.Prompt) {
 		return
 	}
+	e.kept.Store(r.Header.Get("X-Request-Id"), true)
 	w.Header().Set("Content-Type", "text/event-stream")
 	e.generate(w, r, q)
 }
 
+// fetch takes the KV cache from the engine that the request names, if it still has it and is told nothing else.
+func (e *engine) fetch(ctx context.Context, q generateRequest) bool {
+	if q.Transfer == nil || e.faults.Load().RefuseKV {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+net.JoinHostPort(q.Transfer.Host, q.Transfer.Port)+"/kv/"+q.Transfer.Engine, nil)
+	if err != nil {
+		return false
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = w.Body.Close()
+	if w.StatusCode != http.StatusOK {
+		return false
+	}
+	e.stats.Fetched.Add(1)
+	return true
+}
+
+// keep answers whether the engine keeps the KV cache of a request.
+func (e *engine) keep(w http.ResponseWriter, r *http.Request) {
+	if _, ok := e.kept.Load(r.PathValue("id")); !ok {
+		http.NotFound(w, r)
+		return
+	}
+	reply(w, struct{}{})
+}
+
 func (e *engine) prefill(ctx context.Context, text string) bool {
 	tokens := len(text) / 4
 	h := fnv.New64a()
--- a/test/scene/failures_test.go
+++ b/test/scene/failures_test.go
@@ -94,6 +94,27 @@
 		Expect(text).To(Equal(unbroken))
 	})
 
+	for _, refused := range []bool{false, true} {
+		It(fmt.Sprintf("moves with its KV cache when the notice is too short for the rest (refused by the target: %t)", refused), func() {
+			for _, e := range w.engines {
+				w.fault(e, fmt.Sprintf(`{"refuse-kv":%t}`, refused))
+			}
+			var leaving *process
+			text, _ := w.stream(w.caller(), at(50, func() {
+				leaving = busy()
+				Expect(send(http.MethodPost, leaving.address+"/reclaim", nil, `{"notice-ms":1000}`).status).To(Equal(200))
+			}))
+			Expect(text).To(Equal(unbroken))
+			fetched := 0.0
+			for _, e := range w.engines {
+				if e != leaving {
+					fetched += stats(e)["kv-fetched"].(float64)
+				}
+			}
+			Expect(fetched > 0).To(Equal(!refused))
+		})
+	}
+
 	It("goes on through an outage of the platform", func() {
 		text, _ := w.stream(w.caller(), at(20, func() { w.fault(w.platform, `{"outage":true}`) }))
 		Expect(text).To(Equal(unbroken))
--- a/transport/caller/call.go
+++ b/transport/caller/call.go
@@ -24,7 +24,11 @@
 			return 0, nil, err
 		}
 		status, answer, err = c.callOnce(ctx, at, entry, method, path, key, body)
-		if err == nil || try >= c.Tries || !callRepeatable(err, key) {
+		if err == nil {
+			c.succeed()
+			return status, answer, nil
+		}
+		if try >= c.Tries || !callRepeatable(err, key) {
 			return status, answer, err
 		}
 		c.forget()
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -46,7 +46,8 @@
 	mu      sync.Mutex
 	known   []string
 	expires time.Time
-	turn    int
+	// turn counts failed attempts; it starts again from the best address when a request succeeds.
+	turn int
 }
 
 type addresses struct {
@@ -102,7 +103,7 @@
 	return got.Addresses, nil
 }
 
-// next returns an address; each call turns to the next one.
+// next returns an address: the best one, or the one after it for each attempt that failed since the last answer.
 func (c *Caller) next(ctx context.Context) (string, error) {
 	all, err := c.Addresses(ctx)
 	if err != nil {
@@ -113,17 +114,24 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.turn++
 	return all[c.turn%len(all)], nil
 }
 
-// forget drops the kept answer after an address did not answer.
+// forget drops the kept answer after an address did not answer, and turns to the next one.
 func (c *Caller) forget() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.turn++
 	c.expires = time.Time{}
 }
 
+// succeed goes back to the best address.
+func (c *Caller) succeed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.turn = 0
+}
+
 func problem(w *http.Response) *fault.Error {
 	e := &fault.Error{}
 	if json.NewDecoder(w.Body).Decode(e) != nil || e.Reason == "" {
--- a/transport/caller/stream.go
+++ b/transport/caller/stream.go
@@ -59,7 +59,11 @@
 			}
 		}
 		err = s.connect(ctx, at)
-		if err == nil || try >= c.Tries || !repeatable(err) {
+		if err == nil {
+			c.succeed()
+			return try, nil
+		}
+		if try >= c.Tries || !repeatable(err) {
 			return try, err
 		}
 		at = s.turn(ctx, err)
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
+	"github.com/dragonflyroute/dragonflyroute/coordination/place"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/coordination/relay"
@@ -31,6 +32,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/config"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/state/fleet"
 	"github.com/dragonflyroute/dragonflyroute/state/holder"
 	"github.com/dragonflyroute/dragonflyroute/state/pool"
@@ -98,6 +100,7 @@
 	spans       *spans.Spans
 	heart       heart
 	asked       askedFor
+	wants       chan loan.Loan
 }
 
 // Run serves until ctx ends, then drains and returns.
@@ -142,6 +145,7 @@
 	add(d.every(d.Settings.Intervals.MoveStep.Of(), d.mover.Step))
 	add(d.every(d.Settings.Intervals.Heartbeat.Of(), d.reconcile))
 	add(d.readTable)
+	add(d.askAhead)
 	add(d.tellChanges)
 	add(func(c context.Context) error {
 		select {
@@ -186,7 +190,8 @@
 	d.pool = &pool.Pool{Self: s.Host, Subset: s.Bounds.Subset}
 	d.runs = &runs.Runs{Keep: s.Intervals.Drain.Of(), Max: maxHanded}
 	d.score = &score.Score{}
-	d.quota = &quota.Quota{Hosts: s.EntryHosts, Term: loanTerm, Started: d.start}
+	d.wants = make(chan loan.Loan, maxWanted)
+	d.quota = &quota.Quota{Self: s.Host, Hosts: s.EntryHosts, Term: loanTerm, Started: d.start}
 	d.gate = &gate.Gate{Share: d.quota.Share, Started: d.start}
 }
 
@@ -259,7 +264,9 @@
 		Score:    d.score,
 		Mover:    d.mover,
 		Gate:     d.gate,
+		Quota:    d.quota,
 		Borrow:   d.borrow,
+		Want:     d.wanted,
 		Relay:    r,
 		Ledger:   d.ledger,
 		Spread:   d.spread,
@@ -269,6 +276,7 @@
 		Self:     d.pulse,
 		NewID:    newID,
 		Now:      time.Now,
+		Place:    place.Place{Shuffle: mathrand.Shuffle},
 		HandOver: d.handOver,
 	}
 }
--- a/transport/daemon/limits.go
+++ b/transport/daemon/limits.go
@@ -62,11 +62,34 @@
 	return got
 }
 
+// maxWanted bounds the accounts and entries that wait to be asked for.
+const maxWanted = 256
+
+// wanted queues a request for more limits; one that finds the queue full is dropped, the next request repeats it.
+func (d *Daemon) wanted(ask loan.Loan) {
+	select {
+	case d.wants <- ask:
+	default:
+	}
+}
+
+// askAhead borrows what will soon be needed.
+func (d *Daemon) askAhead(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ask := <-d.wants:
+			d.borrow(ctx, ask)
+		}
+	}
+}
+
 // Lend grants a part of an account's limits that is not used here.
 func (p *peerService) Lend(ask loan.Loan) loan.Loan {
 	now := time.Now()
 	cat := p.d.holder.Current()
-	refused := loan.Loan{Account: ask.Account, Entry: ask.Entry}
+	refused := loan.Loan{Account: ask.Account, Entry: ask.Entry, By: p.d.Settings.Host}
 	if cat == nil {
 		return refused
 	}
--- a/transport/engine/engine.go
+++ b/transport/engine/engine.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strings"
 
@@ -38,6 +39,15 @@
 	Client *http.Client
 }
 
+// transfer asks an engine to fetch the KV cache from another one, in the form that vLLM publishes; an engine that
+// can't falls back to its own prefill.
+type transfer struct {
+	Prefill bool   `json:"do_remote_prefill"`
+	Engine  string `json:"remote_engine_id"`
+	Host    string `json:"remote_host"`
+	Port    string `json:"remote_port"`
+}
+
 type chunk struct {
 	Choices []struct {
 		Text string `json:"text"`
@@ -73,6 +83,9 @@
 	body["max_tokens"] = g.MaxTokens
 	body["stream"] = true
 	body["priority"] = Priority(g.Class)
+	if name, port, err := net.SplitHostPort(g.KeptBy); err == nil {
+		body["kv_transfer_params"] = transfer{Prefill: true, Engine: g.ID, Host: name, Port: port}
+	}
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, fault.Wrap(kind.Internal, err, "request is not writable")
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
 	"github.com/dragonflyroute/dragonflyroute/coordination/place"
+	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
 	"github.com/dragonflyroute/dragonflyroute/coordination/relay"
 	"github.com/dragonflyroute/dragonflyroute/coordination/route"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
@@ -46,7 +47,7 @@
 	// requestIDHeader names the request.
 	requestIDHeader = "X-Request-Id"
 	// borrowPart is the part of a peer's own limits that is asked of it when those here are used up.
-	borrowPart = 0.5
+	borrowPart = 0.9
 	// closeTime bounds the end of open connections at a stop.
 	closeTime = 2 * time.Second
 )
@@ -96,6 +97,10 @@
 	// Now returns the time.
 	Now func() time.Time
 
+	// Quota holds the process's part of the limits.
+	Quota *quota.Quota
+	// Want asks the peers for a part of an account's limits in the background.
+	Want func(ask loan.Loan)
 	// Borrow asks the peers for a part of an account's limits and reports whether any gave something.
 	Borrow func(ctx context.Context, ask loan.Loan) bool
 	// HandOver gives a running request to a peer and returns the peer's address for callers.
@@ -232,13 +237,28 @@
 	if e == nil {
 		return nil, account, nil, fault.New(kind.NotFound, "model", "no entry %q", name)
 	}
-	leave, err = f.Gate.Enter(account, scale, e, f.Now())
-	if err != nil && f.Borrow(c.Request().Context(), loan.Loan{Account: account, Entry: e.Name, Share: borrowPart / float64(f.Settings.EntryHosts)}) {
-		leave, err = f.Gate.Enter(account, scale, e, f.Now())
-	}
+	leave, err = f.enter(c.Request().Context(), account, scale, e)
 	return e, account, leave, err
 }
 
+// enter takes one place within the account's limits, asking the peers for unused parts of them ahead of need, or at
+// once when the part held here is used up.
+func (f *Front) enter(ctx context.Context, account acct.ID, scale float64, e *entry.Entry) (leave func(), err error) {
+	now := f.Now()
+	ask := loan.Loan{Account: account, Entry: e.Name, By: f.Settings.Host, Share: borrowPart / float64(f.Settings.EntryHosts*place.Homes(scale))}
+	leave, err = f.Gate.Enter(account, scale, e, now)
+	if err == nil {
+		if f.Quota.Wants(account, e.Name, f.Gate.Used(account, scale, e, now), now) {
+			f.Want(ask)
+		}
+		return leave, nil
+	}
+	if !f.Borrow(ctx, ask) {
+		return nil, err
+	}
+	return f.Gate.Enter(account, scale, e, f.Now())
+}
+
 // currentCatalogue returns the catalogue, unless it may have been replaced without this process knowing.
 func (f *Front) currentCatalogue() (*catlog.Catalogue, error) {
 	cat := f.Holder.Current()
