Bound one routing decision and measure the catalogue's spread

Ruled out: a smaller subset (fewer endpoints for a lost data centre), a cheaper cost function (most time is one exponential for each candidate). Change: at most 16 usable candidates are compared, from a place that the prompt's prefix decides.

--- /dev/null
+++ b/bench/config.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/dragonflyroute/dragonflyroute/model/gossip"
+)
+
+type configCmd struct {
+	output
+	Loss float64 `default:"0.1" help:"Chance that a message is lost."`
+}
+
+type configFigures struct {
+	P50       float64 `json:"spread-p50-ms"`
+	P99       float64 `json:"spread-p99-ms"`
+	Worst     float64 `json:"spread-worst-ms"`
+	Reached   float64 `json:"reached-share"`
+	HealedP99 float64 `json:"after-heal-p99-ms"`
+	Reverts   int     `json:"reverts"`
+	Messages  float64 `json:"messages-per-second"`
+	Bytes     float64 `json:"bytes-per-second"`
+	Idle      float64 `json:"idle-bytes-per-second"`
+	Reads     float64 `json:"table-reads-per-second"`
+}
+
+// Run measures the spread of catalogue changes at several fleet sizes, with loss and a data centre cut and healed.
+func (c *configCmd) Run() error {
+	sizes := []int{7, 20, 100, 300, 1100}
+	runs := make([]*gossip.Gossip, len(sizes))
+	parallel(len(sizes), func(i int) {
+		runs[i] = &gossip.Gossip{Seed: c.Seed, Hosts: sizes[i], Loss: c.Loss, Changes: 4}
+		runs[i].Run()
+	})
+	figures := map[string]configFigures{}
+	for _, r := range runs {
+		ms := func(part float64, times []float64) float64 { return percentile(times, part) }
+		spread, healed := millis(r.Spread), millis(r.Healed)
+		cutOff := (r.Hosts + 6) / 7
+		figures[fmt.Sprintf("hosts-%d", r.Hosts)] = configFigures{
+			P50:       ms(0.5, spread),
+			P99:       ms(0.99, spread),
+			Worst:     ms(1, spread),
+			Reached:   float64(len(spread)) / float64((r.Changes+1)*(r.Hosts-cutOff)),
+			HealedP99: ms(0.99, healed),
+			Reverts:   r.Reverts,
+			Messages:  r.Messages,
+			Bytes:     r.Bytes,
+			Idle:      r.IdleBytes,
+			Reads:     r.Reads,
+		}
+	}
+	return c.print(figures)
+}
--- /dev/null
+++ b/bench/decide.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/route"
+	"github.com/dragonflyroute/dragonflyroute/protocol/class"
+	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/need"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/state/pool"
+)
+
+type decideCmd struct {
+	output
+}
+
+type decideFigures struct {
+	Product     float64 `json:"ns-per-decision"`
+	Allocations int64   `json:"allocations"`
+	Scan        float64 `json:"naive-scan-ns"`
+	Ratio       float64 `json:"ratio-to-scan"`
+}
+
+const subset = 32
+
+// Run measures one routing decision at several fleet sizes, beside a scan of all endpoints.
+func (c *decideCmd) Run() error {
+	figures := map[string]any{}
+	var smallest, largest float64
+	for _, n := range []int{10, 50, 500, 5500} {
+		product, scan := c.measure(n, subset), c.measure(n, n)
+		f := decideFigures{Product: perOp(product), Allocations: product.AllocsPerOp(), Scan: perOp(scan)}
+		f.Ratio = f.Product / f.Scan
+		figures[fmt.Sprintf("endpoints-%d", n)] = f
+		if n == 10 {
+			smallest = f.Product
+		}
+		largest = f.Product
+	}
+	figures["largest-over-smallest"] = largest / smallest
+	return c.print(figures)
+}
+
+func perOp(r testing.BenchmarkResult) float64 { return float64(r.T.Nanoseconds()) / float64(r.N) }
+
+func (c *decideCmd) measure(endpoints, size int) testing.BenchmarkResult {
+	r := rand.New(rand.NewPCG(c.Seed, 0))
+	now := time.Unix(1_000_000, 0)
+	p := &pool.Pool{Self: "entry", Subset: size}
+	var rows []roster.Row
+	for i := range endpoints {
+		rows = append(rows, roster.Row{ID: endpt.ID(fmt.Sprint(i)), Backend: "b", Version: "v", State: roster.Live, Price: 1 + r.Int64N(1000)})
+	}
+	p.Update(rows, now)
+	for _, s := range p.All() {
+		var running, waiting [class.Call + 1]int
+		running[class.Quick] = r.IntN(8)
+		s.SetLoad(running, waiting, 8, 20*time.Millisecond, 4000)
+	}
+	picker := route.Picker{Rand: r.Float64}
+	n := &need.Need{Class: class.Quick, PromptTokens: 500, OutTokens: 50, FirstToken: time.Second, Answer: 4 * time.Second, Refund: 2000, PriceCeiling: 2000}
+	return testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			picker.Pick(p.Candidates("b", "v"), n, nil, now)
+		}
+	})
+}
--- a/bench/print.go
+++ b/bench/print.go
@@ -6,6 +6,7 @@
 	"maps"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -54,3 +55,12 @@
 	}
 	return sorted[min(len(sorted)-1, int(part*float64(len(sorted))))]
 }
+
+// millis returns durations in milliseconds.
+func millis(times []time.Duration) []float64 {
+	out := make([]float64, len(times))
+	for i, t := range times {
+		out[i] = float64(t.Microseconds()) / 1000
+	}
+	return out
+}
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -25,6 +25,8 @@
 	defaultPrefillRate = 4000.0
 	// defaultSlots is the batch size until an endpoint has reported.
 	defaultSlots = 4
+	// maxLook bounds the candidates that one decision compares.
+	maxLook = 16
 	// tieShare is the cost difference below which the choice is random.
 	tieShare = 0.02
 )
@@ -39,15 +41,21 @@
 
 // Pick returns the best candidate and the expected time to the whole answer, or nil when none may be used.
 //
-// Leaving endpoints, those above the price ceiling and avoid are never chosen.
+// At most maxLook usable candidates are compared: those after a place that the prompt's prefix decides, so that prompts
+// with one prefix see the same endpoints, or a random place without one. Leaving endpoints, those above the price ceiling and avoid are never chosen.
 func (p *Picker) Pick(candidates []*server.Server, n *need.Need, avoid *server.Server, now time.Time) (*server.Server, time.Duration) {
 	var best *server.Server
 	var bestTime time.Duration
 	lowest := math.Inf(1)
-	for _, s := range candidates {
+	place, looked := p.place(len(candidates), n), 0
+	for i := range candidates {
+		s := candidates[(place+i)%len(candidates)]
 		if s == avoid || !usable(s, n) {
 			continue
 		}
+		if looked++; looked > maxLook {
+			break
+		}
 		expected, cost := Estimate(s, n, now)
 		cost *= 1 + tieShare*p.Rand()
 		if cost < lowest {
@@ -57,6 +65,18 @@
 	return best, bestTime
 }
 
+// place returns the index of the first candidate to look at.
+func (p *Picker) place(size int, n *need.Need) int {
+	switch {
+	case size <= maxLook:
+		return 0
+	case n.Prefix != 0:
+		return int(n.Prefix % uint64(size))
+	default:
+		return int(p.Rand() * float64(size))
+	}
+}
+
 func usable(s *server.Server, n *need.Need) bool {
 	return !s.Leaving() && s.Row().Price <= n.PriceCeiling
 }
--- a/coordination/route/route_test.go
+++ b/coordination/route/route_test.go
@@ -72,6 +72,22 @@
 		}
 	})
 
+	It("finds a usable endpoint wherever it stands in a large subset", func() {
+		for place := range 40 {
+			r := rand.New(rand.NewPCG(uint64(place), 0))
+			var all []*server.Server
+			for i := range 40 {
+				state := roster.Leaving
+				if i == place {
+					state = roster.Live
+				}
+				all = append(all, server.New(roster.Row{ID: endpt.ID(fmt.Sprint(i)), State: state}, now))
+			}
+			got, _ := (&route.Picker{Rand: r.Float64}).Pick(all, request(), nil, now)
+			Expect(got).To(BeIdenticalTo(all[place]))
+		}
+	})
+
 	It("does not see long work in front of quick work", func() {
 		s := server.New(roster.Row{State: roster.Live}, now)
 		var running, waiting [class.Call + 1]int
--- a/model/serve/job.go
+++ b/model/serve/job.go
@@ -59,12 +59,15 @@
 	j.route(true)
 }
 
+// hash spreads the prefixes as the product's own hash does.
+func (j *job) hash() uint64 { return (j.prefix + 1) * 0x9e3779b97f4a7c15 }
+
 func (j *job) need() *need.Need {
 	n := &need.Need{
 		Class:        j.entry.Class,
 		PromptTokens: j.prompt + j.done,
 		OutTokens:    j.tokens - j.done,
-		Prefix:       j.prefix + 1,
+		Prefix:       j.hash(),
 		Answer:       j.entry.Limits.Answer.Of() - j.serve.now.Sub(j.sent),
 		Refund:       j.entry.Refund,
 		PriceCeiling: j.entry.PriceCeiling,
@@ -94,7 +97,7 @@
 	j.host.sent[e]++
 	if j.known = j.host.server(e); j.known != nil {
 		j.known.Begin(j.entry.Class)
-		j.known.Remember(j.prefix+1, j.serve.now)
+		j.known.Remember(j.hash(), j.serve.now)
 	}
 	e.add(j)
 }
