Ramp all routes to one target that the least proved route decides

Ruled out: wrong withdrawals (none; all misses of good versions ran out of time at 20 requests a second). Change: one target for all routes, from the route with the least evidence; a first share of 1.25 %; a move with fewer than 2,500 requests on the new version watches for 95 % of its time; the exposure rises when time runs out on a version that showed nothing bad.

--- a/bench/moves.go
+++ b/bench/moves.go
@@ -8,7 +8,8 @@
 
 type movesCmd struct {
 	output
-	Moves int `default:"400" help:"Moves of each kind."`
+	Moves int  `default:"400" help:"Moves of each kind."`
+	Twins bool `default:"true" negatable:"" help:"Measure the naive ways too."`
 }
 
 type kindFigures struct {
@@ -19,6 +20,7 @@
 	BadP99     float64 `json:"bad-share-p99"`
 	AfterShown float64 `json:"after-shown-requests"`
 	MeanTook   float64 `json:"mean-seconds"`
+	NoTime     float64 `json:"out-of-time"`
 }
 
 // rates lists the requests per second of the moves, in turn.
@@ -28,7 +30,11 @@
 func (c *movesCmd) Run() error {
 	figures := map[string]map[string]kindFigures{}
 	kinds := []string{shift.Good, shift.Noisy, shift.Failing, shift.Slow, shift.Later, shift.Load, shift.Route}
-	for _, way := range []string{shift.Product, shift.Clock, shift.AtOnce} {
+	ways := []string{shift.Product, shift.Clock, shift.AtOnce}
+	if !c.Twins {
+		ways = ways[:1]
+	}
+	for _, way := range ways {
 		figures[way] = map[string]kindFigures{}
 		for _, kind := range kinds {
 			figures[way][kind] = c.measure(kind, way)
@@ -57,6 +63,9 @@
 		if s.TakenBack {
 			f.TakenBack++
 		}
+		if s.TakenBack && s.Took >= shift.Given {
+			f.NoTime++
+		}
 		share := float64(s.MetBad) / float64(max(1, s.Requests))
 		shares = append(shares, share)
 		f.BadMean += share
@@ -70,6 +79,7 @@
 	f.BadMean /= n
 	f.AfterShown /= n
 	f.MeanTook /= n
+	f.NoTime /= n
 	f.BadP99 = percentile(shares, 0.99)
 	return f
 }
--- a/coordination/ramp/ramp.go
+++ b/coordination/ramp/ramp.go
@@ -13,13 +13,13 @@
 
 const (
 	// firstShare is the share of all requests that a move takes until each route has met the new version.
-	firstShare = 0.015
+	firstShare = 0.0125
 	// growth bounds the rise of a route's share in one step.
 	growth = 3.0
 	// baseline is the number of requests from which the routes' parts of the traffic are taken.
 	baseline = 50
 	// stageRequests is the number of requests on the new version that a route's step must have seen.
-	stageRequests = 12
+	stageRequests = 10
 	// wideRequests replaces stageRequests from wideShare on, where load may show what a small share did not.
 	wideRequests = 30
 	// wideShare is the share from which steps need more evidence.
@@ -28,8 +28,16 @@
 	paceAlpha = 0.05
 	// watchRequests is the number of requests at full share before a move is done.
 	watchRequests = 200
+	// watchTotal is the number of requests on the new version from which watchTime is long enough; with fewer, a move
+	// watches for watchLong of its time.
+	watchTotal = 2500
+	watchLong  = 0.95
 	// watchTime is the part of the time given that a move watches the version before it is done.
 	watchTime = 0.6
+	// hurryFrom and hurryTo are the parts of the time between which the exposure rises, by hurryFactor in all.
+	hurryFrom   = 0.4
+	hurryTo     = 0.8
+	hurryFactor = 4.0
 	// rareRoute is the part of the traffic below which a route need not be proved by itself.
 	rareRoute = 0.02
 )
@@ -37,8 +45,8 @@
 // Ramp raises the share of the new version, route by route, as evidence allows.
 //
 // First every route gets as much as makes firstShare of all requests, rare routes a larger part of their own, until
-// each has met the new version. Then a route's share is such that the requests which it may turn bad, by the upper
-// limit of its excess, stay at or below its part of Exposure.
+// each has met the new version. Then the shares are such that the requests which the move may turn bad, by the upper
+// limit of the worst route's excess, stay at or below Exposure.
 type Ramp struct {
 	// Judge finds bad versions.
 	Judge judge.Judge
@@ -64,7 +72,7 @@
 		return TakenBack(m, "no time was left to prove the version")
 	}
 	if all := requests(total); all >= baseline {
-		m.Routes = r.raise(m, total, stage, all)
+		m.Routes = r.raise(m, total, stage, all, r.exposure(m, now))
 		m.Share = overall(m.Routes, total, all)
 	}
 	return m
@@ -80,12 +88,21 @@
 }
 
 func (r *Ramp) watched(m move.Move, total, stage []trial.Trial, now time.Time) bool {
-	seen := int64(0)
-	for _, t := range stage {
-		seen += t.New
+	seen := newRequests(stage)
+	part := watchLong
+	if newRequests(total) >= watchTotal {
+		part = watchTime
 	}
 	given := m.FinishBy.Sub(m.Started)
-	return seen >= watchRequests && met(total) && now.Sub(m.Started) >= time.Duration(watchTime*float64(given))
+	return seen >= watchRequests && met(total) && now.Sub(m.Started) >= time.Duration(part*float64(given))
+}
+
+func newRequests(trials []trial.Trial) int64 {
+	n := int64(0)
+	for _, t := range trials {
+		n += t.New
+	}
+	return n
 }
 
 func requests(total []trial.Trial) int64 {
@@ -107,24 +124,50 @@
 }
 
 // raise returns the routes' next shares; none falls.
-func (r *Ramp) raise(m move.Move, total, stage []trial.Trial, all int64) []share.Share {
-	allMet := met(total)
+//
+// All routes share one target, split evenly over them, that the route with the least evidence decides: a version that
+// is bad on one route is not shown to the others' traffic meanwhile.
+func (r *Ramp) raise(m move.Move, total, stage []trial.Trial, all int64, exposure float64) []share.Share {
+	target, allMet := firstShare, met(total)
+	if allMet {
+		target = max(firstShare, exposure/max(r.worst(total, all), exposure*unproved))
+	}
 	var out []share.Share
 	for _, t := range total {
 		current := m.ShareOf(t.Route)
-		part := weight(t, all) * float64(len(total))
-		next := min(1, firstShare/part)
-		if allMet && newIn(stage, t.Route) >= needed(current) {
-			next = max(next, min(1, current*growth, r.Exposure/(part*max(r.excess(t), r.Exposure*unproved))))
+		next := min(1, target/(weight(t, all)*float64(len(total))))
+		if allMet && newIn(stage, t.Route) < needed(current) {
+			next = current
+		}
+		if allMet {
+			next = min(next, max(current, firstShare)*growth)
 		}
 		out = append(out, share.Share{Name: t.Route, Share: max(current, next)})
 	}
 	return out
 }
 
+// exposure returns the exposure allowed at now: more when time runs out on a version that showed nothing bad.
+func (r *Ramp) exposure(m move.Move, now time.Time) float64 {
+	gone := now.Sub(m.Started).Seconds() / m.FinishBy.Sub(m.Started).Seconds()
+	hurry := min(1, max(0, (gone-hurryFrom)/(hurryTo-hurryFrom)))
+	return r.Exposure * (1 + hurryFactor*hurry)
+}
+
 // unproved keeps the division by a vanishing excess finite.
 const unproved = 1e-3
 
+// worst returns the largest excess of a route that is not rare.
+func (r *Ramp) worst(total []trial.Trial, all int64) float64 {
+	worst := 0.0
+	for _, t := range total {
+		if weight(t, all) >= rareRoute {
+			worst = max(worst, r.excess(t))
+		}
+	}
+	return worst
+}
+
 func needed(current float64) int64 {
 	if current >= wideShare {
 		return wideRequests
--- a/model/shift/shift.go
+++ b/model/shift/shift.go
@@ -48,6 +48,9 @@
 	AtOnce = "all-at-once"
 )
 
+// Given is the time that a move is given.
+const Given = 10 * time.Minute
+
 const (
 	hosts        = 7
 	routes       = 4
@@ -55,7 +58,6 @@
 	traffic      = 250 * time.Millisecond
 	leaseTerm    = 5 * time.Second
 	storeLatency = 3 * time.Millisecond
-	finishAfter  = 10 * time.Minute
 	goodRate     = 0.002
 	noisyRate    = 0.02
 	loadShare    = 0.3
@@ -124,7 +126,7 @@
 	s.sched = sched.New(s.Seed)
 	s.store = &store.Store{Sched: s.sched, Latency: storeLatency}
 	s.started = s.sched.Now()
-	s.finishBy = s.started.Add(finishAfter)
+	s.finishBy = s.started.Add(Given)
 	s.draw()
 	for i := range hosts {
 		p := &process{id: host.ID(fmt.Sprintf("entry-%d", i)), holder: &holder.Holder{}, score: &score.Score{}}
@@ -132,7 +134,7 @@
 		s.processes = append(s.processes, p)
 	}
 	s.sched.Go("operator", s.operate)
-	s.sched.Run(2 * finishAfter)
+	s.sched.Run(2 * Given)
 }
 
 func (s *Shift) draw() {
@@ -409,7 +411,7 @@
 	id := s.processes[0].holder.Current().Move(service).ID
 	for i, share := range steps {
 		s.share = share
-		until := s.started.Add(finishAfter * time.Duration(i+1) / time.Duration(len(steps)+1))
+		until := s.started.Add(Given * time.Duration(i+1) / time.Duration(len(steps)+1))
 		for s.sched.Now().Before(until) {
 			s.sched.Sleep(moveStep)
 			if s.worse(id) {
