Hedge slow idempotent calls, learn from engines' cache hits, measure hop and control cost

Cause: an idempotent call waited for one slow endpoint until its limit; a prefix match was believed whatever engines said; the cost of an entry host to a request, and of control at several fleet sizes, was not measured. Ruled out: engines' cache events over their own transports (another parser; the cached-token count of the published completions API tells the same, a request later). Change: a second attempt after a quarter of the limit, within the retry budget, first answer wins; an unexpected miss ages what was sent there; deadlines are passed on; drain of unstreamed answers and cancelling have scenarios; scripts share test/lib.sh. Measured: coordination/hedge on a virtual clock: 130 ms instead of 1 s for a slow first attempt, none without budget.

--- /dev/null
+++ b/bench/hop.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+)
+
+type hopCmd struct {
+	output
+	Entry    string `required:"" help:"Entry host."`
+	Engine   string `required:"" help:"Engine behind it."`
+	PID      int    `name:"pid" required:"" help:"The entry host's process."`
+	Requests int    `default:"2000" help:"Requests of each measurement."`
+	Streams  int    `default:"200" help:"Streams open at one time, for memory."`
+	Workers  int    `default:"4" help:"Requests at one time."`
+}
+
+type hopFigures struct {
+	EntryP50  float64 `json:"entry-p50-ms"`
+	EntryP99  float64 `json:"entry-p99-ms"`
+	DirectP50 float64 `json:"direct-p50-ms"`
+	DirectP99 float64 `json:"direct-p99-ms"`
+	RatioP50  float64 `json:"ratio-p50"`
+	RatioP99  float64 `json:"ratio-p99"`
+	CPUMicros float64 `json:"entry-cpu-us-per-request"`
+	PerCore   float64 `json:"requests-per-second-per-core"`
+}
+
+const hopTokens = 16
+
+// Run measures whole answers of one token and streams of hopTokens, through the entry host and directly.
+func (c *hopCmd) Run(ctx context.Context) error {
+	whole, err := c.compare(ctx, 1, false)
+	if err != nil {
+		return err
+	}
+	stream, err := c.compare(ctx, hopTokens, true)
+	if err != nil {
+		return err
+	}
+	perStream, err := c.memory(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(map[string]any{"whole-1-token": whole, "stream-16-tokens": stream, "kilobytes-per-open-stream": perStream})
+}
+
+func (c *hopCmd) compare(ctx context.Context, tokens int, stream bool) (hopFigures, error) {
+	var f hopFigures
+	if _, err := c.times(ctx, c.Entry, "conseil-quick", tokens, stream); err != nil {
+		return f, err
+	}
+	before, err := cpuTime(c.PID)
+	if err != nil {
+		return f, err
+	}
+	entry, err := c.times(ctx, c.Entry, "conseil-quick", tokens, stream)
+	if err != nil {
+		return f, err
+	}
+	after, err := cpuTime(c.PID)
+	if err != nil {
+		return f, err
+	}
+	direct, err := c.times(ctx, c.Engine, "v1", tokens, true)
+	if err != nil {
+		return f, err
+	}
+	f.EntryP50, f.EntryP99 = percentile(entry, 0.5), percentile(entry, 0.99)
+	f.DirectP50, f.DirectP99 = percentile(direct, 0.5), percentile(direct, 0.99)
+	f.RatioP50, f.RatioP99 = f.EntryP50/f.DirectP50, f.EntryP99/f.DirectP99
+	f.CPUMicros = float64((after - before).Microseconds()) / float64(c.Requests)
+	f.PerCore = 1e6 / f.CPUMicros
+	return f, nil
+}
+
+// times returns the sorted times of the requests, in milliseconds.
+func (c *hopCmd) times(ctx context.Context, address, model string, tokens int, stream bool) ([]float64, error) {
+	var mu sync.Mutex
+	var took []time.Duration
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: c.Workers}}
+	g, ctx := errgroup.WithContext(ctx)
+	for range c.Workers {
+		g.Go(func() error {
+			for range c.Requests / c.Workers {
+				started := time.Now()
+				if err := post(ctx, client, address, model, tokens, stream, io.Discard); err != nil {
+					return err
+				}
+				mu.Lock()
+				took = append(took, time.Since(started))
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	err := g.Wait()
+	slices.Sort(took)
+	return millis(took), err
+}
+
+func post(ctx context.Context, client *http.Client, address, model string, tokens int, stream bool, to io.Writer) error {
+	body, err := json.Marshal(map[string]any{"model": model, "prompt": "What does the contract cover?", "max_tokens": tokens, "stream": stream})
+	if err != nil {
+		return fault.Wrap(kind.Internal, err, "request")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return fault.Wrap(kind.BadRequest, err, "address")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("X-Account", "mutuelle")
+	w, err := client.Do(r)
+	if err != nil {
+		return fault.Wrap(kind.Unavailable, err, "%s", address)
+	}
+	defer func() { _ = w.Body.Close() }()
+	if w.StatusCode != http.StatusOK {
+		return fault.New(kind.Unavailable, "", "%s answered status %d", address, w.StatusCode)
+	}
+	_, err = io.Copy(to, w.Body)
+	return fault.Wrap(kind.Unavailable, err, "%s", address)
+}
+
+// memory returns the kilobytes that one open stream takes, from the process's memory without and with many of them.
+func (c *hopCmd) memory(ctx context.Context) (float64, error) {
+	before, err := residentBytes(c.PID)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var g errgroup.Group
+	for range c.Streams {
+		g.Go(func() error {
+			slow := &slowReader{ctx: ctx}
+			_ = post(ctx, &http.Client{}, c.Entry, "contrat-long", longTokens, true, slow)
+			return nil
+		})
+	}
+	time.Sleep(memoryWait)
+	during, err := residentBytes(c.PID)
+	cancel()
+	_ = g.Wait()
+	return float64(during-before) / 1024 / float64(c.Streams), err
+}
+
+const (
+	longTokens = 1000
+	memoryWait = 2 * time.Second
+	readPause  = 200 * time.Millisecond
+)
+
+// slowReader keeps a stream open by reading slowly.
+type slowReader struct{ ctx context.Context }
+
+// Write pauses after each piece.
+func (s *slowReader) Write(data []byte) (int, error) {
+	t := time.NewTimer(readPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return len(data), nil
+	case <-s.ctx.Done():
+		return 0, s.ctx.Err()
+	}
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -11,13 +11,15 @@
 
 func main() {
 	var cli struct {
-		Cost   costCmd   `cmd:"" help:"Cost at the latency limit for both users."`
-		Decide decideCmd `cmd:"" help:"One routing decision at several fleet sizes."`
-		Config configCmd `cmd:"" help:"Spread of catalogue changes at several fleet sizes."`
-		Once   onceCmd   `cmd:"" help:"Non-idempotent calls over failing histories."`
-		Lease  leaseCmd  `cmd:"" help:"Leases over pauses and lost answers."`
-		Moves  movesCmd  `cmd:"" help:"Version moves of every kind."`
-		Load   loadCmd   `cmd:"" help:"Sends requests to running entry hosts."`
+		Cost    costCmd    `cmd:"" help:"Cost at the latency limit for both users."`
+		Decide  decideCmd  `cmd:"" help:"One routing decision at several fleet sizes."`
+		Config  configCmd  `cmd:"" help:"Spread of catalogue changes at several fleet sizes."`
+		Once    onceCmd    `cmd:"" help:"Non-idempotent calls over failing histories."`
+		Lease   leaseCmd   `cmd:"" help:"Leases over pauses and lost answers."`
+		Moves   movesCmd   `cmd:"" help:"Version moves of every kind."`
+		Hop     hopCmd     `cmd:"" help:"What an entry host adds to a request (test/hop.sh starts what it needs)."`
+		Control controlCmd `cmd:"" help:"Control cost of running entry hosts (test/control.sh starts them)."`
+		Load    loadCmd    `cmd:"" help:"Sends requests to running entry hosts."`
 	}
 	k := kong.Parse(&cli, kong.Name("bench"))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/coordination/hedge/hedge_test.go
@@ -0,0 +1,80 @@
+package hedge_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	_ "github.com/onsi/ginkgo/v2" // takes the flags that all tests are run with
+	"github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/budget"
+	"github.com/dragonflyroute/dragonflyroute/coordination/hedge"
+	"github.com/dragonflyroute/dragonflyroute/protocol/claim"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+)
+
+// fate is what becomes of one attempt.
+type fate struct {
+	takes time.Duration
+	fails bool
+}
+
+// race runs one call whose attempts have the given fates, on a virtual clock.
+func race(t *testing.T, retries float64, fates ...fate) (answer claim.Claim, err error, took time.Duration, attempts int) {
+	synctest.Test(t, func(*testing.T) {
+		h := &hedge.Hedge{Delay: 100 * time.Millisecond, Retries: &budget.Budget{Max: retries}, Max: 3}
+		started := time.Now()
+		answer, err = h.Do(context.Background(), func(ctx context.Context, n int) (claim.Claim, error) {
+			attempts++
+			timer := time.NewTimer(fates[n].takes)
+			defer timer.Stop()
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				return claim.Claim{}, ctx.Err()
+			}
+			if fates[n].fails {
+				return claim.Claim{}, fault.New(kind.Unavailable, "", "attempt %d", n)
+			}
+			return claim.Claim{Status: 200 + n}, nil
+		})
+		took = time.Since(started)
+	})
+	return answer, err, took, attempts
+}
+
+func TestHedge(t *testing.T) {
+	for name, c := range map[string]struct {
+		retries  float64
+		fates    []fate
+		status   int
+		took     time.Duration
+		attempts int
+	}{
+		"quick":            {10, []fate{{takes: 20 * time.Millisecond}}, 200, 20 * time.Millisecond, 1},
+		"slow first":       {10, []fate{{takes: time.Second}, {takes: 30 * time.Millisecond}}, 201, 130 * time.Millisecond, 2},
+		"slow, no budget":  {0, []fate{{takes: time.Second}}, 200, time.Second, 1},
+		"failing first":    {10, []fate{{takes: 10 * time.Millisecond, fails: true}, {takes: 10 * time.Millisecond}}, 201, 20 * time.Millisecond, 2},
+		"slow then failed": {10, []fate{{takes: 150 * time.Millisecond, fails: true}, {takes: time.Second}, {takes: 10 * time.Millisecond}}, 202, 160 * time.Millisecond, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			answer, err, took, attempts := race(t, c.retries, c.fates...)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(answer.Status).To(gomega.Equal(c.status))
+			g.Expect(took).To(gomega.Equal(c.took))
+			g.Expect(attempts).To(gomega.Equal(c.attempts))
+		})
+	}
+}
+
+func TestHedgeFailure(t *testing.T) {
+	g := gomega.NewWithT(t)
+	bad := fate{takes: 10 * time.Millisecond, fails: true}
+	_, err, _, attempts := race(t, 10, bad, bad, bad)
+	g.Expect(fault.KindOf(err)).To(gomega.Equal(kind.Unavailable))
+	g.Expect(attempts).To(gomega.Equal(3))
+}
--- a/coordination/route/route_test.go
+++ b/coordination/route/route_test.go
@@ -122,9 +122,31 @@
 		Expect(b.PrefixChance(7, now.Add(time.Hour))).To(BeNumerically("<", 0.1))
 	})
 
+	It("trusts an endpoint's cache less after an unexpected miss", func() {
+		s := server.New(roster.Row{State: roster.Live}, now)
+		s.Remember(7, now)
+		s.Learn(0.2, false)
+		Expect(s.PrefixChance(7, now)).To(Equal(1.0))
+		s.Learn(0.9, false)
+		Expect(s.PrefixChance(7, now)).To(BeNumerically("~", 0.5))
+	})
+
 	It("allocates nothing", func() {
 		r := rand.New(rand.NewPCG(1, 0))
 		all, n, p := servers(r, 32), request(), &route.Picker{Rand: r.Float64}
 		Expect(testing.AllocsPerRun(100, func() { p.Pick(all, n, nil, now) })).To(BeZero())
 	})
 })
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 32} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := rand.New(rand.NewPCG(1, 0))
+			all, need, p := servers(r, n), request(), &route.Picker{Rand: r.Float64}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Pick(all, need, nil, now)
+			}
+		})
+	}
+}
--- a/protocol/order/order.go
+++ b/protocol/order/order.go
@@ -17,6 +17,10 @@
 	Model string
 	// Text is the prompt followed by the tokens generated so far.
 	Text string
+	// Prefix is the hash of Text's leading part.
+	Prefix uint64
+	// PrefixChance is the probability, before this attempt, that the endpoint caches the prefix.
+	PrefixChance float64
 	// MaxTokens bounds the tokens of this attempt.
 	MaxTokens int
 	// Class decides the priority.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -157,12 +157,16 @@
 		return
 	}
 	defer e.queue.leave(q.Priority)
-	if !e.fetch(r.Context(), q) && !e.prefill(r.Context(), q.Prompt) {
+	cached, ok := len(q.Prompt)/4, e.fetch(r.Context(), q)
+	if !ok {
+		cached, ok = e.prefill(r.Context(), q.Prompt)
+	}
+	if !ok {
 		return
 	}
 	e.kept.Store(r.Header.Get("X-Request-Id"), true)
 	w.Header().Set("Content-Type", "text/event-stream")
-	e.generate(w, r, q)
+	e.generate(w, r, q, cached)
 }
 
 // fetch takes the KV cache from the engine that the request names, if it still has it and is told nothing else.
@@ -197,19 +201,21 @@
 	reply(w, struct{}{})
 }
 
-func (e *engine) prefill(ctx context.Context, text string) bool {
+// prefill computes the prompt and returns how many of its tokens were cached.
+func (e *engine) prefill(ctx context.Context, text string) (cached int, ok bool) {
 	tokens := len(text) / 4
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(text[:min(len(text), 512)]))
-	if _, cached := e.cache.LoadOrStore(h.Sum64(), true); cached {
-		tokens /= 10
+	if _, known := e.cache.LoadOrStore(h.Sum64(), true); known {
+		cached = tokens * 9 / 10
 	}
+	tokens -= cached
 	e.stats.Prefilled.Add(int64(tokens))
-	return sleep(ctx, time.Duration(tokens)*time.Second/time.Duration(e.cmd.PrefillRate))
+	return cached, sleep(ctx, time.Duration(tokens)*time.Second/time.Duration(e.cmd.PrefillRate))
 }
 
 // generate sends tokens; each depends only on the text before it, so a resumed answer equals an unbroken one.
-func (e *engine) generate(w http.ResponseWriter, r *http.Request, q generateRequest) {
+func (e *engine) generate(w http.ResponseWriter, r *http.Request, q generateRequest, cached int) {
 	control := http.NewResponseController(w)
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(q.Prompt))
@@ -237,7 +243,7 @@
 		}
 		_ = control.Flush()
 	}
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	_, _ = fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":%d}}}\n\ndata: [DONE]\n\n", cached)
 }
 
 func (e *engine) metrics(w http.ResponseWriter, _ *http.Request) {
--- a/state/server/server.go
+++ b/state/server/server.go
@@ -129,6 +129,24 @@
 	p.at.Store(uint64(now.UnixNano()))
 }
 
+// Learn takes what an engine said of a prompt whose prefix it was expected to cache with the given probability.
+//
+// A miss where a hit was likely means that the cache turns over faster than assumed, so all that was sent there counts
+// as older.
+func (s *Server) Learn(expected float64, cached bool) {
+	if cached || expected < likely {
+		return
+	}
+	for i := range s.prefixes {
+		if at := s.prefixes[i].at.Load(); at > uint64(prefixHalfAge) {
+			s.prefixes[i].at.Store(at - uint64(prefixHalfAge))
+		}
+	}
+}
+
+// likely is the chance from which a cached prefix is expected.
+const likely = 0.5
+
 // PrefixChance returns the probability, 0 to 1, that the endpoint still caches the prefix.
 func (s *Server) PrefixChance(hash uint64, now time.Time) float64 {
 	p := &s.prefixes[hash%prefixSlots]
--- a/test/demo.sh
+++ b/test/demo.sh
@@ -3,118 +3,12 @@
 # three entry hosts, each a process of its own. Prints a short account and ends with "demo ok".
 set -u
 cd "$(dirname "$0")/.."
-bin=bin
-work=$(mktemp -d)
-pids=()
-names=()
-declare -A pid_of
-export DRAGONFLYROUTE_KEY=demo-operator-key-0001
-
-stop_all() {
-  for p in "${pids[@]}"; do kill -KILL "$p" 2>/dev/null; done
-  wait 2>/dev/null
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-fail() {
-  echo "demo FAILED: $*" >&2
-  for n in "${names[@]}"; do
-    echo "--- last lines of $n" >&2
-    tail -n 5 "$work/$n.log" >&2
-  done
-  exit 1
-}
-
-# start NAME PROGRAM ARGS... starts one process in the background.
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  pids+=($!)
-  names+=("$name")
-  pid_of[$name]=$!
-}
-
-# free PORT tells whether nothing listens on a port.
-free() { ! (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
-
-choose_ports() {
-  local try
-  for try in $(seq 1 50); do
-    base=$((20000 + ((($$ * 31) + try * 977) % 600) * 20))
-    local port ok=1
-    for port in $(seq "$base" $((base + 19))); do
-      free "$port" || ok=0
-    done
-    [ "$ok" = 1 ] && return
-  done
-  fail "no free ports"
-}
-
-# until_ok SECONDS COMMAND... repeats a command until it succeeds.
-until_ok() {
-  local end=$((SECONDS + $1))
-  shift
-  until "$@" >/dev/null 2>&1; do
-    [ "$SECONDS" -lt "$end" ] || return 1
-    sleep 0.1
-  done
-}
-
-post() { # post PORT PATH JSON
-  exec 3<>"/dev/tcp/127.0.0.1/$1" || return 1
-  printf 'POST %s HTTP/1.0\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s' "$2" "${#3}" "$3" >&3
-  cat <&3
-  exec 3>&-
-}
-
-get() { # get PORT PATH
-  exec 3<>"/dev/tcp/127.0.0.1/$1" || return 1
-  printf 'GET %s HTTP/1.0\r\n\r\n' "$2" >&3
-  sed '1,/^\r$/d' <&3
-  exec 3>&-
-}
-
-settings() { # settings NUMBER DATA-CENTRE
-  cat >"$work/entry-$1.json" <<JSON
-{
-  "host": "entry-$1", "data-centre": "$2",
-  "listen": {"callers": "127.0.0.1:$((base + 10 + $1))", "peers": "127.0.0.1:$((base + 15 + $1))"},
-  "platform": "http://127.0.0.1:$base", "entry-hosts": 3,
-  "operator-key": "$DRAGONFLYROUTE_KEY", "peer-secret": "demo-peer-secret-0001",
-  "log-level": "info", "trace": {"file": "$work/trace-$1.jsonl"},
-  "intervals": {"heartbeat": "200ms", "host-list": "200ms", "keep-answer": "1s", "drain": "12s", "move-step": "200ms", "lease-term": "2s"}
-}
-JSON
-}
-
-catalogue() {
-  cat >"$work/catalogue.json" <<'JSON'
-{
-  "note": "demo",
-  "accounts": [{"id": "kerlann", "scale": 1}, {"id": "mutuelle", "scale": 4}],
-  "entries": [
-    {"name": "conseil-quick", "owner": "kerlann", "backend": "plume", "class": "quick", "version": "v1",
-     "limits": {"first-token": "1.2s", "between-tokens": "42ms", "answer": "4s", "max-tokens": 64, "rate-per-second": 300, "burst": 300, "concurrent": 300},
-     "price-ceiling-micros-per-hour": 2000000, "refund-micros": 2000},
-    {"name": "contrat-long", "owner": "kerlann", "backend": "plume", "class": "long", "version": "v1",
-     "limits": {"first-token": "8s", "between-tokens": "80ms", "answer": "60s", "max-tokens": 1024, "rate-per-second": 30, "burst": 30, "concurrent": 30},
-     "price-ceiling-micros-per-hour": 2000000, "refund-micros": 3000},
-    {"name": "caisse", "owner": "kerlann", "backend": "caisse", "class": "call", "version": "v1",
-     "limits": {"answer": "2s", "rate-per-second": 900, "burst": 900, "concurrent": 900},
-     "price-ceiling-micros-per-hour": 2000000, "refund-micros": 500,
-     "routes": [{"name": "instalment", "method": "POST", "path": "/instalments", "idempotent": false},
-                {"name": "balance", "method": "GET", "path": "/balance", "idempotent": true}]}
-  ]
-}
-JSON
-}
+. test/lib.sh
 
 ask() { "$bin/dragonflyroute" ask --account mutuelle --at "$entries" "$@"; }
 field() { sed -n "s/^ *\"$1\": \"\\{0,1\\}\\([^\",]*\\)\"\\{0,1\\},\\{0,1\\}$/\\1/p" "$2" | head -n 1; }
 
-choose_ports
+choose_ports 20
 entries="127.0.0.1:$((base + 11)),127.0.0.1:$((base + 12)),127.0.0.1:$((base + 13))"
 export DRAGONFLYROUTE_AT="127.0.0.1:$((base + 11))"
 platform="http://127.0.0.1:$base"
@@ -128,11 +22,11 @@
 for v in 1 2 3; do
   start "app-v$v" "$bin/standin" app --listen "127.0.0.1:$((base + 3 + v))" --platform "$platform" --id "caisse-$v" --backend caisse --version "v$v" --data-centre bzh-rennes
 done
+intervals='{"heartbeat": "200ms", "host-list": "200ms", "keep-answer": "1s", "drain": "12s", "move-step": "200ms", "lease-term": "2s"}'
 centres=(- bzh-rennes bzh-brest bzh-rennes)
 for n in 1 2 3; do
-  settings "$n" "${centres[$n]}"
-  "$bin/dragonflyroute" check "$work/entry-$n.json" >/dev/null || fail "settings are bad"
-  start "entry-$n" "$bin/dragonflyroute" serve --settings "$work/entry-$n.json"
+  trace="{\"file\": \"$work/trace-$n.jsonl\"}"
+  entry "$n" "${centres[$n]}" $((base + 10 + n)) $((base + 15 + n))
 done
 # ready tells whether the first entry host hears the two others and knows all six endpoints.
 ready() {
--- a/test/scene/failures_test.go
+++ b/test/scene/failures_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -115,6 +116,47 @@
 		})
 	}
 
+	It("ends on the engine soon after its caller has left", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		_, err := w.caller().Stream(ctx, "contrat-long", longText, 1000, func(string) { cancel() })
+		Expect(err).To(HaveOccurred())
+		last := 0.0
+		Eventually(func() bool {
+			sum := 0.0
+			for _, e := range w.engines {
+				sum += tokens(e)
+			}
+			still := sum == last
+			last = sum
+			return still
+		}).WithPolling(200 * time.Millisecond).Should(BeTrue())
+		Expect(last).To(BeNumerically("<", 200+1000))
+	})
+
+	It("is whole over a graceful stop when it is asked for unstreamed, at the address that the refusal names", func() {
+		body := fmt.Sprintf(`{"model":"contrat-long","prompt":%q,"max_tokens":1000}`, longText)
+		header := map[string]string{"Content-Type": "application/json", "X-Account": string(account), "X-Request-Id": "whole-1"}
+		stop := make(chan answer, 1)
+		var g errgroup.Group
+		g.Go(func() error {
+			defer GinkgoRecover()
+			stop <- send(http.MethodPost, w.entries[0].address+"/v1/completions", header, body)
+			return nil
+		})
+		Eventually(func() int { return w.running(w.entries[0]) }).Should(Equal(1))
+		w.entries[0].signal(syscall.SIGTERM)
+		var first answer
+		Eventually(stop).Should(Receive(&first))
+		Expect(g.Wait()).To(Succeed())
+		Expect(w.entries[0].wait()).To(Succeed())
+		Expect(first.status).To(Equal(503), first.body)
+		Expect(first.field("type")).To(Equal("urn:dragonflyroute:problem:draining"))
+		second := send(http.MethodPost, strings.TrimPrefix(first.header.Get("Location"), "http://"), header, body)
+		Expect(second.status).To(Equal(200), second.body)
+		Expect(second.body).To(ContainSubstring(unbroken))
+		Expect(second.body).To(ContainSubstring(`"completion_tokens":1000`))
+	})
+
 	It("goes on through an outage of the platform", func() {
 		text, _ := w.stream(w.caller(), at(20, func() { w.fault(w.platform, `{"outage":true}`) }))
 		Expect(text).To(Equal(unbroken))
--- a/transport/engine/engine.go
+++ b/transport/engine/engine.go
@@ -11,7 +11,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
@@ -31,6 +33,8 @@
 	maxEvent = 1 << 20
 	// requestIDHeader carries the request's id.
 	requestIDHeader = "X-Request-Id"
+	// timeoutHeader tells an engine how many milliseconds are left for the answer.
+	timeoutHeader = "X-Request-Timeout-Ms"
 )
 
 // Engine is a client of model engines. All methods may be called concurrently.
@@ -52,6 +56,11 @@
 	Choices []struct {
 		Text string `json:"text"`
 	} `json:"choices"`
+	Usage *struct {
+		PromptDetails *struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
 }
 
 // Generate carries out one attempt and calls emit for each token; it returns when the stream has ended.
@@ -70,7 +79,7 @@
 	if w.StatusCode != http.StatusOK {
 		return fault.New(kind.Unavailable, "", "engine %s answered status %d", s.Row().ID, w.StatusCode)
 	}
-	return readEvents(w, emit)
+	return readEvents(w, emit, func(cached int) { s.Learn(g.PrefixChance, cached > 0) })
 }
 
 func request(ctx context.Context, address string, g order.Order) (*http.Request, error) {
@@ -82,6 +91,7 @@
 	body["prompt"] = g.Text
 	body["max_tokens"] = g.MaxTokens
 	body["stream"] = true
+	body["stream_options"] = map[string]bool{"include_usage": true}
 	body["priority"] = Priority(g.Class)
 	if name, port, err := net.SplitHostPort(g.KeptBy); err == nil {
 		body["kv_transfer_params"] = transfer{Prefill: true, Engine: g.ID, Host: name, Port: port}
@@ -96,6 +106,9 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set(requestIDHeader, g.ID)
+	if deadline, ok := ctx.Deadline(); ok {
+		r.Header.Set(timeoutHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
 	return r, nil
 }
@@ -108,7 +121,7 @@
 	return longPriority
 }
 
-func readEvents(w *http.Response, emit func(token string) error) error {
+func readEvents(w *http.Response, emit func(token string) error, cached func(tokens int)) error {
 	lines := bufio.NewScanner(w.Body)
 	lines.Buffer(nil, maxEvent)
 	for lines.Scan() {
@@ -120,7 +133,7 @@
 		if data == "[DONE]" {
 			return nil
 		}
-		if err := readChunk(data, emit); err != nil {
+		if err := readChunk(data, emit, cached); err != nil {
 			return err
 		}
 	}
@@ -130,11 +143,14 @@
 	return fault.New(kind.Unavailable, "", "the stream ended without its end mark")
 }
 
-func readChunk(data string, emit func(token string) error) error {
+func readChunk(data string, emit func(token string) error, cached func(tokens int)) error {
 	var c chunk
 	if err := json.Unmarshal([]byte(data), &c); err != nil {
 		return fault.Wrap(kind.Unavailable, err, "an event is not readable")
 	}
+	if c.Usage != nil && c.Usage.PromptDetails != nil {
+		cached(c.Usage.PromptDetails.CachedTokens)
+	}
 	for _, choice := range c.Choices {
 		if choice.Text == "" {
 			continue
--- a/transport/front/apps.go
+++ b/transport/front/apps.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"sync"
 	"time"
 
 	"github.com/kataras/iris/v12"
@@ -11,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/dragonflyroute/dragonflyroute/coordination/hedge"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/claim"
 	"github.com/dragonflyroute/dragonflyroute/protocol/class"
@@ -31,6 +33,8 @@
 	maxKeyBytes = 128
 	// claimPrefix starts the keys of claim rows.
 	claimPrefix = "claim/"
+	// hedgePart is the part of the answer limit after which a silent idempotent call gets a second attempt.
+	hedgePart = 4
 	// repeatTries bounds the attempts of an idempotent call.
 	repeatTries = 3
 )
@@ -82,6 +86,9 @@
 	defer target.End(class.Call)
 	answer, sent, err := v.call.Send(ctx)
 	end(err)
+	if context.Cause(ctx) == context.Canceled {
+		return answer, sent, err
+	}
 	if err != nil {
 		target.Failed(f.Now())
 	}
@@ -163,28 +170,44 @@
 	}
 }
 
-// repeat runs an idempotent call, on another endpoint when one fails, within the retry budget and the limit.
+// repeat runs an idempotent call, with a second attempt at another endpoint when one is slow or fails.
 func (f *Front) repeat(ctx context.Context, v *invocation) (claim.Claim, error) {
-	ctx, cancel := context.WithTimeout(ctx, v.entry.Limits.Answer.Of())
+	limit := v.entry.Limits.Answer.Of()
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	var err error
-	for try := range repeatTries {
-		if try > 0 && !f.Relay.Retries.Take() {
-			break
-		}
-		if err = v.Contact(ctx); err != nil {
-			continue
-		}
-		var answer claim.Claim
-		answer, _, err = v.Send(ctx)
-		if err == nil {
-			f.Relay.Retries.Succeed()
-			return answer, nil
+	h := &hedge.Hedge{Delay: limit / hedgePart, Retries: f.Relay.Retries, Max: repeatTries}
+	var mu sync.Mutex
+	var last *server.Server
+	answer, err := h.Do(ctx, func(ctx context.Context, _ int) (claim.Claim, error) {
+		one := v.copy()
+		defer one.call.Close()
+		mu.Lock()
+		one.target = last
+		mu.Unlock()
+		if err := one.Contact(ctx); err != nil {
+			return claim.Claim{}, err
 		}
+		mu.Lock()
+		last = one.target
+		mu.Unlock()
+		answer, _, err := one.Send(ctx)
+		return answer, err
+	})
+	if err != nil {
+		refused := fault.New(kind.Unavailable, "", "no endpoint of %s answered", v.entry.Backend).After(time.Second)
+		refused.Cause = err
+		return claim.Claim{}, refused
 	}
-	f2 := fault.New(kind.Unavailable, "", "no endpoint of %s answered", v.entry.Backend).After(time.Second)
-	f2.Cause = err
-	return claim.Claim{}, f2
+	f.Relay.Retries.Succeed()
+	return answer, nil
+}
+
+// copy returns the same call with a connection of its own.
+func (v *invocation) copy() *invocation {
+	one := *v
+	call := *v.call
+	one.call = &call
+	return &one
 }
 
 // runOnce runs a non-idempotent call under a claim; it goes on when the caller leaves.
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -71,6 +72,7 @@
 	// Contacts returns the addresses of the other entry hosts.
 	Contacts func() []string
 
+	bytes   atomic.Int64
 	mu      sync.Mutex
 	clients map[string]*jsonrpc2.Conn
 	served  int
@@ -147,7 +149,7 @@
 		return
 	}
 	s := &session{peers: p, nonce: n}
-	c := jsonrpc2.NewConn(ctx, stream(conn), jsonrpc2.HandlerWithError(s.handle))
+	c := jsonrpc2.NewConn(ctx, p.stream(conn), jsonrpc2.HandlerWithError(s.handle))
 	select {
 	case <-c.DisconnectNotify():
 	case <-ctx.Done():
@@ -155,10 +157,33 @@
 	}
 }
 
-func stream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewPlainObjectStream(conn)
+func (p *Peers) stream(conn net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewPlainObjectStream(&meteredConn{Conn: conn, bytes: &p.bytes})
 }
 
+// meteredConn counts what it carries, both ways.
+type meteredConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read reads and counts.
+func (c *meteredConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *meteredConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Bytes returns the bytes sent to and received from peers since the start.
+func (p *Peers) Bytes() int64 { return p.bytes.Load() }
+
 // session is one peer's connection to this process.
 type session struct {
 	peers *Peers
@@ -351,7 +376,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream(conn), jsonrpc2.HandlerWithError(refuse))
+	c := jsonrpc2.NewConn(context.WithoutCancel(ctx), p.stream(conn), jsonrpc2.HandlerWithError(refuse))
 	var n nonce
 	if err := c.Call(ctx, methodChallenge, struct{}{}, &n); err != nil {
 		_ = c.Close()
--- a/transport/plain/plain.go
+++ b/transport/plain/plain.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,8 @@
 const (
 	// maxAnswer bounds the answer of a call, in bytes.
 	maxAnswer = 1 << 20
+	// timeoutHeader tells an endpoint how many milliseconds are left for the answer.
+	timeoutHeader = "X-Request-Timeout-Ms"
 	// contactTimeout bounds the connection to an endpoint.
 	contactTimeout = time.Second
 )
@@ -107,6 +110,9 @@
 	if p.Key != "" {
 		r.Header.Set("Idempotency-Key", p.Key)
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		r.Header.Set(timeoutHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
 }
 
