Buy hosts: absolute orders by one leased buyer for each data centre

Cause: nothing kept enough endpoint hosts; operators held them by hand. Change: a plan spreads reclaimable hosts by price and recent reclaims over the data centres, covers what is neither live nor starting with on-demand hosts, and keeps all starts under the weight store's rate; wishes are absolute and fenced.

--- /dev/null
+++ b/bench/hosts.go
@@ -0,0 +1,48 @@
+package main
+
+import "github.com/dragonflyroute/dragonflyroute/model/market"
+
+type hostsCmd struct {
+	output
+	Runs int `default:"20" help:"Runs of each way, each of six hours."`
+}
+
+type hostsFigures struct {
+	Euros        float64 `json:"euros"`
+	Shortfall    float64 `json:"shortfall-share"`
+	Starts       float64 `json:"starts"`
+	MostStarting int     `json:"most-loading-weights"`
+	MostHeld     float64 `json:"most-held-over-needed"`
+	OldOrders    int     `json:"old-orders-refused"`
+}
+
+// Run measures buying hosts over reclaim waves and refused starts, beside two naive ways.
+func (c *hostsCmd) Run() error {
+	figures := map[string]any{}
+	euros := map[string]float64{}
+	for _, way := range []string{market.Product, market.OnDemand, market.Reclaimable} {
+		f := c.measure(way)
+		figures[way], euros[way] = f, f.Euros
+	}
+	figures["cost-ratio-to-on-demand"] = euros[market.Product] / euros[market.OnDemand]
+	figures["cost-ratio-to-reclaimable"] = euros[market.Product] / euros[market.Reclaimable]
+	return c.print(figures)
+}
+
+func (c *hostsCmd) measure(way string) hostsFigures {
+	runs := make([]*market.Market, c.Runs)
+	parallel(c.Runs, func(i int) {
+		runs[i] = &market.Market{Seed: c.Seed*1_000_003 + uint64(i), Way: way}
+		runs[i].Run()
+	})
+	var f hostsFigures
+	for _, r := range runs {
+		f.Euros += r.Euros / float64(c.Runs)
+		f.Shortfall += r.Shortfall / float64(c.Runs)
+		f.Starts += float64(r.Starts) / float64(c.Runs)
+		f.MostStarting = max(f.MostStarting, r.MostStarting)
+		f.MostHeld = max(f.MostHeld, r.MostHeld)
+		f.OldOrders += r.OldOrders
+	}
+	return f
+}
--- /dev/null
+++ b/coordination/buyer/buyer.go
@@ -0,0 +1,127 @@
+// Package buyer keeps enough endpoint hosts in the data centres.
+package buyer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
+	"github.com/dragonflyroute/dragonflyroute/coordination/plan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/offer"
+	"github.com/dragonflyroute/dragonflyroute/protocol/wish"
+)
+
+type cloud interface {
+	// Offers returns what the cloud offers for all back ends.
+	Offers(ctx context.Context) ([]offer.Offer, error)
+	// Wish sends one order; a Conflict tells that a later buyer has ordered.
+	Wish(ctx context.Context, w wish.Wish) error
+}
+
+type demand interface {
+	// Demand returns the hosts' worth of busy slots of a back end.
+	Demand(backend label.Name) float64
+}
+
+// Buyer orders hosts in the data centres whose lease it holds.
+//
+// Every process works out the wishes for all data centres; only the holder of a data centre's lease sends its own. A
+// wish is absolute and carries the lease's fencing number, so two buyers never buy twice. Step must not be called
+// concurrently.
+type Buyer struct {
+	// Cloud takes orders.
+	Cloud cloud
+	// Demand tells what is needed.
+	Demand demand
+	// Plan decides.
+	Plan plan.Plan
+	// Lease returns a new keeper of the lease with the given key.
+	Lease func(key string) *keeper.Keeper
+	// Idle is how long fewer hosts must do before any is given up.
+	Idle time.Duration
+	// Now returns the time.
+	Now func() time.Time
+	// Log takes one line for each change.
+	Log hclog.Logger
+
+	keepers map[centre.ID]*keeper.Keeper
+	peaks   map[label.Name][]peak
+	sent    map[place]wish.Wish
+}
+
+type place struct {
+	centre  centre.ID
+	backend label.Name
+}
+
+type peak struct {
+	at    time.Time
+	value float64
+}
+
+// Step looks once at demand and offers, and orders what is wanted.
+func (b *Buyer) Step(ctx context.Context) {
+	offers, err := b.Cloud.Offers(ctx)
+	if err != nil {
+		b.Log.Debug("no offers", "error", err)
+		return
+	}
+	if b.keepers == nil {
+		b.keepers = map[centre.ID]*keeper.Keeper{}
+		b.peaks = map[label.Name][]peak{}
+		b.sent = map[place]wish.Wish{}
+	}
+	for backend, of := range byBackend(offers) {
+		for _, w := range b.Plan.Wishes(b.smooth(backend), of) {
+			b.order(ctx, w)
+		}
+	}
+}
+
+func byBackend(offers []offer.Offer) map[label.Name][]offer.Offer {
+	out := map[label.Name][]offer.Offer{}
+	for _, o := range offers {
+		out[o.Backend] = append(out[o.Backend], o)
+	}
+	return out
+}
+
+// smooth returns the highest demand of the last Idle: more is bought at once, less is given up late.
+func (b *Buyer) smooth(backend label.Name) float64 {
+	now, value := b.Now(), b.Demand.Demand(backend)
+	kept := slices.DeleteFunc(b.peaks[backend], func(p peak) bool { return now.Sub(p.at) > b.Idle || p.value <= value })
+	kept = append(kept, peak{at: now, value: value})
+	b.peaks[backend] = kept
+	return kept[0].value
+}
+
+// order sends a wish if the process holds the data centre's lease; the lease is looked at again just before.
+func (b *Buyer) order(ctx context.Context, w wish.Wish) {
+	k := b.keepers[w.DataCentre]
+	if k == nil {
+		k = b.Lease("lease/buyer/" + string(w.DataCentre))
+		b.keepers[w.DataCentre] = k
+	}
+	if err := k.Step(ctx); err != nil {
+		b.Log.Debug("lease step failed", "data-centre", w.DataCentre, "error", err)
+	}
+	fence, ok := k.Held()
+	if !ok {
+		return
+	}
+	w.Fence = fence
+	if err := b.Cloud.Wish(ctx, w); err != nil {
+		b.Log.Warn("order refused", "data-centre", w.DataCentre, "backend", w.Backend, "error", err)
+		return
+	}
+	at := place{centre: w.DataCentre, backend: w.Backend}
+	if b.sent[at] != w {
+		b.sent[at] = w
+		b.Log.Info("hosts ordered", "data-centre", w.DataCentre, "backend", w.Backend, "reclaimable", w.Reclaimable, "on-demand", w.OnDemand, "fence", fence)
+	}
+}
--- /dev/null
+++ b/model/market/market.go
@@ -0,0 +1,335 @@
+// Package market plays the buying of hosts over reclaim waves and refused starts.
+package market
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/buyer"
+	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
+	"github.com/dragonflyroute/dragonflyroute/coordination/plan"
+	"github.com/dragonflyroute/dragonflyroute/model/sched"
+	"github.com/dragonflyroute/dragonflyroute/model/store"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/offer"
+	"github.com/dragonflyroute/dragonflyroute/protocol/wish"
+)
+
+// The ways to buy.
+const (
+	// Product uses the product's buyers, on several processes that are killed and paused.
+	Product = "product"
+	// OnDemand holds on-demand hosts only.
+	OnDemand = "on-demand-only"
+	// Reclaimable holds reclaimable hosts of the cheapest data centre only.
+	Reclaimable = "reclaimable-only"
+)
+
+const (
+	buyers       = 3
+	tick         = 5 * time.Second
+	playTime     = 6 * time.Hour
+	leaseTerm    = 15 * time.Second
+	storeLatency = 4 * time.Millisecond
+	startTime    = 45 * time.Second
+	// weightStarts is the number of hosts that the weight store serves at full speed.
+	weightStarts = 4
+	notice       = 30 * time.Second
+	refusedTime  = 10 * time.Minute
+	waveEvery    = 40 * time.Minute
+	singleRate   = 0.05
+	idleTime     = 5 * time.Minute
+	busy         = 0.7
+	spare        = 1
+	baseDemand   = 7.0
+)
+
+var prices = []offer.Offer{
+	{DataCentre: "dc-a", Reclaimable: 500_000, OnDemand: 1_800_000},
+	{DataCentre: "dc-b", Reclaimable: 600_000, OnDemand: 1_900_000},
+	{DataCentre: "dc-c", Reclaimable: 700_000, OnDemand: 1_800_000},
+}
+
+const backend label.Name = "plume"
+
+// Market is one run.
+type Market struct {
+	// Seed decides everything.
+	Seed uint64
+	// Way is how hosts are bought.
+	Way string
+
+	// Euros is the price paid.
+	Euros float64
+	// Shortfall is the part of the demand for which no host was live.
+	Shortfall float64
+	// Starts counts hosts started.
+	Starts int
+	// MostStarting is the highest number of hosts that loaded weights at one time.
+	MostStarting int
+	// MostHeld is the highest number of hosts held, as a multiple of the number needed at the time.
+	MostHeld float64
+	// OldOrders counts orders refused for an old fencing number.
+	OldOrders int
+
+	sched   *sched.Sched
+	store   *store.Store
+	centres []*dataCentre
+	demand  float64
+	wanted  float64
+	missing float64
+}
+
+type machine struct {
+	onDemand bool
+	liveAt   time.Time
+	deadAt   time.Time
+}
+
+type dataCentre struct {
+	offer    offer.Offer
+	wish     wish.Wish
+	machines []*machine
+	refused  time.Time
+	reclaims float64
+}
+
+// Run plays the run.
+func (m *Market) Run() {
+	m.sched = sched.New(m.Seed)
+	m.store = &store.Store{Sched: m.sched, Latency: storeLatency, LoseAfter: 0.02, LoseBefore: 0.02}
+	for _, o := range prices {
+		o.Backend = backend
+		m.centres = append(m.centres, &dataCentre{offer: o})
+	}
+	m.demand = baseDemand
+	if m.Way == Product {
+		for i := range buyers {
+			m.startBuyer(i, 1)
+		}
+		m.sched.Go("nemesis", m.nemesis)
+	}
+	m.sched.Go("cloud", m.play)
+	m.sched.Run(playTime)
+	m.Shortfall = m.missing / m.wanted
+}
+
+func (m *Market) startBuyer(i int, incarnation int64) {
+	id := host.ID(fmt.Sprintf("entry-%d", i))
+	n := 0
+	b := &buyer.Buyer{
+		Cloud:  m,
+		Demand: m,
+		Plan:   plan.Plan{Busy: busy, Spare: spare, MaxStarting: weightStarts},
+		Idle:   idleTime,
+		Now:    m.sched.Now,
+		Log:    hclog.NewNullLogger(),
+		Lease: func(key string) *keeper.Keeper {
+			return &keeper.Keeper{Store: m.store, Key: key, Self: id, Incarnation: incarnation, Term: leaseTerm, Now: m.sched.Now, NewID: func() string {
+				n++
+				return fmt.Sprintf("%s/%d/%d", id, incarnation, n)
+			}}
+		},
+	}
+	m.sched.Go(string(id), func() {
+		for {
+			b.Step(context.Background())
+			m.sched.Jitter(2 * tick)
+		}
+	})
+}
+
+func (m *Market) nemesis() {
+	for incarnation := int64(2); ; incarnation++ {
+		m.sched.Jitter(4 * time.Minute)
+		i := m.sched.Rand.IntN(buyers)
+		group := fmt.Sprintf("entry-%d", i)
+		if m.sched.Chance(0.5) {
+			m.sched.Kill(group)
+			m.startBuyer(i, incarnation)
+			continue
+		}
+		m.sched.Pause(group, time.Duration(m.sched.Rand.Int64N(int64(4*leaseTerm))))
+	}
+}
+
+// Demand returns the hosts' worth of busy slots.
+func (m *Market) Demand(label.Name) float64 { return m.demand }
+
+// Offers returns what the cloud offers.
+func (m *Market) Offers(context.Context) ([]offer.Offer, error) {
+	var out []offer.Offer
+	for _, c := range m.centres {
+		out = append(out, c.look(m.sched.Now()))
+	}
+	m.sched.Jitter(storeLatency)
+	return out, nil
+}
+
+// Wish takes an order, and refuses one with an old fencing number.
+func (m *Market) Wish(_ context.Context, w wish.Wish) error {
+	m.sched.Jitter(storeLatency)
+	for _, c := range m.centres {
+		if c.offer.DataCentre != w.DataCentre {
+			continue
+		}
+		if w.Fence < c.wish.Fence {
+			m.OldOrders++
+			return fault.New(kind.Conflict, "fence", "old")
+		}
+		c.wish = w
+	}
+	return nil
+}
+
+func (c *dataCentre) look(now time.Time) offer.Offer {
+	o := c.offer
+	o.Refused = now.Before(c.refused)
+	o.Reclaims = c.reclaims
+	for _, h := range c.machines {
+		switch {
+		case h.onDemand:
+			o.Fallback++
+			if now.Before(h.liveAt) {
+				o.FallbackStarting++
+			}
+		case !h.deadAt.IsZero():
+		case now.Before(h.liveAt):
+			o.Starting++
+		default:
+			o.Live++
+		}
+	}
+	return o
+}
+
+func (m *Market) play() {
+	for {
+		now := m.sched.Now()
+		m.change(now)
+		if m.Way != Product {
+			m.naive()
+		}
+		for _, c := range m.centres {
+			m.carryOut(c, now)
+		}
+		m.account(now)
+		m.sched.Sleep(tick)
+	}
+}
+
+// change moves the demand and reclaims hosts.
+func (m *Market) change(now time.Time) {
+	hours := now.Sub(time.Unix(1_000_000, 0)).Hours()
+	m.demand = baseDemand * (1 + 0.4*math.Sin(hours*math.Pi/3) + 0.05*m.sched.Rand.NormFloat64())
+	if burst := math.Mod(hours, 2); burst > 1.5 && burst < 1.6 {
+		m.demand *= 1.5
+	}
+	for _, c := range m.centres {
+		c.reclaims *= 1 - tick.Hours()
+		if m.sched.Chance(tick.Seconds() / waveEvery.Seconds() / float64(len(m.centres))) {
+			c.refused = now.Add(refusedTime)
+			c.reclaims = 1
+			c.reclaim(now, func() bool { return true })
+		}
+		c.reclaim(now, func() bool { return m.sched.Chance(singleRate * tick.Hours()) })
+	}
+}
+
+func (c *dataCentre) reclaim(now time.Time, chosen func() bool) {
+	for _, h := range c.machines {
+		if !h.onDemand && h.deadAt.IsZero() && chosen() {
+			h.deadAt = now.Add(notice)
+		}
+	}
+}
+
+func (m *Market) naive() {
+	p := plan.Plan{Busy: busy, Spare: spare}
+	n := p.Hosts(m.demand)
+	if m.Way == OnDemand {
+		m.centres[0].wish = wish.Wish{OnDemand: n}
+		return
+	}
+	m.centres[0].wish = wish.Wish{Reclaimable: n}
+}
+
+// carryOut brings a data centre's machines towards the wish.
+func (m *Market) carryOut(c *dataCentre, now time.Time) {
+	var kept []*machine
+	held := map[bool]int{}
+	for _, h := range c.machines {
+		if !h.deadAt.IsZero() {
+			if now.Before(h.deadAt) {
+				kept = append(kept, h)
+			}
+			continue
+		}
+		want := c.wish.Reclaimable
+		if h.onDemand {
+			want = c.wish.OnDemand
+		}
+		if held[h.onDemand] < want {
+			held[h.onDemand]++
+			kept = append(kept, h)
+		}
+	}
+	c.machines = kept
+	for held[false] < c.wish.Reclaimable && !now.Before(c.refused) {
+		held[false]++
+		c.machines = append(c.machines, m.boot(false, now))
+	}
+	for held[true] < c.wish.OnDemand {
+		held[true]++
+		c.machines = append(c.machines, m.boot(true, now))
+	}
+}
+
+// boot starts a machine; the weight store slows down when too many load at one time.
+func (m *Market) boot(onDemand bool, now time.Time) *machine {
+	m.Starts++
+	starting := 1 + m.starting(now)
+	slow := max(1, float64(starting)/weightStarts)
+	return &machine{onDemand: onDemand, liveAt: now.Add(time.Duration(slow * float64(startTime)))}
+}
+
+func (m *Market) starting(now time.Time) int {
+	n := 0
+	for _, c := range m.centres {
+		for _, h := range c.machines {
+			if now.Before(h.liveAt) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (m *Market) account(now time.Time) {
+	live, held := 0, 0
+	for _, c := range m.centres {
+		for _, h := range c.machines {
+			held++
+			price := c.offer.Reclaimable
+			if h.onDemand {
+				price = c.offer.OnDemand
+			}
+			m.Euros += float64(price) / 1e6 * tick.Hours()
+			if !now.Before(h.liveAt) {
+				live++
+			}
+		}
+	}
+	m.MostStarting = max(m.MostStarting, m.starting(now))
+	needed := (&plan.Plan{Busy: busy, Spare: spare}).Hosts(m.demand)
+	m.MostHeld = max(m.MostHeld, float64(held)/float64(needed))
+	m.wanted += m.demand
+	m.missing += max(0, m.demand-float64(live))
+}
--- /dev/null
+++ b/model/market/market_test.go
@@ -0,0 +1,32 @@
+package market_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/model/market"
+)
+
+func TestMarket(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "market")
+}
+
+func play(seed uint64, way string) *market.Market {
+	m := &market.Market{Seed: seed, Way: way}
+	m.Run()
+	return m
+}
+
+var _ = Describe("buying hosts", func() {
+	It("costs less than on-demand hosts and falls short less than reclaimable ones, and never buys twice", func() {
+		for seed := range uint64(5) {
+			product := play(seed, market.Product)
+			Expect(product.Euros).To(BeNumerically("<", 0.7*play(seed, market.OnDemand).Euros), "seed %d", seed)
+			Expect(product.Shortfall).To(BeNumerically("<", 0.5*play(seed, market.Reclaimable).Shortfall), "seed %d", seed)
+			Expect(product.MostHeld).To(BeNumerically("<", 3), "seed %d", seed)
+		}
+	})
+})
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -49,6 +49,7 @@
 	views  []view
 	faults platformFaults
 	stats  platformStats
+	cloud  cloud
 }
 
 type view struct {
@@ -65,6 +66,10 @@
 	m.HandleFunc("GET /hosts", p.faulty(p.list))
 	m.HandleFunc("POST /hosts", p.faulty(p.join))
 	m.HandleFunc("POST /cloud/reclaim", p.reclaim)
+	m.HandleFunc("GET /cloud/offers", p.faulty(p.getOffers))
+	m.HandleFunc("POST /cloud/offers", p.setOffers)
+	m.HandleFunc("POST /cloud/wishes", p.faulty(p.wish))
+	m.HandleFunc("GET /cloud/wishes", p.getWishes)
 	m.HandleFunc("POST /faults", p.setFaults)
 	m.HandleFunc("GET /stats", p.getStats)
 	return serve(ctx, c.Listen, m)
--- /dev/null
+++ b/state/fleet/fleet_test.go
@@ -0,0 +1,87 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/state/fleet"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+var now = time.Unix(1000, 0)
+
+func beat(incarnation, seq int64, state string) pulse.Pulse {
+	return pulse.Pulse{Host: "b", Incarnation: incarnation, Seq: seq, Peers: "10.0.0.2:1", Callers: "10.0.0.2:2", State: state}
+}
+
+func row(state string) roster.Row {
+	return roster.Row{ID: "b", Peers: "10.0.0.2:1", Address: "10.0.0.2:2", State: state}
+}
+
+func alive(f *fleet.Fleet, at time.Time) []host.ID {
+	var out []host.ID
+	for _, p := range f.Alive(at) {
+		out = append(out, p.Host)
+	}
+	return out
+}
+
+var _ = Describe("Fleet", func() {
+	var f *fleet.Fleet
+	BeforeEach(func() { f = &fleet.Fleet{Self: "a", Timeout: time.Second} })
+
+	It("counts a host that is heard as alive, and one that fell silent as dead", func() {
+		f.Observe(beat(1, 1, pulse.Live), now)
+		Expect(alive(f, now.Add(time.Second))).To(ConsistOf(host.ID("b")))
+		f.Suspect("10.0.0.2:1")
+		Expect(alive(f, now.Add(2*time.Second))).To(BeEmpty())
+	})
+
+	It("does not take a listed host for alive that was found silent, until it is heard again", func() {
+		f.List([]roster.Row{row(roster.Live)})
+		Expect(alive(f, now)).To(ConsistOf(host.ID("b")))
+		f.Suspect("10.0.0.2:1")
+		Expect(alive(f, now)).To(BeEmpty())
+		f.Observe(beat(1, 1, pulse.Live), now)
+		Expect(alive(f, now)).To(ConsistOf(host.ID("b")))
+	})
+
+	It("does not give a host out that is listed as starting or leaving", func() {
+		for _, state := range []string{pulse.Starting, roster.Leaving} {
+			f.List([]roster.Row{row(state)})
+			Expect(alive(f, now)).To(BeEmpty())
+		}
+	})
+
+	It("drops late and crossed heartbeats, and tells a restart on the same address from the old process", func() {
+		Expect(f.Observe(beat(2, 5, pulse.Live), now)).To(BeTrue())
+		Expect(f.Observe(beat(2, 4, pulse.Leaving), now)).To(BeFalse())
+		Expect(f.Observe(beat(1, 99, pulse.Leaving), now)).To(BeFalse())
+		Expect(f.Dead("b", 1)).To(BeTrue())
+		Expect(f.Dead("b", 2)).To(BeFalse())
+		Expect(f.Observe(beat(3, 1, pulse.Live), now)).To(BeTrue())
+		Expect(f.Dead("b", 2)).To(BeTrue())
+	})
+
+	It("never holds silence for the end of a process", func() {
+		f.Observe(beat(1, 1, pulse.Live), now)
+		f.Suspect("10.0.0.2:1")
+		Expect(f.Dead("b", 1)).To(BeFalse())
+	})
+
+	It("contacts each listed or heard host once, but not itself", func() {
+		f.Observe(beat(1, 1, pulse.Live), now)
+		f.List([]roster.Row{row(roster.Live), {ID: "a", Peers: "10.0.0.1:1"}, {ID: "c", Peers: "10.0.0.3:1"}, {ID: "engine"}})
+		Expect(f.Contacts()).To(Equal([]string{"10.0.0.2:1", "10.0.0.3:1"}))
+	})
+})
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -111,3 +111,16 @@
 	}
 	return out
 }
+
+// Demand returns the busy slots of a back end's endpoints, in endpoints' worth of slots, over all versions.
+//
+// It counts what reports and this process know; an endpoint outside every subset of this process is not seen.
+func (p *Pool) Demand(backend label.Name) float64 {
+	sum := 0.0
+	for _, s := range p.All() {
+		if s.Row().Backend == backend {
+			sum += s.Busy()
+		}
+	}
+	return sum
+}
--- a/state/server/server.go
+++ b/state/server/server.go
@@ -110,6 +110,19 @@
 	return max(n, own)
 }
 
+// Busy returns the requests on the endpoint, running and waiting, as a part of its slots; it may exceed 1.
+func (s *Server) Busy() float64 {
+	l := s.load.Load()
+	if l == nil || l.Slots == 0 {
+		return 0
+	}
+	n := 0
+	for c := range l.Running {
+		n += s.Backlog(class.Class(c))
+	}
+	return float64(n) / float64(l.Slots)
+}
+
 // Failed records a failed attempt at the given time.
 func (s *Server) Failed(now time.Time) { s.failed.Store(now.UnixNano()) }
 
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/batch"
 	"github.com/dragonflyroute/dragonflyroute/coordination/budget"
+	"github.com/dragonflyroute/dragonflyroute/coordination/buyer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/edits"
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
 	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
@@ -23,6 +24,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
 	"github.com/dragonflyroute/dragonflyroute/coordination/place"
+	"github.com/dragonflyroute/dragonflyroute/coordination/plan"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/coordination/relay"
@@ -61,6 +63,13 @@
 	judgeMargin = 0.02
 	// exposure bounds the share of requests that a move may turn bad.
 	exposure = 0.02
+	// leaseSteps is how often a lease is renewed within its term.
+	leaseSteps = 4
+	// busyPart, spareHosts, maxStarting and idleTime shape the buying of hosts.
+	busyPart    = 0.7
+	spareHosts  = 1
+	maxStarting = 4
+	idleTime    = 5 * time.Minute
 	// loanTerm is how long a part of an account's limits is lent.
 	loanTerm = 2 * time.Second
 	// idBytes is the length of ids, before hexadecimal.
@@ -96,6 +105,7 @@
 	ledger      *once.Ledger
 	edits       *edits.Edits
 	mover       *mover.Mover
+	buyer       *buyer.Buyer
 	meter       *meter.Meter
 	spans       *spans.Spans
 	heart       heart
@@ -143,6 +153,7 @@
 	add(d.every(d.Settings.Intervals.Load.Of(), d.readLoads))
 	add(d.rounds)
 	add(d.every(d.Settings.Intervals.MoveStep.Of(), d.mover.Step))
+	add(d.every(d.Settings.Intervals.LeaseTerm.Of()/leaseSteps, d.buyer.Step))
 	add(d.every(d.Settings.Intervals.Heartbeat.Of(), d.reconcile))
 	add(d.readTable)
 	add(d.askAhead)
@@ -179,6 +190,7 @@
 	d.engine = &engine.Engine{Client: &http.Client{Transport: transport}}
 	d.buildState()
 	d.buildCoordination()
+	d.buildBuyer()
 	d.buildFront()
 	return nil
 }
@@ -226,6 +238,18 @@
 	}
 }
 
+func (d *Daemon) buildBuyer() {
+	d.buyer = &buyer.Buyer{
+		Cloud:  d.platform,
+		Demand: d.pool,
+		Plan:   plan.Plan{Busy: busyPart, Spare: spareHosts, MaxStarting: maxStarting},
+		Lease:  d.lease,
+		Idle:   idleTime,
+		Now:    time.Now,
+		Log:    d.Log,
+	}
+}
+
 func (d *Daemon) lease(key string) *keeper.Keeper {
 	return &keeper.Keeper{
 		Store:       d.batch,
--- a/transport/plat/plat.go
+++ b/transport/plat/plat.go
@@ -15,9 +15,11 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/offer"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/table"
+	"github.com/dragonflyroute/dragonflyroute/protocol/wish"
 )
 
 // maxAnswer bounds an answer of the platform, in bytes.
@@ -145,14 +147,8 @@
 
 // Hosts returns the platform's lagging list of hosts.
 func (p *Plat) Hosts(ctx context.Context) ([]roster.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, p.Base+"/hosts", nil)
-	if err != nil {
-		return nil, fault.Wrap(kind.Internal, err, "host list")
-	}
 	var rows []roster.Row
-	return rows, p.do(r, &rows)
+	return rows, p.get(ctx, "/hosts", &rows)
 }
 
 // Join lists an entry host, or changes its row.
@@ -160,6 +156,27 @@
 	return p.post(ctx, "/hosts", row, &struct{}{})
 }
 
+// Offers returns what the cloud offers for all back ends.
+func (p *Plat) Offers(ctx context.Context) ([]offer.Offer, error) {
+	var offers []offer.Offer
+	return offers, p.get(ctx, "/cloud/offers", &offers)
+}
+
+// Wish sends one order for hosts; a Conflict tells that a later buyer has ordered.
+func (p *Plat) Wish(ctx context.Context, w wish.Wish) error {
+	return p.post(ctx, "/cloud/wishes", w, &struct{}{})
+}
+
+func (p *Plat) get(ctx context.Context, path string, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, p.Base+path, nil)
+	if err != nil {
+		return fault.Wrap(kind.Internal, err, "request to the platform")
+	}
+	return p.do(r, answer)
+}
+
 func (p *Plat) post(ctx context.Context, path string, body, answer any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -185,6 +202,9 @@
 	if err != nil {
 		return fault.Wrap(kind.OutcomeUnknown, err, "the platform's answer broke off")
 	}
+	if w.StatusCode == http.StatusConflict {
+		return fault.New(kind.Conflict, "fence", "a later holder has ordered")
+	}
 	if w.StatusCode != http.StatusOK {
 		return fault.New(kind.Unavailable, "", "the platform answered status %d", w.StatusCode)
 	}
