Bound heartbeats and load reads of small fleets

Cause: test/control.sh at 7 idle entry hosts: 11.6 KB/s between peers and 1.01 % of a core a host, above the 7 KB/s and close to the 1.1 % that are aimed for, because every pair exchanged heartbeats from both sides and loads of all endpoints were read in each period. Ruled out: a longer heartbeat (a withdrawn version would spread later). Change: a round tells three peers at any size; at most eight endpoints' loads are read in a period, in turn. Before: as above, without endpoints.

--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -20,7 +20,7 @@
 const (
 	// fanOut is the number of peers told in one round.
 	fanOut = 3
-	// smallFleet is the number of peers up to which a round tells all of them.
+	// smallFleet is the number of peers up to which rounds follow each other at once.
 	smallFleet = 8
 	// largeRounds stretches the time between rounds of a large fleet.
 	largeRounds = 4
@@ -75,7 +75,7 @@
 	read  bool
 }
 
-// Round exchanges heartbeats with a few random peers, or with all in a small fleet.
+// Round exchanges heartbeats with a few random peers.
 func (s *Spread) Round(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.RoundTime)
 	defer cancel()
@@ -95,10 +95,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
-	if len(contacts) <= smallFleet {
-		return contacts
-	}
-	return contacts[:fanOut]
+	return contacts[:min(fanOut, len(contacts))]
 }
 
 // Exchange trades heartbeats with one peer; the side with the lower revision gets the other's catalogue.
--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -99,7 +99,7 @@
 	return x.byGroup[group{backend: backend, version: version}]
 }
 
-// All returns every endpoint in a subset.
+// All returns every endpoint in a subset, sorted by id.
 func (p *Pool) All() []*server.Server {
 	x := p.current.Load()
 	if x == nil {
@@ -109,6 +109,7 @@
 	for _, s := range x.byID {
 		out = append(out, s)
 	}
+	slices.SortFunc(out, func(a, b *server.Server) int { return cmp.Compare(a.Row().ID, b.Row().ID) })
 	return out
 }
 
--- a/test/control.sh
+++ b/test/control.sh
@@ -6,9 +6,10 @@
 
 counts=${*:-3 7 20 60}
 seconds=${SECONDS_EACH:-24}
+engines=${ENGINES:-12}
 catalogue
 for count in $counts; do
-  choose_ports $((2 * count + 2))
+  choose_ports $((2 * count + 2 + engines))
   entry_hosts=$count
   start "platform-$count" "$bin/standin" platform --listen "127.0.0.1:$base"
   until_ok 5 get "$base" /stats || fail "platform did not start"
@@ -17,6 +18,10 @@
     entry "$n" "dc-$((n % 7))" $((base + 2 * n)) $((base + 2 * n + 1))
     targets+=("127.0.0.1:$((base + 2 * n))=${pid_of[entry-$n]}")
   done
+  for n in $(seq 1 "$engines"); do
+    start "engine-$count-$n" "$bin/standin" engine --listen "127.0.0.1:$((base + 2 * count + 1 + n))" --platform "http://127.0.0.1:$base" \
+      --id "plume-$n" --backend plume --data-centre "dc-$((n % 3))"
+  done
   export DRAGONFLYROUTE_AT="127.0.0.1:$((base + 2))"
   until_ok 30 "$bin/dragonflyroute" catalogue put "$work/catalogue.json" --base 0 || fail "catalogue refused"
   sleep 5
@@ -29,7 +34,7 @@
     done
   ) &
   "$bin/bench" control --hosts "$(IFS=,; echo "${targets[*]}")" --for "${seconds}s" --label "10-changes-a-minute" --json
-  for name in "platform-$count" $(seq -f 'entry-%g' 1 "$count"); do
+  for name in "platform-$count" $(seq -f 'entry-%g' 1 "$count") $(seq -f "engine-$count-%g" 1 "$engines"); do
     kill -KILL "${pid_of[$name]}" 2>/dev/null
   done
   wait 2>/dev/null
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -109,8 +109,10 @@
 	meter       *meter.Meter
 	spans       *spans.Spans
 	heart       heart
-	asked       askedFor
-	wants       chan loan.Loan
+	// loadTurn is the endpoint whose load is read next; only readLoads uses it.
+	loadTurn int
+	asked    askedFor
+	wants    chan loan.Loan
 }
 
 // Run serves until ctx ends, then drains and returns.
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -98,12 +98,18 @@
 	}
 }
 
-// readLoads reads the load of every endpoint in a subset.
+// loadsAtOnce bounds the endpoints whose load is read in one period.
+const loadsAtOnce = 8
+
+// readLoads reads the load of a few endpoints, in turn, so that the cost does not grow with their number.
 func (d *Daemon) readLoads(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.Settings.Intervals.Load.Of())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	for _, s := range d.pool.All() {
+	all := d.pool.All()
+	for range min(loadsAtOnce, len(all)) {
+		d.loadTurn++
+		s := all[d.loadTurn%len(all)]
 		g.Go(func() error {
 			if err := d.engine.Load(ctx, s); err != nil {
 				d.Log.Trace("load not read", "endpoint", s.Row().ID, "error", err)
