Split large files by what they hold, and keep the mover's alarm over a change of share

Ruled out: a lasting alarm on the total of the move (it forgets a good past by design). Change: files split without a change of code; one search; a route's stage keeps its alarm when its share changes.

--- a/coordination/judge/judge.go
+++ b/coordination/judge/judge.go
@@ -47,35 +47,31 @@
 	return "", false
 }
 
+// almostNone and almostAll stand for shares of 0 and 1, whose logarithms are not finite.
+const (
+	almostNone = 1e-12
+	almostAll  = 1 - 1e-12
+)
+
 // Upper returns the always-valid upper limit of the bad share after n trials of which bad were bad.
 func Upper(n, bad int64, alpha float64) float64 {
-	if n == 0 {
-		return 1
-	}
-	inside, outside := float64(bad)/float64(n), 1.0
-	if !excluded(n, bad, 1-1e-12, alpha) {
+	if n == 0 || !excluded(n, bad, almostAll, alpha) {
 		return 1
 	}
-	for range bisections {
-		middle := (inside + outside) / 2
-		if excluded(n, bad, middle, alpha) {
-			outside = middle
-		} else {
-			inside = middle
-		}
-	}
-	return outside
+	return limit(n, bad, 1, alpha)
 }
 
 // Lower returns the always-valid lower limit of the bad share after n trials of which bad were bad.
 func Lower(n, bad int64, alpha float64) float64 {
-	if bad == 0 {
-		return 0
-	}
-	inside, outside := float64(bad)/float64(n), 0.0
-	if !excluded(n, bad, 1e-12, alpha) {
+	if bad == 0 || !excluded(n, bad, almostNone, alpha) {
 		return 0
 	}
+	return limit(n, bad, 0, alpha)
+}
+
+// limit searches the border between the observed share and an excluded one.
+func limit(n, bad int64, outside, alpha float64) float64 {
+	inside := float64(bad) / float64(n)
 	for range bisections {
 		middle := (inside + outside) / 2
 		if excluded(n, bad, middle, alpha) {
--- a/coordination/mover/mover.go
+++ b/coordination/mover/mover.go
@@ -5,7 +5,6 @@
 	"context"
 	"reflect"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -43,15 +42,6 @@
 	Evidence(ctx context.Context, move string) map[string][]trial.Trial
 }
 
-// stage is what a leader knows of one route: its share, the trials when it last changed, the last look, and the
-// alarm over all hosts.
-type stage struct {
-	share float64
-	start trial.Trial
-	last  trial.Trial
-	alarm alarm.Alarm
-}
-
 // Mover steps the moves whose lease it holds, and stops bad ones on the process's own evidence at once.
 //
 // Step must not be called concurrently; Record may be, at any time.
@@ -80,9 +70,6 @@
 	alarms map[watched]*alarm.Alarm
 }
 
-// watched is one route of one move.
-type watched struct{ move, route string }
-
 const self = ""
 
 // Step looks at every move under way once.
@@ -187,70 +174,6 @@
 	return m.Ramp.Next(mv, total, stages, m.Now())
 }
 
-// look brings the stages up to date; it returns the trials of each route's stage, and a route whose alarm is raised.
-func (m *Mover) look(mv move.Move, total []trial.Trial) (out []trial.Trial, raised string) {
-	stages := m.stages[mv.ID]
-	if stages == nil {
-		stages = map[string]*stage{}
-		m.stages[mv.ID] = stages
-	}
-	for _, t := range total {
-		st := stages[t.Route]
-		if st == nil || st.share != mv.ShareOf(t.Route) {
-			fresh := &stage{share: mv.ShareOf(t.Route), start: t, last: t, alarm: alarm.Alarm{Margin: m.Ramp.Judge.Margin}}
-			stages[t.Route] = fresh
-			st = fresh
-		}
-		step := less(t, st.last)
-		st.last = t
-		if st.alarm.Observe(step.New, step.NewBad, t.Old, t.OldBad) {
-			raised = t.Route
-		}
-		out = append(out, less(t, st.start))
-	}
-	return out, raised
-}
-
-// Record counts one answer of a move, and stops the new version here at once when it shows itself bad.
-func (m *Mover) Record(id, route string, isNew, bad bool) {
-	t := m.Scores.Record(id, route, isNew, bad)
-	if !isNew || m.Scores.Withdrawn(id) {
-		return
-	}
-	n := int64(0)
-	if bad {
-		n = 1
-	}
-	if m.alarm(watched{move: id, route: route}).Observe(1, n, t.Old, t.OldBad) && m.Scores.Withdraw(id) {
-		m.Log.Warn("version stopped on own evidence", "move", id, "route", route, "new", t.New, "new-bad", t.NewBad, "old", t.Old, "old-bad", t.OldBad)
-	}
-}
-
-func (m *Mover) alarm(w watched) *alarm.Alarm {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.alarms == nil {
-		m.alarms = map[watched]*alarm.Alarm{}
-	}
-	a := m.alarms[w]
-	if a == nil {
-		a = &alarm.Alarm{Margin: m.Ramp.Judge.Margin}
-		m.alarms[w] = a
-	}
-	return a
-}
-
-// forget drops the alarms of moves that are not listed.
-func (m *Mover) forget(known []string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for w := range m.alarms {
-		if !slices.Contains(known, w.move) {
-			delete(m.alarms, w)
-		}
-	}
-}
-
 // commit writes the step under the lease's fencing number; the lease is checked again before the write.
 func (m *Mover) commit(ctx context.Context, next move.Move, k *keeper.Keeper) {
 	fence, ok := k.Held()
@@ -272,35 +195,3 @@
 		m.Catalogue.Offer(head)
 	}
 }
-
-// sum adds the hosts' trials by route, sorted.
-func sum(evidence map[string][]trial.Trial) []trial.Trial {
-	var out []trial.Trial
-	for _, trials := range evidence {
-		for _, t := range trials {
-			out = add(out, t)
-		}
-	}
-	slices.SortFunc(out, func(a, b trial.Trial) int { return strings.Compare(a.Route, b.Route) })
-	return out
-}
-
-// less returns what came since an earlier look.
-//
-// A host that restarted counts from nought; a sum that fell for that reason is taken whole.
-func less(t, earlier trial.Trial) trial.Trial {
-	if earlier.Old > t.Old || earlier.New > t.New || earlier.OldBad > t.OldBad || earlier.NewBad > t.NewBad {
-		return t
-	}
-	return trial.Trial{Route: t.Route, Old: t.Old - earlier.Old, OldBad: t.OldBad - earlier.OldBad, New: t.New - earlier.New, NewBad: t.NewBad - earlier.NewBad}
-}
-
-func add(out []trial.Trial, t trial.Trial) []trial.Trial {
-	for i := range out {
-		if out[i].Route == t.Route {
-			out[i] = out[i].Add(t)
-			return out
-		}
-	}
-	return append(out, t)
-}
--- a/model/serve/serve.go
+++ b/model/serve/serve.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
-	"github.com/dragonflyroute/dragonflyroute/coordination/place"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
 	"github.com/dragonflyroute/dragonflyroute/coordination/route"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
@@ -17,7 +16,6 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
-	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/state/pool"
 )
@@ -288,16 +286,6 @@
 	return acct.ID(fmt.Sprintf("account-%d", 1+s.rand.IntN(accounts-1)))
 }
 
-func scale(id acct.ID) float64 {
-	if id == floodAccount {
-		return largeScale
-	}
-	return 1
-}
-
-// largeScale is the scale of the large account.
-const largeScale = 4
-
 func (s *Serve) count() {
 	for _, e := range s.engines {
 		s.Price += float64(e.price) * e.held(s.now).Hours()
@@ -308,55 +296,3 @@
 		}
 	}
 }
-
-// home returns the entry host that an account's request comes to.
-func (s *Serve) home(id acct.ID) *entryHost {
-	var n int
-	_, _ = fmt.Sscanf(string(id), "account-%d", &n)
-	return s.hosts[(n+s.rand.IntN(place.Homes(scale(id))))%len(s.hosts)]
-}
-
-// admitted asks the product's gate, and beside it one gate for the whole system, which is the oracle.
-func (s *Serve) admitted(h *entryHost, id acct.ID, e *entry.Entry) func() {
-	if s.Policy != Product {
-		return func() {}
-	}
-	whole, wholeErr := s.central.Enter(id, scale(id), e, s.now)
-	leave := s.enter(h, id, e)
-	switch {
-	case leave == nil && wholeErr == nil:
-		s.RefusedWrongly++
-		whole()
-		return nil
-	case leave == nil || wholeErr != nil:
-		return leave
-	}
-	return func() {
-		leave()
-		whole()
-	}
-}
-
-// enter asks one host's gate, which borrows from the other hosts before its own part is used up.
-func (s *Serve) enter(h *entryHost, id acct.ID, e *entry.Entry) func() {
-	leave, err := h.gate.Enter(id, scale(id), e, s.now)
-	if err != nil || h.quota.Wants(id, e.Name, h.gate.Used(id, scale(id), e, s.now), s.now) {
-		s.borrow(h, id, e)
-	}
-	if err == nil {
-		return leave
-	}
-	if leave, err = h.gate.Enter(id, scale(id), e, s.now); err != nil {
-		return nil
-	}
-	return leave
-}
-
-func (s *Serve) borrow(h *entryHost, id acct.ID, e *entry.Entry) {
-	ask := loan.Loan{Account: id, Entry: e.Name, By: h.quota.Self, Share: 0.9 / float64(len(s.hosts)*place.Homes(scale(id)))}
-	for _, other := range s.hosts {
-		if other != h {
-			h.quota.Borrow(other.quota.Lend(ask, other.gate.Used(id, scale(id), e, s.now), s.now), s.now)
-		}
-	}
-}
--- /dev/null
+++ b/test/scene/agree_test.go
@@ -0,0 +1,152 @@
+package scene_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("the catalogue", func() {
+	It("never reverts on an entry host that is frozen over changes, and reaches it when it is let go", func() {
+		w := newWorld(1, 3)
+		freeze(w.entries[2])
+		for i := range 3 {
+			w.put(strings.Replace(catalogue, `"note":"scene"`, fmt.Sprintf(`"note":"change %d"`, i), 1), int64(i+1))
+		}
+		letGo(w.entries[2])
+		last := int64(0)
+		Eventually(func() int64 {
+			got := w.status(w.entries[2]).Self.Revision
+			Expect(got).To(BeNumerically(">=", last))
+			last = got
+			return got
+		}).Should(Equal(int64(4)))
+	})
+
+	It("gives one of two racing operators a conflict with the difference", func() {
+		w := newWorld(1, 2)
+		w.put(strings.Replace(catalogue, `"scale":4`, `"scale":5`, 1), 1)
+		got := send(http.MethodPut, w.entries[1].address+"/operator/catalogue?base=1", operator, catalogue)
+		Expect(got.status).To(Equal(409))
+		Expect(got.field("detail")).To(ContainSubstring("~ account mutuelle"))
+	})
+})
+
+var _ = Describe("a version move", func() {
+	load := func(w *world) {
+		var at []string
+		for _, e := range w.entries {
+			at = append(at, e.address)
+		}
+		cmd := exec.Command(filepath.Join(programs, "bench"), "load", "--at", strings.Join(at, ","), "--account", string(account), "--entry", "caisse",
+			"--call", "GET:/balance", "--rate", "400", "--for", patience.String(), "--json")
+		cmd.Stdout, cmd.Stderr = GinkgoWriter, GinkgoWriter
+		Expect(cmd.Start()).To(Succeed())
+		DeferCleanup(func() {
+			_ = cmd.Process.Signal(os.Interrupt)
+			_ = cmd.Wait()
+		})
+	}
+	begin := func(w *world) {
+		order := fmt.Sprintf(`{"entry":"caisse","version":"v2","finish-by":%q}`, time.Now().Add(patience).Format(time.RFC3339))
+		Expect(send(http.MethodPost, w.entries[0].address+"/operator/moves", operator, order).status).To(Equal(200))
+	}
+	state := func(w *world, e *process) func() string {
+		return func() string {
+			moves := w.status(e).Moves
+			if len(moves) == 0 {
+				return ""
+			}
+			return moves[0].State
+		}
+	}
+
+	It("of a bad version is taken back although its mover is frozen past its lease", func() {
+		w := newWorld(1, 3)
+		w.fault(w.app("v2"), `{"fail-share":0.6}`)
+		begin(w)
+		var mover *process
+		Eventually(func() *process {
+			for _, e := range w.entries {
+				if strings.Contains(e.logged(), "move step") {
+					mover = e
+				}
+			}
+			return mover
+		}).ShouldNot(BeNil())
+		freeze(mover)
+		load(w)
+		for _, e := range w.entries {
+			if e != mover {
+				Eventually(state(w, e)).Should(Equal("taken-back"))
+			}
+		}
+		letGo(mover)
+		Eventually(state(w, mover)).Should(Equal("taken-back"))
+		Consistently(state(w, mover), time.Second).Should(Equal("taken-back"))
+	})
+
+	It("of a bad version stops at once while the platform is down, and is recorded when it answers", func() {
+		w := newWorld(1, 2)
+		app := w.app("v2")
+		begin(w)
+		load(w)
+		Eventually(func() string {
+			return send(http.MethodGet, w.entries[0].address+"/operator/moves/caisse", operator, "").body
+		}).ShouldNot(ContainSubstring(`"share":0,`))
+		w.fault(w.platform, `{"outage":true}`)
+		w.fault(app, `{"fail-share":1}`)
+		Eventually(func() string { return w.entries[0].logged() + w.entries[1].logged() }).Should(ContainSubstring("version stopped on own evidence"))
+		w.fault(w.platform, `{}`)
+		Eventually(state(w, w.entries[0])).Should(Equal("taken-back"))
+	})
+
+	It("of a good version is done", func() {
+		w := newWorld(1, 2)
+		w.app("v2")
+		begin(w)
+		load(w)
+		Eventually(state(w, w.entries[1])).Should(Equal("done"))
+	})
+})
+
+var _ = Describe("a buyer of hosts", func() {
+	It("is one at a time for each data centre, and a frozen one that is let go changes nothing", func() {
+		w := newWorld(1, 3)
+		offers := `[{"data-centre":"dc-a","backend":"plume","reclaimable-micros-per-hour":5,"on-demand-micros-per-hour":18,"live":1},` +
+			`{"data-centre":"dc-b","backend":"plume","reclaimable-micros-per-hour":6,"on-demand-micros-per-hour":18}]`
+		Expect(send(http.MethodPost, w.platform.address+"/cloud/offers", nil, offers).status).To(Equal(200))
+		type wishes struct {
+			Wishes map[string]struct {
+				Fence       int64 `json:"fence"`
+				Reclaimable int   `json:"reclaimable"`
+			} `json:"wishes"`
+		}
+		look := func() wishes {
+			var got wishes
+			Expect(json.Unmarshal([]byte(send(http.MethodGet, w.platform.address+"/cloud/wishes", nil, "").body), &got)).To(Succeed())
+			return got
+		}
+		Eventually(func() int { return len(look().Wishes) }).Should(Equal(2))
+		var holder *process
+		for _, e := range w.entries {
+			if strings.Contains(e.logged(), `"data-centre":"dc-a","fence":1`) {
+				holder = e
+			}
+		}
+		Expect(holder).NotTo(BeNil())
+		freeze(holder)
+		Eventually(func() int64 { return look().Wishes["dc-a/plume"].Fence }).Should(BeNumerically(">", 1))
+		letGo(holder)
+		fence := look().Wishes["dc-a/plume"].Fence
+		Consistently(func() int64 { return look().Wishes["dc-a/plume"].Fence }, time.Second).Should(BeNumerically(">=", fence))
+	})
+})
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -3,34 +3,20 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	mathrand "math/rand/v2"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/oklog/run"
-	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/batch"
-	"github.com/dragonflyroute/dragonflyroute/coordination/budget"
 	"github.com/dragonflyroute/dragonflyroute/coordination/buyer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/edits"
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
-	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
-	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
-	"github.com/dragonflyroute/dragonflyroute/coordination/place"
-	"github.com/dragonflyroute/dragonflyroute/coordination/plan"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
-	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
-	"github.com/dragonflyroute/dragonflyroute/coordination/relay"
-	"github.com/dragonflyroute/dragonflyroute/coordination/route"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
-	"github.com/dragonflyroute/dragonflyroute/coordination/steer"
 	"github.com/dragonflyroute/dragonflyroute/protocol/config"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -40,7 +26,6 @@
 	"github.com/dragonflyroute/dragonflyroute/state/pool"
 	"github.com/dragonflyroute/dragonflyroute/state/runs"
 	"github.com/dragonflyroute/dragonflyroute/state/score"
-	"github.com/dragonflyroute/dragonflyroute/state/server"
 	"github.com/dragonflyroute/dragonflyroute/transport/engine"
 	"github.com/dragonflyroute/dragonflyroute/transport/front"
 	"github.com/dragonflyroute/dragonflyroute/transport/meter"
@@ -170,143 +155,3 @@
 	})
 	return g.Run()
 }
-
-func newID() string {
-	id := make([]byte, idBytes)
-	_, _ = rand.Read(id)
-	return hex.EncodeToString(id)
-}
-
-func (d *Daemon) build(ctx context.Context) error {
-	s := d.Settings
-	d.start = time.Now()
-	d.incarnation = d.start.UnixNano()
-	d.spans = &spans.Spans{Host: string(s.Host), OTLP: s.Trace.OTLP, File: s.Trace.File}
-	if err := d.spans.Open(ctx); err != nil {
-		return err
-	}
-	d.meter = meter.New()
-	transport := &http.Transport{MaxIdleConnsPerHost: connectionsPerHost, DisableCompression: true}
-	d.platform = &plat.Plat{Base: s.Platform, Timeout: s.Intervals.PlatformTimeout.Of(), Client: &http.Client{Transport: transport}}
-	d.batch = batch.New(d.platform)
-	d.engine = &engine.Engine{Client: &http.Client{Transport: transport}}
-	d.buildState()
-	d.buildCoordination()
-	d.buildBuyer()
-	d.buildFront()
-	return nil
-}
-
-func (d *Daemon) buildState() {
-	s := d.Settings
-	d.fleet = &fleet.Fleet{Self: s.Host, Timeout: missedHeartbeats * s.Intervals.Heartbeat.Of()}
-	d.holder = &holder.Holder{}
-	d.pool = &pool.Pool{Self: s.Host, Subset: s.Bounds.Subset}
-	d.runs = &runs.Runs{Keep: s.Intervals.Drain.Of(), Max: maxHanded}
-	d.score = &score.Score{}
-	d.wants = make(chan loan.Loan, maxWanted)
-	d.quota = &quota.Quota{Self: s.Host, Hosts: s.EntryHosts, Term: loanTerm, Started: d.start}
-	d.gate = &gate.Gate{Share: d.quota.Share, Started: d.start}
-}
-
-func (d *Daemon) buildCoordination() {
-	s := d.Settings
-	d.peers = &peers.Peers{Secret: s.PeerSecret, Service: &peerService{d}, Contacts: d.fleet.Contacts}
-	d.edits = &edits.Edits{Store: d.batch, NewID: newID, Now: time.Now}
-	d.ledger = &once.Ledger{Store: d.batch, Self: s.Host, Incarnation: d.incarnation, NewID: newID, Dead: d.fleet.Dead}
-	d.spread = &spread.Spread{
-		Peers:  d.peers,
-		Table:  d.edits,
-		Fleet:  d.fleet,
-		Holder: d.holder,
-		Score:  d.score,
-		Self:   d.pulse,
-		Now:    time.Now,
-		Rand:   mathrand.New(mathrand.NewPCG(uint64(d.incarnation), 0)),
-		MaxAge: s.Intervals.ConfigAge.Of(),
-
-		RoundTime: s.Intervals.Heartbeat.Of(),
-		Started:   d.start,
-	}
-	d.mover = &mover.Mover{
-		Catalogue: d.holder,
-		Scores:    d.score,
-		Edits:     d.edits,
-		Peers:     d.peers,
-		Ramp:      ramp.Ramp{Judge: judge.Judge{Alpha: judgeAlpha, Margin: judgeMargin}, Exposure: exposure},
-		Lease:     d.lease,
-		Now:       time.Now,
-		Log:       d.Log,
-	}
-}
-
-func (d *Daemon) buildBuyer() {
-	d.buyer = &buyer.Buyer{
-		Cloud:  d.platform,
-		Demand: d.pool,
-		Plan:   plan.Plan{Busy: busyPart, Spare: spareHosts, MaxStarting: maxStarting},
-		Lease:  d.lease,
-		Idle:   idleTime,
-		Now:    time.Now,
-		Log:    d.Log,
-	}
-}
-
-func (d *Daemon) lease(key string) *keeper.Keeper {
-	return &keeper.Keeper{
-		Store:       d.batch,
-		Key:         key,
-		Self:        d.Settings.Host,
-		Incarnation: d.incarnation,
-		Term:        d.Settings.Intervals.LeaseTerm.Of(),
-		Now:         time.Now,
-		NewID:       newID,
-	}
-}
-
-func (d *Daemon) buildFront() {
-	s := d.Settings
-	picker := route.Picker{Rand: mathrand.Float64}
-	st := &steer.Steer{Moves: d.score, Rand: mathrand.Float64}
-	r := &relay.Relay{
-		Engine:    d.engine,
-		Pool:      d.pool,
-		Steer:     st,
-		Scores:    d.mover,
-		Retries:   &budget.Budget{Ratio: retryRatio, Max: retryMax},
-		Catalogue: d.holder,
-		Picker:    picker,
-		Now:       time.Now,
-		Trace:     traceAttempt,
-	}
-	d.front = &front.Front{
-		Settings: s,
-		Log:      d.Log,
-		Meter:    d.meter,
-		Holder:   d.holder,
-		Fleet:    d.fleet,
-		Pool:     d.pool,
-		Runs:     d.runs,
-		Score:    d.score,
-		Mover:    d.mover,
-		Gate:     d.gate,
-		Quota:    d.quota,
-		Borrow:   d.borrow,
-		Want:     d.wanted,
-		Relay:    r,
-		Ledger:   d.ledger,
-		Spread:   d.spread,
-		Edits:    d.edits,
-		Steer:    st,
-		Picker:   picker,
-		Self:     d.pulse,
-		NewID:    newID,
-		Now:      time.Now,
-		Place:    place.Place{Shuffle: mathrand.Shuffle},
-		HandOver: d.handOver,
-	}
-}
-
-func traceAttempt(ctx context.Context, name string, attempt int, s *server.Server) (context.Context, func(err error)) {
-	return spans.Start(ctx, name, attribute.Int("attempt", attempt), attribute.String("endpoint", string(s.Row().ID)))
-}
--- /dev/null
+++ b/transport/peers/client.go
@@ -0,0 +1,159 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
+	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
+	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
+)
+
+// Pulse sends a heartbeat and returns the peer's own.
+func (p *Peers) Pulse(ctx context.Context, address string, own pulse.Pulse) (pulse.Pulse, error) {
+	var got pulse.Pulse
+	err := p.call(ctx, address, methodPulse, own, &got)
+	return got, err
+}
+
+// Fetch returns the peer's newest catalogue.
+func (p *Peers) Fetch(ctx context.Context, address string) (*catlog.Catalogue, error) {
+	c := &catlog.Catalogue{}
+	err := p.call(ctx, address, methodFetch, struct{}{}, c)
+	return c, err
+}
+
+// Push offers the peer a catalogue.
+func (p *Peers) Push(ctx context.Context, address string, c *catlog.Catalogue) error {
+	return p.call(ctx, address, methodPush, c, &accepted{})
+}
+
+// HandOver gives the peer a running request.
+func (p *Peers) HandOver(ctx context.Context, address string, t ticket.Ticket) error {
+	var got accepted
+	if err := p.call(ctx, address, methodHandOver, t, &got); err != nil {
+		return err
+	}
+	if !got.OK {
+		return fault.New(kind.Unavailable, "", "peer %s takes no more requests", address)
+	}
+	return nil
+}
+
+// Evidence returns the trials of a move on all peers that answer, by address.
+func (p *Peers) Evidence(ctx context.Context, move string) map[string][]trial.Trial {
+	var mu sync.Mutex
+	out := map[string][]trial.Trial{}
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	for _, address := range p.Contacts() {
+		g.Go(func() error {
+			var got []trial.Trial
+			if p.call(ctx, address, methodEvidence, moveParams{Move: move}, &got) != nil {
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[address] = got
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return out
+}
+
+// Borrow asks a peer for a part of an account's limits.
+func (p *Peers) Borrow(ctx context.Context, address string, ask loan.Loan) (loan.Loan, error) {
+	var got loan.Loan
+	err := p.call(ctx, address, methodBorrow, ask, &got)
+	return got, err
+}
+
+func (p *Peers) call(ctx context.Context, address, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c, err := p.client(ctx, address)
+	if err != nil {
+		return fault.Wrap(kind.Unavailable, err, "peer %s", address)
+	}
+	if err := c.Call(ctx, method, params, result); err != nil {
+		p.drop(address, c)
+		return fault.Wrap(kind.Unavailable, err, "peer %s: %s", address, method)
+	}
+	return nil
+}
+
+func (p *Peers) client(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	c := p.clients[address]
+	p.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.clients[address]; old != nil {
+		_ = c.Close()
+		return old, nil
+	}
+	if p.clients == nil {
+		p.clients = map[string]*jsonrpc2.Conn{}
+	}
+	p.clients[address] = c
+	return c, nil
+}
+
+func (p *Peers) open(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := jsonrpc2.NewConn(context.WithoutCancel(ctx), p.stream(conn), jsonrpc2.HandlerWithError(refuse))
+	var n nonce
+	if err := c.Call(ctx, methodChallenge, struct{}{}, &n); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	if err := c.Call(ctx, methodHello, proof{MAC: mac(p.Secret, n.Nonce)}, &accepted{}); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: kind.NotFound.String()}
+}
+
+func (p *Peers) drop(address string, c *jsonrpc2.Conn) {
+	p.mu.Lock()
+	if p.clients[address] == c {
+		delete(p.clients, address)
+	}
+	p.mu.Unlock()
+	_ = c.Close()
+}
+
+// Close closes all connections to peers.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		_ = c.Close()
+	}
+	p.clients = nil
+}
