Read the load of endpoints that are not in use seldom

Ruled out: reading through peers (older figures for the same work). Change: an endpoint that this process has not used for 5 s is read every 2 s; one in use at every period.

--- a/coordination/hedge/hedge_test.go
+++ b/coordination/hedge/hedge_test.go
@@ -23,7 +23,7 @@
 }
 
 // race runs one call whose attempts have the given fates, on a virtual clock.
-func race(t *testing.T, retries float64, fates ...fate) (answer claim.Claim, err error, took time.Duration, attempts int) {
+func race(t *testing.T, retries float64, fates ...fate) (answer claim.Claim, took time.Duration, attempts int, err error) {
 	synctest.Test(t, func(*testing.T) {
 		h := &hedge.Hedge{Delay: 100 * time.Millisecond, Retries: &budget.Budget{Max: retries}, Max: 3}
 		started := time.Now()
@@ -43,7 +43,7 @@
 		})
 		took = time.Since(started)
 	})
-	return answer, err, took, attempts
+	return answer, took, attempts, err
 }
 
 func TestHedge(t *testing.T) {
@@ -62,7 +62,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			answer, err, took, attempts := race(t, c.retries, c.fates...)
+			answer, took, attempts, err := race(t, c.retries, c.fates...)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			g.Expect(answer.Status).To(gomega.Equal(c.status))
 			g.Expect(took).To(gomega.Equal(c.took))
@@ -74,7 +74,7 @@
 func TestHedgeFailure(t *testing.T) {
 	g := gomega.NewWithT(t)
 	bad := fate{takes: 10 * time.Millisecond, fails: true}
-	_, err, _, attempts := race(t, 10, bad, bad, bad)
+	_, _, attempts, err := race(t, 10, bad, bad, bad)
 	g.Expect(fault.KindOf(err)).To(gomega.Equal(kind.Unavailable))
 	g.Expect(attempts).To(gomega.Equal(3))
 }
--- a/coordination/relay/try.go
+++ b/coordination/relay/try.go
@@ -81,7 +81,7 @@
 	o.PrefixChance = s.PrefixChance(o.Prefix, r.Now())
 	ctx, end := r.Trace(ctx, "endpoint-attempt", o.Attempt, s)
 	defer func() { end(err) }()
-	s.Begin(j.entry.Class)
+	s.Begin(j.entry.Class, r.Now())
 	defer s.End(j.entry.Class)
 	s.Remember(o.Prefix, r.Now())
 	ctx, cancel := context.WithCancel(ctx)
--- a/coordination/route/route_test.go
+++ b/coordination/route/route_test.go
@@ -106,7 +106,7 @@
 		s.SetLoad([class.Call + 1]int{}, [class.Call + 1]int{}, 2, 10*time.Millisecond, 10_000)
 		before, _ := route.Estimate(s, request(), now)
 		for range 4 {
-			s.Begin(class.Quick)
+			s.Begin(class.Quick, now)
 		}
 		after, _ := route.Estimate(s, request(), now)
 		Expect(after).To(BeNumerically(">", before))
--- a/model/serve/job.go
+++ b/model/serve/job.go
@@ -96,7 +96,7 @@
 	}
 	j.host.sent[e]++
 	if j.known = j.host.server(e); j.known != nil {
-		j.known.Begin(j.entry.Class)
+		j.known.Begin(j.entry.Class, j.serve.now)
 		j.known.Remember(j.hash(), j.serve.now)
 	}
 	e.add(j)
--- a/state/server/server.go
+++ b/state/server/server.go
@@ -15,6 +15,13 @@
 	prefixHalfAge = 60 * time.Second
 )
 
+const (
+	// usedTime is how long after a request an endpoint counts as in use.
+	usedTime = 5 * time.Second
+	// unusedPeriod is the time between reads of the load of an endpoint that is not in use.
+	unusedPeriod = 2 * time.Second
+)
+
 // farPast stands for an endpoint that never failed.
 const farPast = time.Duration(1 << 60)
 
@@ -40,6 +47,8 @@
 	row      atomic.Pointer[roster.Row]
 	load     atomic.Pointer[load]
 	sent     [classes]atomic.Int64
+	lastSent atomic.Int64
+	reported atomic.Int64
 	failed   atomic.Int64
 	leaving  atomic.Bool
 	leaveAt  atomic.Int64
@@ -93,8 +102,21 @@
 // The report is shared and must not be changed.
 func (s *Server) Load() *load { return s.load.Load() }
 
-// Begin counts a request that is sent.
-func (s *Server) Begin(c class.Class) { s.sent[c].Add(1) }
+// Begin counts a request that is sent at now.
+func (s *Server) Begin(c class.Class, now time.Time) {
+	s.sent[c].Add(1)
+	s.lastSent.Store(now.UnixNano())
+}
+
+// Due reports whether the load is worth reading at now: always for an endpoint in use, seldom for one that is not.
+func (s *Server) Due(now time.Time) bool {
+	used := now.UnixNano() - s.lastSent.Load()
+	age := now.UnixNano() - s.reported.Load()
+	return used < int64(usedTime) || age >= int64(unusedPeriod)
+}
+
+// Reported records that the load was read at now.
+func (s *Server) Reported(now time.Time) { s.reported.Store(now.UnixNano()) }
 
 // End counts the end of a request that Begin counted.
 func (s *Server) End(c class.Class) { s.sent[c].Add(-1) }
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -106,10 +106,15 @@
 	ctx, cancel := context.WithTimeout(ctx, d.Settings.Intervals.Load.Of())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	all := d.pool.All()
-	for range min(loadsAtOnce, len(all)) {
+	all, now := d.pool.All(), time.Now()
+	for begun, looked := 0, 0; begun < loadsAtOnce && looked < len(all); looked++ {
 		d.loadTurn++
 		s := all[d.loadTurn%len(all)]
+		if !s.Due(now) {
+			continue
+		}
+		begun++
+		s.Reported(now)
 		g.Go(func() error {
 			if err := d.engine.Load(ctx, s); err != nil {
 				d.Log.Trace("load not read", "endpoint", s.Row().ID, "error", err)
--- a/transport/front/apps.go
+++ b/transport/front/apps.go
@@ -82,7 +82,7 @@
 	target := v.target
 	ctx, end := spans.Start(ctx, "endpoint-attempt", attribute.String("endpoint", string(target.Row().ID)))
 	started := f.Now()
-	target.Begin(class.Call)
+	target.Begin(class.Call, started)
 	defer target.End(class.Call)
 	answer, sent, err := v.call.Send(ctx)
 	end(err)
