Trace peer hops and resumes, sample traces, prove a graceful stop under load

Cause: a request's trace had no span for a hop between entry hosts and none for a resume, every trace was kept, and the promise of a graceful stop was proved for single streams only. Ruled out: spans for heartbeats (they belong to no request). Change: spans for peer calls made within a request and for resumes; trace.sample; a scenario stops an entry host under 120 requests a second.

--- a/cmd_ask.go
+++ b/cmd_ask.go
@@ -61,7 +61,7 @@
 
 // Run asks a model or calls a service.
 func (a *askArgs) Run(ctx context.Context) (err error) {
-	t := &spans.Spans{Host: "caller", File: a.TraceFile}
+	t := &spans.Spans{Host: "caller", File: a.TraceFile, Sample: 1}
 	if err := t.Open(ctx); err != nil {
 		return err
 	}
--- a/protocol/config/config.go
+++ b/protocol/config/config.go
@@ -65,6 +65,8 @@
 	OTLP string `json:"otlp,omitempty"`
 	// File is the path of a JSON-lines file, empty for none.
 	File string `json:"file,omitempty"`
+	// Sample is the part of new traces that is kept, 0 to 1.
+	Sample float64 `json:"sample"`
 }
 
 // Settings is all that one entry host is told at its start.
@@ -104,6 +106,7 @@
 	return &Settings{
 		EntryHosts: 7,
 		LogLevel:   "info",
+		Trace:      trace{Sample: 1},
 		Bounds: bounds{
 			BodyBytes:    1 << 20,
 			HeaderBytes:  16 << 10,
@@ -156,6 +159,7 @@
 	require(len(s.OperatorKey) >= minKeyBytes, "operator-key", "must have at least %d bytes", minKeyBytes)
 	require(len(s.PeerSecret) >= minKeyBytes, "peer-secret", "must have at least %d bytes", minKeyBytes)
 	require(knownLevel(s.LogLevel), "log-level", "%q is none of trace, debug, info, warn, error", s.LogLevel)
+	require(s.Trace.Sample >= 0 && s.Trace.Sample <= 1, "trace.sample", "%g is outside 0 to 1", s.Trace.Sample)
 	require(s.Bounds.BodyBytes > 0, "bounds.body-bytes", "must be above 0")
 	require(s.Bounds.HeaderBytes > 0, "bounds.header-bytes", "must be above 0")
 	require(s.Bounds.Connections > 0, "bounds.connections", "must be above 0")
--- a/protocol/config/config_test.go
+++ b/protocol/config/config_test.go
@@ -45,6 +45,7 @@
 		Entry("short key", `"operator-key":"0123456789abcdef"`, `"operator-key":"short"`, "operator-key"),
 		Entry("no URL", "http://127.0.0.1:3", "127.0.0.1:3", "platform"),
 		Entry("zero period", `"trace":{}`, `"trace":{},"intervals":{"heartbeat":"0s"}`, "intervals.heartbeat"),
+		Entry("sample out of range", `"trace":{}`, `"trace":{"sample":2}`, "trace.sample"),
 		Entry("bad level", `"trace":{}`, `"trace":{},"log-level":"loud"`, "log-level"),
 		Entry("duplicate key", `"trace":{}`, `"trace":{},"trace":{}`, "trace"),
 	)
--- a/test/scene/failures_test.go
+++ b/test/scene/failures_test.go
@@ -1,10 +1,13 @@
 package scene_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -200,6 +203,39 @@
 	return r.Self.Running
 }
 
+var _ = Describe("an entry host", func() {
+	It("stops gracefully under load without one refused or lost request", func() {
+		w := newWorld(2, 2)
+		var at []string
+		for _, e := range w.entries {
+			at = append(at, e.address)
+		}
+		var outs [2]bytes.Buffer
+		var loads []*exec.Cmd
+		for i, call := range []string{"", "GET:/balance"} {
+			entry := []string{"conseil-quick", "caisse"}[i]
+			cmd := exec.Command(filepath.Join(programs, "bench"), "load", "--at", strings.Join(at, ","), "--account", string(account),
+				"--entry", entry, "--call", call, "--rate", "60", "--for", "6s", "--json")
+			cmd.Stdout = &outs[i]
+			Expect(cmd.Start()).To(Succeed())
+			loads = append(loads, cmd)
+		}
+		Eventually(func() int { return w.running(w.entries[0]) + w.running(w.entries[1]) }).Should(BeNumerically(">", 0))
+		w.entries[0].signal(syscall.SIGTERM)
+		Expect(w.entries[0].wait()).To(Succeed())
+		for i, cmd := range loads {
+			Expect(cmd.Wait()).To(Succeed())
+			var got struct {
+				Sent, OK int
+				Refused  map[string]int
+			}
+			Expect(json.Unmarshal(outs[i].Bytes(), &got)).To(Succeed())
+			Expect(got.Refused).To(BeEmpty())
+			Expect(got.OK).To(Equal(got.Sent))
+		}
+	})
+})
+
 var _ = Describe("a payment", func() {
 	var w *world
 	BeforeEach(func() { w = newWorld(1, 2) })
--- a/transport/daemon/build.go
+++ b/transport/daemon/build.go
@@ -52,7 +52,7 @@
 	s := d.Settings
 	d.start = time.Now()
 	d.incarnation = d.start.UnixNano()
-	d.spans = &spans.Spans{Host: string(s.Host), OTLP: s.Trace.OTLP, File: s.Trace.File}
+	d.spans = &spans.Spans{Host: string(s.Host), OTLP: s.Trace.OTLP, File: s.Trace.File, Sample: s.Trace.Sample}
 	if err := d.spans.Open(ctx); err != nil {
 		return err
 	}
--- a/transport/front/models.go
+++ b/transport/front/models.go
@@ -76,6 +76,10 @@
 	}
 	defer leave()
 	t, skip, err := f.ticket(c, p, e)
+	if skip > 0 || len(t.Tokens) > 0 {
+		_, endResume := spans.Start(ctx, "resume", attribute.Int("offset", skip), attribute.Int("tokens", len(t.Tokens)))
+		endResume(err)
+	}
 	if err != nil {
 		f.refuse(c, err)
 		return e, err
--- a/transport/peers/client.go
+++ b/transport/peers/client.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
@@ -15,6 +17,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
+	"github.com/dragonflyroute/dragonflyroute/transport/spans"
 )
 
 // Pulse sends a heartbeat and returns the peer's own.
@@ -78,7 +81,12 @@
 	return got, err
 }
 
-func (p *Peers) call(ctx context.Context, address, method string, params, result any) error {
+func (p *Peers) call(ctx context.Context, address, method string, params, result any) (err error) {
+	if trace.SpanContextFromContext(ctx).IsValid() {
+		var end func(error)
+		ctx, end = spans.Start(ctx, "peer-hop", attribute.String("peer", address), attribute.String("method", method))
+		defer func() { end(err) }()
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	c, err := p.client(ctx, address)
--- a/transport/spans/spans.go
+++ b/transport/spans/spans.go
@@ -32,6 +32,8 @@
 	OTLP string
 	// File is the path of a JSON-lines file, empty for none.
 	File string
+	// Sample is the part of new traces that is kept; a caller's choice goes first.
+	Sample float64
 
 	provider *trace.TracerProvider
 	file     *os.File
@@ -40,6 +42,7 @@
 // Open installs the process's tracer and the W3C trace-context propagator.
 func (s *Spans) Open(ctx context.Context) error {
 	options := []trace.TracerProviderOption{
+		trace.WithSampler(trace.ParentBased(trace.TraceIDRatioBased(s.Sample))),
 		trace.WithResource(resource.NewSchemaless(semconv.ServiceName("dragonflyroute"), semconv.ServiceInstanceID(s.Host))),
 	}
 	if s.OTLP != "" {
