Compare decisions with a scan of all endpoints again

Cause: since a decision compares at most 16 candidates, the bench's naive scan did so too. Change: the naive twin scans all endpoints by itself.

--- a/bench/decide.go
+++ b/bench/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/need"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/state/pool"
+	"github.com/dragonflyroute/dragonflyroute/state/server"
 )
 
 type decideCmd struct {
@@ -32,7 +34,7 @@
 	figures := map[string]any{}
 	var smallest, largest float64
 	for _, n := range []int{10, 50, 500, 5500} {
-		product, scan := c.measure(n, subset), c.measure(n, n)
+		product, scan := c.measure(n, subset, c.pick), c.measure(n, n, scanAll)
 		f := decideFigures{Product: perOp(product), Allocations: product.AllocsPerOp(), Scan: perOp(scan)}
 		f.Ratio = f.Product / f.Scan
 		figures[fmt.Sprintf("endpoints-%d", n)] = f
@@ -47,7 +49,22 @@
 
 func perOp(r testing.BenchmarkResult) float64 { return float64(r.T.Nanoseconds()) / float64(r.N) }
 
-func (c *decideCmd) measure(endpoints, size int) testing.BenchmarkResult {
+// pick is the product's decision.
+func (c *decideCmd) pick(candidates []*server.Server, n *need.Need, now time.Time) {
+	(&route.Picker{Rand: rand.Float64}).Pick(candidates, n, nil, now)
+}
+
+// scanAll is the naive twin: the lowest estimate of all endpoints.
+func scanAll(candidates []*server.Server, n *need.Need, now time.Time) {
+	best := math.Inf(1)
+	for _, s := range candidates {
+		if _, cost := route.Estimate(s, n, now); !s.Leaving() && cost < best {
+			best = cost
+		}
+	}
+}
+
+func (c *decideCmd) measure(endpoints, size int, decide func([]*server.Server, *need.Need, time.Time)) testing.BenchmarkResult {
 	r := rand.New(rand.NewPCG(c.Seed, 0))
 	now := time.Unix(1_000_000, 0)
 	p := &pool.Pool{Self: "entry", Subset: size}
@@ -61,12 +78,11 @@
 		running[class.Quick] = r.IntN(8)
 		s.SetLoad(running, waiting, 8, 20*time.Millisecond, 4000)
 	}
-	picker := route.Picker{Rand: r.Float64}
 	n := &need.Need{Class: class.Quick, PromptTokens: 500, OutTokens: 50, FirstToken: time.Second, Answer: 4 * time.Second, Refund: 2000, PriceCeiling: 2000}
 	return testing.Benchmark(func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			picker.Pick(p.Candidates("b", "v"), n, nil, now)
+			decide(p.Candidates("b", "v"), n, now)
 		}
 	})
 }
