Keep an answer on the version that began it

Ruled out: ending the answer (an accepted request is finished). Change: the ticket names the version; later attempts stay with it while it has endpoints and is not withdrawn. Conclusion: what a caller resumes from its own tokens, without a ticket, still has no version; listed as open.

--- /dev/null
+++ b/coordination/relay/job.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/need"
+	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
+)
+
+// job is one request on its way.
+type job struct {
+	mu     sync.Mutex
+	ticket ticket.Ticket
+
+	entry   *entry.Entry
+	started time.Time
+	first   time.Time
+	// keptBy is the address of the leaving endpoint that keeps the KV cache of the answer so far.
+	keptBy string
+	emit   func(offset int, token string) error
+}
+
+func (j *job) snapshot() ticket.Ticket {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	t := j.ticket
+	t.Tokens = append([]string(nil), t.Tokens...)
+	return t
+}
+
+func (j *job) add(token string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ticket.Tokens = append(j.ticket.Tokens, token)
+	return len(j.ticket.Tokens) - 1
+}
+
+func (j *job) attempt() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ticket.Attempt++
+	return j.ticket.Attempt
+}
+
+func (j *job) left() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ticket.MaxTokens - len(j.ticket.Tokens)
+}
+
+func (j *job) text() string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := len(j.ticket.Prompt)
+	for _, t := range j.ticket.Tokens {
+		n += len(t)
+	}
+	text := make([]byte, 0, n)
+	text = append(text, j.ticket.Prompt...)
+	for _, t := range j.ticket.Tokens {
+		text = append(text, t...)
+	}
+	return string(text)
+}
+
+func (j *job) need(now time.Time) *need.Need {
+	text := j.text()
+	n := &need.Need{
+		Class:        j.entry.Class,
+		PromptTokens: len(text) / bytesPerToken,
+		OutTokens:    j.left(),
+		Prefix:       Prefix(text),
+		Answer:       j.entry.Limits.Answer.Of() - now.Sub(j.started),
+		Refund:       j.entry.Refund,
+		PriceCeiling: j.entry.PriceCeiling,
+	}
+	if j.first.IsZero() {
+		n.FirstToken = max(j.entry.Limits.FirstToken.Of()-now.Sub(j.started), 1)
+	}
+	return n
+}
+
+// version returns the version that generated the tokens so far; begun is false when there are none.
+func (j *job) version() (version label.Name, begun bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ticket.Version, j.ticket.Version != "" && len(j.ticket.Tokens) > 0
+}
+
+// begin notes the version of the next attempt.
+func (j *job) begin(version label.Name) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ticket.Version = version
+}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,7 +17,6 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/move"
-	"github.com/dragonflyroute/dragonflyroute/protocol/need"
 	"github.com/dragonflyroute/dragonflyroute/protocol/order"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/state/server"
@@ -46,6 +44,7 @@
 
 type steer interface {
 	Choose(e *entry.Entry, m *move.Move, route string) (version label.Name, id string, isNew bool)
+	Keep(e *entry.Entry, m *move.Move, version label.Name) (id string, isNew, ok bool)
 }
 
 type scores interface {
@@ -85,79 +84,6 @@
 	Trace func(ctx context.Context, name string, attempt int, s *server.Server) (context.Context, func(err error))
 }
 
-// job is one request on its way.
-type job struct {
-	mu     sync.Mutex
-	ticket ticket.Ticket
-
-	entry   *entry.Entry
-	started time.Time
-	first   time.Time
-	// keptBy is the address of the leaving endpoint that keeps the KV cache of the answer so far.
-	keptBy string
-	emit   func(offset int, token string) error
-}
-
-func (j *job) snapshot() ticket.Ticket {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	t := j.ticket
-	t.Tokens = append([]string(nil), t.Tokens...)
-	return t
-}
-
-func (j *job) add(token string) int {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.ticket.Tokens = append(j.ticket.Tokens, token)
-	return len(j.ticket.Tokens) - 1
-}
-
-func (j *job) attempt() int {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.ticket.Attempt++
-	return j.ticket.Attempt
-}
-
-func (j *job) left() int {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.ticket.MaxTokens - len(j.ticket.Tokens)
-}
-
-func (j *job) text() string {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	n := len(j.ticket.Prompt)
-	for _, t := range j.ticket.Tokens {
-		n += len(t)
-	}
-	text := make([]byte, 0, n)
-	text = append(text, j.ticket.Prompt...)
-	for _, t := range j.ticket.Tokens {
-		text = append(text, t...)
-	}
-	return string(text)
-}
-
-func (j *job) need(now time.Time) *need.Need {
-	text := j.text()
-	n := &need.Need{
-		Class:        j.entry.Class,
-		PromptTokens: len(text) / bytesPerToken,
-		OutTokens:    j.left(),
-		Prefix:       Prefix(text),
-		Answer:       j.entry.Limits.Answer.Of() - now.Sub(j.started),
-		Refund:       j.entry.Refund,
-		PriceCeiling: j.entry.PriceCeiling,
-	}
-	if j.first.IsZero() {
-		n.FirstToken = max(j.entry.Limits.FirstToken.Of()-now.Sub(j.started), 1)
-	}
-	return n
-}
-
 // Prefix returns the hash of the leading part of a prompt.
 func Prefix(text string) uint64 {
 	return xxhash.Sum64String(text[:min(len(text), prefixBytes)])
@@ -198,22 +124,51 @@
 	return nil
 }
 
-// step makes one attempt; it returns the endpoint to avoid next, and an error only when the request is over.
-func (r *Relay) step(ctx context.Context, j *job, avoid *server.Server) (*server.Server, error) {
-	version, moveID, isNew := r.Steer.Choose(j.entry, r.moveOf(j.entry), string(j.entry.Name))
+// target is where an attempt goes and what it counts for.
+type target struct {
+	server *server.Server
+	move   string
+	isNew  bool
+}
+
+// choose returns the target of the next attempt, without a server when none can be used.
+//
+// An answer that has begun stays with its version while that one has endpoints and is not withdrawn.
+func (r *Relay) choose(j *job, avoid *server.Server) target {
+	m := r.moveOf(j.entry)
+	if version, begun := j.version(); begun {
+		if id, isNew, ok := r.Steer.Keep(j.entry, m, version); ok {
+			if s := r.pick(j, version, avoid); s != nil {
+				return target{server: s, move: id, isNew: isNew}
+			}
+		}
+	}
+	version, id, isNew := r.Steer.Choose(j.entry, m, string(j.entry.Name))
+	return target{server: r.pick(j, version, avoid), move: id, isNew: isNew}
+}
+
+// pick returns the best endpoint of a version, the one to avoid only when there is no other.
+func (r *Relay) pick(j *job, version label.Name, avoid *server.Server) *server.Server {
 	now := r.Now()
 	candidates := r.Pool.Candidates(j.entry.Backend, version)
 	s, _ := r.Picker.Pick(candidates, j.need(now), avoid, now)
 	if s == nil {
 		s, _ = r.Picker.Pick(candidates, j.need(now), nil, now)
 	}
-	if s == nil {
+	return s
+}
+
+// step makes one attempt; it returns the endpoint to avoid next, and an error only when the request is over.
+func (r *Relay) step(ctx context.Context, j *job, avoid *server.Server) (*server.Server, error) {
+	to := r.choose(j, avoid)
+	if to.server == nil {
 		return nil, r.pause(ctx, j)
 	}
-	err := r.try(ctx, j, s)
+	j.begin(to.server.Row().Version)
+	err := r.try(ctx, j, to.server)
 	result := r.classify(err)
-	if moveID != "" && result != moved && result != callerGone {
-		r.Scores.Record(moveID, string(j.entry.Name), isNew, result == failed || r.late(j))
+	if to.move != "" && result != moved && result != callerGone {
+		r.Scores.Record(to.move, string(j.entry.Name), to.isNew, result == failed || r.late(j))
 	}
 	switch result {
 	case finished:
@@ -222,10 +177,10 @@
 	case callerGone:
 		return nil, err
 	case failed:
-		s.Failed(r.Now())
-		return s, r.backOff(ctx, j)
+		to.server.Failed(r.Now())
+		return to.server, r.backOff(ctx, j)
 	default:
-		return s, nil
+		return to.server, nil
 	}
 }
 
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -17,15 +17,18 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/relay"
 	"github.com/dragonflyroute/dragonflyroute/coordination/route"
 	"github.com/dragonflyroute/dragonflyroute/coordination/steer"
+	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/class"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/limit"
+	"github.com/dragonflyroute/dragonflyroute/protocol/move"
 	"github.com/dragonflyroute/dragonflyroute/protocol/order"
 	"github.com/dragonflyroute/dragonflyroute/protocol/period"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/protocol/share"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/state/holder"
 	"github.com/dragonflyroute/dragonflyroute/state/pool"
@@ -61,6 +64,13 @@
 	calls int
 	late  int
 	faint bool
+	// attempts lists the version and the offset of each attempt.
+	attempts []attempt
+}
+
+type attempt struct {
+	version string
+	offset  int
 }
 
 func (e *engines) draw(n int) int {
@@ -74,6 +84,7 @@
 	if s.Leaving() {
 		e.late++
 	}
+	e.attempts = append(e.attempts, attempt{version: o.Model, offset: strings.Count(o.Text, " w")})
 	text, stop := o.Text, -1
 	fate := e.draw(4)
 	if e.faint && fate > 0 {
@@ -177,6 +188,40 @@
 		Expect(text).To(Equal(full))
 	})
 
+	It("keeps an answer on the version that began it, until that version is withdrawn", func() {
+		for seed := range uint64(40) {
+			r, e := newRelay(seed, true)
+			both := rows(40)
+			for i := range both {
+				if i%2 == 1 {
+					both[i].Version = "v2"
+				}
+			}
+			e.pool.Update(both, time.Now())
+			moves := &score.Score{}
+			r.Steer = &steer.Steer{Moves: moves, Rand: e.rand.Float64}
+			h := &holder.Holder{}
+			h.Offer(&catlog.Catalogue{Revision: 1, Moves: []move.Move{{ID: "m", Entry: "q", From: "v1", To: "v2", State: move.Ramping, Routes: []share.Share{{Name: "q", Share: 0.5}}}}})
+			r.Catalogue = h
+			t := ticket.Ticket{ID: "r", Prompt: "p", MaxTokens: 30}
+			Expect(r.Run(context.Background(), t, model, ignore, func(offset int, _ string) error {
+				if offset == 20 && seed%2 == 0 {
+					moves.Withdraw("m")
+				}
+				return nil
+			})).To(Succeed())
+			for i, a := range e.attempts {
+				switch {
+				case a.offset == 0:
+				case a.offset <= 20 || seed%2 == 1:
+					Expect(a.version).To(Equal(e.attempts[i-1].version), "seed %d", seed)
+				default:
+					Expect(a.version).To(Equal("v1"), "seed %d", seed)
+				}
+			}
+		}
+	})
+
 	It("ends at once when the caller does, and says so", func() {
 		r, e := newRelay(1, false)
 		gone := fault.New(kind.OutcomeUnknown, "", "gone")
--- a/coordination/steer/steer.go
+++ b/coordination/steer/steer.go
@@ -34,3 +34,14 @@
 	}
 	return m.From, m.ID, false
 }
+
+// Keep reports whether an answer that a version began may go on with it, and what its attempts count for.
+func (s *Steer) Keep(e *entry.Entry, m *move.Move, version label.Name) (id string, isNew, ok bool) {
+	if m == nil || m.Ended() || m.From != e.Version {
+		return "", false, version == e.Version
+	}
+	if version == m.To {
+		return m.ID, true, !s.Moves.Withdrawn(m.ID)
+	}
+	return m.ID, false, version == m.From
+}
--- a/protocol/ticket/ticket.go
+++ b/protocol/ticket/ticket.go
@@ -20,6 +20,8 @@
 	Prompt string `json:"prompt"`
 	// MaxTokens bounds the whole answer.
 	MaxTokens int `json:"max-tokens"`
+	// Version is the version that generated the tokens so far, empty before the first attempt.
+	Version label.Name `json:"version,omitempty"`
 	// Tokens holds the tokens generated so far; its length is the offset of the next one.
 	Tokens []string `json:"tokens"`
 	// Attempt is the number of the last attempt at an endpoint.
