Hand saved-up tokens over with loans, and admit by both limits

Ruled out: longer loans (idle parts), a larger refund for long answers (it steers, it does not refuse). Change: a loan carries the lender's unused tokens, within the borrower's burst; the expected slack of both limits decides at the door, with a margin for long answers, whose time is stretched by the quick work on the endpoint.

--- a/bench/cost.go
+++ b/bench/cost.go
@@ -15,6 +15,7 @@
 	RefusedLate     float64 `json:"refused-as-too-late-share"`
 	RefusedFlood    float64 `json:"refused-of-flood-share"`
 	RefusedWrongly  float64 `json:"refused-wrongly-share"`
+	RefusedCalm     float64 `json:"refused-wrongly-in-calm-share"`
 	QuickInTime     float64 `json:"quick-in-time"`
 	LongInTime      float64 `json:"long-in-time"`
 	SmallInTime     float64 `json:"small-accounts-quick-in-time-under-flood"`
@@ -64,6 +65,7 @@
 		f.RefusedLate += float64(r.RefusedLate)
 		f.RefusedFlood += float64(r.RefusedFlood)
 		f.RefusedWrongly += float64(r.RefusedWrongly)
+		f.RefusedCalm += float64(r.RefusedCalm)
 		quick, quickOK = quick+r.QuickAccepted, quickOK+r.QuickInTime
 		long, longOK = long+r.LongAccepted, longOK+r.LongInTime
 		small, smallOK = small+r.SmallQuick, smallOK+r.SmallQuickInTime
@@ -73,6 +75,7 @@
 	f.RefusedShare = float64(refused) / float64(f.Sent)
 	f.RefusedLate /= float64(f.Sent)
 	f.RefusedFlood /= float64(f.Sent)
+	f.RefusedCalm /= float64(f.Sent)
 	f.RefusedWrongly /= float64(f.Sent)
 	f.QuickInTime = float64(quickOK) / float64(quick)
 	f.LongInTime = float64(longOK) / float64(long)
--- a/bench/hop.go
+++ b/bench/hop.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -22,7 +23,6 @@
 	Engine   string `required:"" help:"Engine behind it."`
 	PID      int    `name:"pid" required:"" help:"The entry host's process."`
 	Requests int    `default:"2000" help:"Requests of each measurement."`
-	Streams  int    `default:"200" help:"Streams open at one time, for memory."`
 	Workers  int    `default:"4" help:"Requests at one time."`
 }
 
@@ -37,23 +37,39 @@
 	PerCore   float64 `json:"requests-per-second-per-core"`
 }
 
-const hopTokens = 16
+var (
+	// tokenCounts and streamCounts are the points of the slopes.
+	tokenCounts  = []int{1, 8, 16, 32, 64}
+	streamCounts = []int{50, 100, 200, 400}
+)
 
-// Run measures whole answers of one token and streams of hopTokens, through the entry host and directly.
+// Run measures whole answers of one token and streams of several lengths, through the entry host and directly.
 func (c *hopCmd) Run(ctx context.Context) error {
 	whole, err := c.compare(ctx, 1, false)
 	if err != nil {
 		return err
 	}
-	stream, err := c.compare(ctx, hopTokens, true)
-	if err != nil {
-		return err
-	}
-	perStream, err := c.memory(ctx)
-	if err != nil {
-		return err
-	}
-	return c.print(map[string]any{"whole-1-token": whole, "stream-16-tokens": stream, "kilobytes-per-open-stream": perStream})
+	figures := map[string]any{"whole-1-token": whole}
+	cpu := line{}
+	for _, n := range tokenCounts {
+		f, err := c.compare(ctx, n, true)
+		if err != nil {
+			return err
+		}
+		figures[fmt.Sprintf("stream-%d-tokens", n)] = f
+		cpu.add(float64(n), f.CPUMicros)
+	}
+	memory := line{}
+	for _, n := range streamCounts {
+		megabytes, err := c.memory(ctx, n)
+		if err != nil {
+			return err
+		}
+		memory.add(float64(n), megabytes)
+	}
+	figures["cpu-us-by-tokens"] = cpu.fit()
+	figures["megabytes-by-open-streams"] = memory.fit()
+	return c.print(figures)
 }
 
 func (c *hopCmd) compare(ctx context.Context, tokens int, stream bool) (hopFigures, error) {
@@ -133,27 +149,22 @@
 	return fault.Wrap(kind.Unavailable, err, "%s", address)
 }
 
-// memory returns the kilobytes that one open stream takes, from the process's memory without and with many of them.
-func (c *hopCmd) memory(ctx context.Context) (float64, error) {
-	before, err := residentBytes(c.PID)
-	if err != nil {
-		return 0, err
-	}
+// memory returns the process's memory in megabytes with a number of open streams.
+func (c *hopCmd) memory(ctx context.Context, streams int) (float64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g errgroup.Group
-	for range c.Streams {
+	for range streams {
 		g.Go(func() error {
-			slow := &slowReader{ctx: ctx}
-			_ = post(ctx, &http.Client{}, c.Entry, "contrat-long", longTokens, true, slow)
+			_ = post(ctx, &http.Client{}, c.Entry, "contrat-long", longTokens, true, &slowReader{ctx: ctx})
 			return nil
 		})
 	}
 	time.Sleep(memoryWait)
-	during, err := residentBytes(c.PID)
+	resident, err := residentBytes(c.PID)
 	cancel()
 	_ = g.Wait()
-	return float64(during-before) / 1024 / float64(c.Streams), err
+	return float64(resident) / (1 << 20), err
 }
 
 const (
--- /dev/null
+++ b/bench/line.go
@@ -0,0 +1,39 @@
+package main
+
+import "math"
+
+// line is a least-squares fit of points.
+type line struct {
+	xs, ys []float64
+}
+
+type lineFigures struct {
+	Slope     float64 `json:"slope"`
+	Intercept float64 `json:"intercept"`
+	// Error is the root of the mean square of the distances to the line.
+	Error float64 `json:"rms-error"`
+}
+
+func (l *line) add(x, y float64) {
+	l.xs = append(l.xs, x)
+	l.ys = append(l.ys, y)
+}
+
+func (l *line) fit() lineFigures {
+	n := float64(len(l.xs))
+	var sx, sy, sxx, sxy float64
+	for i, x := range l.xs {
+		sx += x
+		sy += l.ys[i]
+		sxx += x * x
+		sxy += x * l.ys[i]
+	}
+	f := lineFigures{Slope: (n*sxy - sx*sy) / (n*sxx - sx*sx)}
+	f.Intercept = (sy - f.Slope*sx) / n
+	for i, x := range l.xs {
+		d := l.ys[i] - f.Slope*x - f.Intercept
+		f.Error += d * d / n
+	}
+	f.Error = math.Sqrt(f.Error)
+	return f
+}
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -31,6 +31,8 @@
 type line struct {
 	limiter *rate.Limiter
 	running int
+	// credit is the tokens that lenders handed over.
+	credit int
 	// recent is the requests of about the last usageTime, as of at.
 	recent float64
 	at     time.Time
@@ -63,6 +65,10 @@
 		return nil, fault.New(kind.OverLimit, "account", "account %s has %d requests of %s running here", account, l.running, e.Name).After(busyWait)
 	}
 	wait := l.reserve(now)
+	if wait > 0 && l.credit > 0 {
+		l.credit--
+		wait = 0
+	}
 	if wait > 0 {
 		return nil, fault.New(kind.OverLimit, "account", "account %s is over its rate on %s", account, e.Name).After(min(wait, maxWait))
 	}
@@ -110,6 +116,35 @@
 	if l.limiter.Burst() != burst {
 		l.limiter.SetBurstAt(now, burst)
 	}
+	l.clip(now)
+}
+
+// clip keeps tokens and credit together at or below the burst.
+func (l *line) clip(now time.Time) {
+	l.credit = max(0, min(l.credit, l.limiter.Burst()-int(l.limiter.TokensAt(now))))
+}
+
+// Give takes the given part of the tokens saved up here and returns how many; a lender hands them over with a loan.
+func (g *Gate) Give(account acct.ID, scale float64, e *entry.Entry, part float64, now time.Time) int {
+	share := scale * g.Share(account, e.Name, now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.line(key{account: account, entry: e.Name}, e, share)
+	n := int(l.limiter.TokensAt(now) * min(1, max(0, part)))
+	if n < 1 || !l.limiter.AllowN(now, n) {
+		return 0
+	}
+	return n
+}
+
+// Take adds tokens that a lender handed over, within the burst of the part held here.
+func (g *Gate) Take(account acct.ID, scale float64, e *entry.Entry, tokens int, now time.Time) {
+	share := scale * g.Share(account, e.Name, now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.line(key{account: account, entry: e.Name}, e, share)
+	l.credit += max(0, tokens)
+	l.adapt(e, share, now)
 }
 
 // reserve takes one token or returns the time until there is one.
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -116,6 +116,9 @@
 	return loan.Loan{Account: ask.Account, Entry: ask.Entry, By: q.Self, Share: grant}
 }
 
+// Part returns what part of the own limits a share is.
+func (q *Quota) Part(share float64) float64 { return share * float64(q.Hosts) }
+
 // Borrow takes a grant that was asked for at asked, in place of an earlier one of the same lender.
 func (q *Quota) Borrow(grant loan.Loan, asked time.Time) {
 	if grant.Share <= 0 || grant.Share > 1 {
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -131,8 +131,14 @@
 				if _, err := gates[i].Enter("a", 1, e, n.now); err == nil {
 					admitted++
 				}
-				if n.rand.Float64() < 0.1 {
-					n.lend(gates[i].Used("a", 1, e, n.now))
+				if j := n.rand.IntN(hosts); j != i && n.rand.Float64() < 0.2 {
+					ask := loan.Loan{Account: "a", Entry: "e", By: name(j), Share: n.rand.Float64() / hosts}
+					tokens := gates[i].Give("a", 1, e, n.quotas[i].Part(ask.Share), n.now)
+					grant := n.quotas[i].Lend(ask, gates[i].Used("a", 1, e, n.now), n.now)
+					if n.rand.Float64() < 0.8 {
+						n.quotas[j].Borrow(grant, n.now)
+						gates[j].Take("a", 1, e, tokens, n.now)
+					}
 				}
 				budget := e.Limits.Rate*n.now.Sub(start).Seconds() + float64(e.Limits.Burst)
 				Expect(float64(admitted)).To(BeNumerically("<=", budget+1e-6))
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/route"
-	"github.com/dragonflyroute/dragonflyroute/coordination/stay"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
@@ -29,6 +28,8 @@
 	prefixBytes = 512
 	// giveUp is how many times the answer limit an accepted request may take before it is given up.
 	giveUp = 3
+	// comeBack is the least time to come back after a refusal at the door.
+	comeBack = time.Second
 	// retryWait is the mean wait before an attempt after a failed one.
 	retryWait = 25 * time.Millisecond
 )
@@ -93,12 +94,13 @@
 func (r *Relay) Admit(t ticket.Ticket, e *entry.Entry) error {
 	now := r.Now()
 	j := &job{ticket: t, entry: e, started: now}
-	best, expected := r.Picker.Pick(r.Pool.Candidates(e.Backend, e.Version), j.need(now), nil, now)
+	n := j.need(now)
+	best, slack := r.Picker.Pick(r.Pool.Candidates(e.Backend, e.Version), n, nil, now)
 	if best == nil {
-		return fault.New(kind.TooLate, "model", "no endpoint of %s version %s is usable", e.Backend, e.Version).After(time.Second)
+		return fault.New(kind.TooLate, "model", "no endpoint of %s version %s is usable", e.Backend, e.Version).After(comeBack)
 	}
-	if limit := e.Limits.Answer.Of(); !stay.InTime(expected, limit) {
-		return fault.New(kind.TooLate, "model", "the answer would take %s of %s allowed", expected.Round(time.Millisecond), limit).After(expected - limit)
+	if !route.InTime(n, slack) {
+		return fault.New(kind.TooLate, "model", "the answer is expected to leave %s of its limits", slack.Round(time.Millisecond)).After(max(comeBack, -slack))
 	}
 	return nil
 }
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -25,6 +25,8 @@
 	defaultPrefillRate = 4000.0
 	// defaultSlots is the batch size until an endpoint has reported.
 	defaultSlots = 4
+	// longMargin is the part of the first-token limit that a long answer must be expected to leave.
+	longMargin = 0.4
 	// maxLook bounds the candidates that one decision compares.
 	maxLook = 16
 	// tieShare is the cost difference below which the choice is random.
@@ -39,13 +41,14 @@
 	Rand func() float64
 }
 
-// Pick returns the best candidate and the expected time to the whole answer, or nil when none may be used.
+// Pick returns the best candidate and how much time its answer is expected to leave of the request's limits, which is
+// negative when it is expected to be late; it returns nil when none may be used.
 //
 // At most maxLook usable candidates are compared: those after a place that the prompt's prefix decides, so that prompts
 // with one prefix see the same endpoints, or a random place without one. Leaving endpoints, those above the price ceiling and avoid are never chosen.
 func (p *Picker) Pick(candidates []*server.Server, n *need.Need, avoid *server.Server, now time.Time) (*server.Server, time.Duration) {
 	var best *server.Server
-	var bestTime time.Duration
+	var bestSlack time.Duration
 	lowest := math.Inf(1)
 	place, looked := p.place(len(candidates), n), 0
 	for i := range candidates {
@@ -56,13 +59,23 @@
 		if looked++; looked > maxLook {
 			break
 		}
-		expected, cost := Estimate(s, n, now)
+		slack, cost := Estimate(s, n, now)
 		cost *= 1 + tieShare*p.Rand()
 		if cost < lowest {
-			best, bestTime, lowest = s, expected, cost
+			best, bestSlack, lowest = s, slack, cost
 		}
 	}
-	return best, bestTime
+	return best, bestSlack
+}
+
+// InTime reports whether a request may be accepted that is expected to leave slack of its limits.
+//
+// A long answer needs some of it, because quick work that comes later takes its slot.
+func InTime(n *need.Need, slack time.Duration) bool {
+	if n.Class == class.Long {
+		return slack >= time.Duration(longMargin*float64(n.FirstToken))
+	}
+	return slack >= 0
 }
 
 // place returns the index of the first candidate to look at.
@@ -81,7 +94,8 @@
 	return !s.Leaving() && s.Row().Price <= n.PriceCeiling
 }
 
-// Estimate returns the expected time to the whole answer on one endpoint, and its expected cost in micro-euros.
+// Estimate returns the time that an answer of one endpoint is expected to leave of the limits, and its expected cost in
+// micro-euros.
 func Estimate(s *server.Server, n *need.Need, now time.Time) (time.Duration, float64) {
 	if n.Class == class.Call {
 		return estimateCall(s, n, now)
@@ -96,11 +110,23 @@
 	wait := waitTime(s, n.Class, slots, generate+prefill)
 	first := wait + prefill
 	total := first + generate
+	if n.Class == class.Long {
+		slower := parked(s, slots)
+		first, total = time.Duration(float64(first)*slower), time.Duration(float64(total)*slower)
+	}
+	slack := n.Answer - total
 	late := lateChance(total, n.Answer)
 	if n.FirstToken > 0 {
 		late = max(late, lateChance(first, n.FirstToken))
+		slack = min(slack, n.FirstToken-first)
 	}
-	return total, cost(s, n, (generate+prefill)/time.Duration(slots), late, now)
+	return slack, cost(s, n, (generate+prefill)/time.Duration(slots), late, now)
+}
+
+// parked is how much longer a long answer takes because quick ones take its slot.
+func parked(s *server.Server, slots int) float64 {
+	free := max(1, slots-s.Backlog(class.Quick))
+	return float64(slots) / float64(free)
 }
 
 func estimateCall(s *server.Server, n *need.Need, now time.Time) (time.Duration, float64) {
@@ -109,7 +135,7 @@
 		slots = l.Slots
 	}
 	total := callTime + waitTime(s, n.Class, slots, callTime)
-	return total, cost(s, n, callTime, lateChance(total, n.Answer), now)
+	return n.Answer - total, cost(s, n, callTime, lateChance(total, n.Answer), now)
 }
 
 // waitTime is the expected time in the endpoint's queue; quick work waits behind quick work only.
--- a/coordination/route/route_test.go
+++ b/coordination/route/route_test.go
@@ -97,8 +97,8 @@
 		long := request()
 		long.Class = class.Long
 		slow, _ := route.Estimate(s, long, now)
-		Expect(quick).To(BeNumerically("<", time.Second))
-		Expect(slow).To(BeNumerically(">", 2*time.Second))
+		Expect(quick).To(BeNumerically(">", 0))
+		Expect(slow).To(BeNumerically("<", quick-2*time.Second))
 	})
 
 	It("counts what was sent since the last report", func() {
@@ -109,7 +109,7 @@
 			s.Begin(class.Quick, now)
 		}
 		after, _ := route.Estimate(s, request(), now)
-		Expect(after).To(BeNumerically(">", before))
+		Expect(after).To(BeNumerically("<", before))
 	})
 
 	It("prefers an endpoint that is likely to cache the prompt's prefix, less so with time", func() {
--- a/coordination/stay/stay.go
+++ b/coordination/stay/stay.go
@@ -1,4 +1,4 @@
-// Package stay decides what becomes of requests and endpoints that part.
+// Package stay decides whether an answer stays on an endpoint that leaves.
 package stay
 
 import "time"
@@ -14,6 +14,3 @@
 	rest := time.Duration(tokensLeft) * tokenTime
 	return rest < time.Duration(noticeShare*float64(notice))
 }
-
-// InTime reports whether work that is expected to take so long may be accepted under an answer limit.
-func InTime(expected, limit time.Duration) bool { return expected <= limit }
--- a/model/serve/job.go
+++ b/model/serve/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dragonflyroute/dragonflyroute/coordination/route"
 	"github.com/dragonflyroute/dragonflyroute/coordination/stay"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/class"
@@ -123,8 +124,9 @@
 		s.turn++
 		return s.engines[s.turn%len(s.engines)]
 	}
-	best, expected := j.host.picker.Pick(j.host.pool.Candidates("b", "v1"), j.need(), nil, s.now)
-	if best == nil || door && !stay.InTime(expected, j.entry.Limits.Answer.Of()) {
+	n := j.need()
+	best, slack := j.host.picker.Pick(j.host.pool.Candidates("b", "v1"), n, nil, s.now)
+	if best == nil || door && !route.InTime(n, slack) {
 		return nil
 	}
 	for _, e := range s.engines {
--- a/model/serve/limits.go
+++ b/model/serve/limits.go
@@ -36,6 +36,9 @@
 	switch {
 	case leave == nil && wholeErr == nil:
 		s.RefusedWrongly++
+		if s.burst == 1 && !s.flood {
+			s.RefusedCalm++
+		}
 		whole()
 		return nil
 	case leave == nil || wholeErr != nil:
@@ -66,7 +69,9 @@
 	ask := loan.Loan{Account: id, Entry: e.Name, By: h.quota.Self, Share: 0.9 / float64(len(s.hosts)*place.Homes(scale(id)))}
 	for _, other := range s.hosts {
 		if other != h {
+			tokens := other.gate.Give(id, scale(id), e, other.quota.Part(ask.Share), s.now)
 			h.quota.Borrow(other.quota.Lend(ask, other.gate.Used(id, scale(id), e, s.now), s.now), s.now)
+			h.gate.Take(id, scale(id), e, tokens, s.now)
 		}
 	}
 }
--- a/model/serve/serve.go
+++ b/model/serve/serve.go
@@ -97,6 +97,8 @@
 	RefusedLate int
 	// RefusedWrongly counts the refused ones that one gate for the whole system would have admitted.
 	RefusedWrongly int
+	// RefusedCalm counts those of RefusedWrongly outside the burst and the flood.
+	RefusedCalm int
 	// RefusedFlood counts the refused ones of the flooding account while it floods.
 	RefusedFlood int
 	// QuickAccepted, QuickInTime, LongAccepted and LongInTime count answers.
--- a/protocol/loan/loan.go
+++ b/protocol/loan/loan.go
@@ -17,4 +17,6 @@
 	By host.ID `json:"by"`
 	// Share is the part, 0 to 1, that is wanted from one host in all, or granted.
 	Share float64 `json:"share"`
+	// Tokens is the number of requests that the lender's unused rate has saved up and hands over.
+	Tokens int `json:"tokens,omitempty"`
 }
--- a/transport/daemon/limits.go
+++ b/transport/daemon/limits.go
@@ -52,6 +52,7 @@
 				return nil
 			}
 			d.quota.Borrow(grant, asked)
+			d.take(grant)
 			mu.Lock()
 			defer mu.Unlock()
 			got = true
@@ -97,5 +98,20 @@
 	if e == nil || scale == 0 {
 		return refused
 	}
-	return p.d.quota.Lend(ask, p.d.gate.Used(ask.Account, scale, e, now), now)
+	tokens := p.d.gate.Give(ask.Account, scale, e, p.d.quota.Part(ask.Share), now)
+	grant := p.d.quota.Lend(ask, p.d.gate.Used(ask.Account, scale, e, now), now)
+	grant.Tokens = tokens
+	return grant
+}
+
+// take adds the tokens that came with a grant.
+func (d *Daemon) take(grant loan.Loan) {
+	cat := d.holder.Current()
+	if cat == nil {
+		return
+	}
+	e, scale := cat.Entry(grant.Entry), cat.Scale(grant.Account)
+	if e != nil && scale > 0 {
+		d.gate.Take(grant.Account, scale, e, grant.Tokens, time.Now())
+	}
 }
