Let three processes try for a lease, and ask eight for a loan

Cause: docs/CAPACITY.md: each running move and each data centre's buyer cost reads of the table by every process, and a loan asked all of them. Ruled out: a fixed leader (it would need a lease of its own). Change: the processes that rank highest for a lease by rendezvous hash of the live hosts try for it; views may differ, since the lease itself still decides. A loan asks eight hosts drawn at random. Before: 1,100 x 2 reads/s for each running move at 1,100 hosts (worked out).

--- a/coordination/buyer/buyer.go
+++ b/coordination/buyer/buyer.go
@@ -42,6 +42,8 @@
 	Plan plan.Plan
 	// Lease returns a new keeper of the lease with the given key.
 	Lease func(key string) *keeper.Keeper
+	// Tries reports whether this process shall try to take a lease; nil means always.
+	Tries func(key string) bool
 	// Idle is how long fewer hosts must do before any is given up.
 	Idle time.Duration
 	// Now returns the time.
@@ -102,10 +104,9 @@
 
 // order sends a wish if the process holds the data centre's lease; the lease is looked at again just before.
 func (b *Buyer) order(ctx context.Context, w wish.Wish) {
-	k := b.keepers[w.DataCentre]
+	k := b.keeper(w.DataCentre)
 	if k == nil {
-		k = b.Lease("lease/buyer/" + string(w.DataCentre))
-		b.keepers[w.DataCentre] = k
+		return
 	}
 	if err := k.Step(ctx); err != nil {
 		b.Log.Debug("lease step failed", "data-centre", w.DataCentre, "error", err)
@@ -125,3 +126,22 @@
 		b.Log.Info("hosts ordered", "data-centre", w.DataCentre, "backend", w.Backend, "reclaimable", w.Reclaimable, "on-demand", w.OnDemand, "fence", fence)
 	}
 }
+
+// keeper returns the keeper of a data centre's lease, or nil for a process that neither holds it nor shall try to.
+func (b *Buyer) keeper(at centre.ID) *keeper.Keeper {
+	key := "lease/buyer/" + string(at)
+	k := b.keepers[at]
+	if k != nil {
+		if _, held := k.Held(); held {
+			return k
+		}
+	}
+	if b.Tries != nil && !b.Tries(key) {
+		return nil
+	}
+	if k == nil {
+		k = b.Lease(key)
+		b.keepers[at] = k
+	}
+	return k
+}
--- a/coordination/mover/mover.go
+++ b/coordination/mover/mover.go
@@ -58,6 +58,8 @@
 	Ramp ramp.Ramp
 	// Lease returns a new keeper of the lease with the given key.
 	Lease func(key string) *keeper.Keeper
+	// Tries reports whether this process shall try to take a lease; nil means always.
+	Tries func(key string) bool
 	// Now returns the time.
 	Now func() time.Time
 	// Log takes one line for each step.
@@ -105,10 +107,9 @@
 		return
 	}
 	m.stopLocally(mv)
-	k := m.keepers[mv.Entry]
+	k := m.keeper(mv)
 	if k == nil {
-		k = m.Lease("lease/mover/" + string(mv.Entry))
-		m.keepers[mv.Entry] = k
+		return
 	}
 	if err := k.Step(ctx); err != nil {
 		m.Log.Debug("lease step failed", "move", mv.ID, "error", err)
@@ -120,6 +121,25 @@
 	m.lead(ctx, mv, k)
 }
 
+// keeper returns the keeper of the move's lease, or nil for a process that neither holds it nor shall try to.
+func (m *Mover) keeper(mv move.Move) *keeper.Keeper {
+	key := "lease/mover/" + string(mv.Entry)
+	k := m.keepers[mv.Entry]
+	if k != nil {
+		if _, held := k.Held(); held {
+			return k
+		}
+	}
+	if m.Tries != nil && !m.Tries(key) {
+		return nil
+	}
+	if k == nil {
+		k = m.Lease(key)
+		m.keepers[mv.Entry] = k
+	}
+	return k
+}
+
 // stopLocally withdraws the move here on the process's own evidence; the heartbeat tells the peers.
 func (m *Mover) stopLocally(mv move.Move) {
 	if m.Scores.Withdrawn(mv.ID) {
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
@@ -139,3 +141,18 @@
 	m := f.members[id]
 	return m != nil && m.last.Incarnation > incarnation
 }
+
+// Ranks reports whether the process is among the n hosts that rank highest for a key by rendezvous hash of the hosts
+// that are alive. Views may differ for a while, so it chooses who tries, never who may.
+func (f *Fleet) Ranks(key string, n int, now time.Time) bool {
+	own := rank(key, f.Self)
+	above := 0
+	for _, p := range f.Alive(now) {
+		if p.State == pulse.Live && rank(key, p.Host) > own {
+			above++
+		}
+	}
+	return above < n
+}
+
+func rank(key string, id host.ID) uint64 { return xxhash.Sum64String(key + "\x00" + string(id)) }
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -79,6 +79,26 @@
 		Expect(f.Dead("b", 1)).To(BeFalse())
 	})
 
+	It("ranks the wanted number of hosts for a key, all of them by the same view", func() {
+		var pulses []pulse.Pulse
+		for _, id := range []host.ID{"a", "b", "c", "d", "e", "f", "g"} {
+			pulses = append(pulses, pulse.Pulse{Host: id, Incarnation: 1, Seq: 1, Peers: string(id), State: pulse.Live})
+		}
+		for _, key := range []string{"lease/mover/x", "lease/mover/y", "lease/buyer/z"} {
+			ranked := 0
+			for _, self := range pulses {
+				one := &fleet.Fleet{Self: self.Host, Timeout: time.Second}
+				for _, p := range pulses {
+					one.Observe(p, now)
+				}
+				if one.Ranks(key, 3, now) {
+					ranked++
+				}
+			}
+			Expect(ranked).To(Equal(3))
+		}
+	})
+
 	It("contacts each listed or heard host once, but not itself", func() {
 		f.Observe(beat(1, 1, pulse.Live), now)
 		f.List([]roster.Row{row(roster.Live), {ID: "a", Peers: "10.0.0.1:1"}, {ID: "c", Peers: "10.0.0.3:1"}, {ID: "engine"}})
--- a/transport/daemon/build.go
+++ b/transport/daemon/build.go
@@ -106,6 +106,7 @@
 		Peers:     d.peers,
 		Ramp:      ramp.Ramp{Judge: judge.Judge{Alpha: judgeAlpha, Margin: judgeMargin}, Exposure: exposure},
 		Lease:     d.lease,
+		Tries:     d.tries,
 		Now:       time.Now,
 		Log:       d.Log,
 	}
@@ -117,12 +118,17 @@
 		Demand: d.pool,
 		Plan:   plan.Plan{Busy: busyPart, Spare: spareHosts, MaxStarting: maxStarting},
 		Lease:  d.lease,
+		Tries:  d.tries,
 		Idle:   idleTime,
 		Now:    time.Now,
 		Log:    d.Log,
 	}
 }
 
+// tries reports whether this process is one of the few that try to take a lease, so that the table's reads for it do
+// not grow with the fleet.
+func (d *Daemon) tries(key string) bool { return d.fleet.Ranks(key, leaseTries, time.Now()) }
+
 func (d *Daemon) lease(key string) *keeper.Keeper {
 	return &keeper.Keeper{
 		Store:       d.batch,
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -50,6 +50,8 @@
 	exposure = 0.02
 	// leaseSteps is how often a lease is renewed within its term.
 	leaseSteps = 4
+	// leaseTries is the number of processes that try to take one lease.
+	leaseTries = 3
 	// busyPart, spareHosts, maxStarting and idleTime shape the buying of hosts.
 	busyPart    = 0.7
 	spareHosts  = 1
--- a/transport/daemon/limits.go
+++ b/transport/daemon/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,6 +14,8 @@
 const (
 	// askAgain is the time between requests for more of the same limits.
 	askAgain = 100 * time.Millisecond
+	// loanPeers bounds the peers asked for one loan.
+	loanPeers = 8
 	// maxAsked bounds the accounts and entries whose last request is remembered.
 	maxAsked = 4096
 )
@@ -36,7 +39,7 @@
 	return true
 }
 
-// borrow asks all peers at once for what an account lacks here, and reports whether any gave something.
+// borrow asks a few peers at once for what an account lacks here, and reports whether any gave something.
 func (d *Daemon) borrow(ctx context.Context, ask loan.Loan) bool {
 	asked := time.Now()
 	if !d.asked.due(ask, asked) {
@@ -45,7 +48,9 @@
 	var mu sync.Mutex
 	got := false
 	g, ctx := errgroup.WithContext(ctx)
-	for _, p := range d.fleet.Alive(asked) {
+	alive := d.fleet.Alive(asked)
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	for _, p := range alive[:min(len(alive), loanPeers)] {
 		g.Go(func() error {
 			grant, err := d.peers.Borrow(ctx, p.Peers, ask)
 			if err != nil || grant.Share <= 0 {
