Count limits in parts of a request

Ruled out: a larger burst in the model (small sites have such limits), keeping loans for longer (the tokens are missing). Change: a bucket of our own whose rate, burst and tokens may be parts of one request; a loan carries parts of tokens.

--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
@@ -29,10 +27,8 @@
 }
 
 type line struct {
-	limiter *rate.Limiter
+	bucket  bucket
 	running int
-	// credit is the tokens that lenders handed over.
-	credit int
 	// recent is the requests of about the last usageTime, as of at.
 	recent float64
 	at     time.Time
@@ -64,14 +60,14 @@
 	if float64(l.running+1) > float64(e.Limits.Concurrent)*share {
 		return nil, fault.New(kind.OverLimit, "account", "account %s has %d requests of %s running here", account, l.running, e.Name).After(busyWait)
 	}
-	wait := l.reserve(now)
-	if wait > 0 && l.credit > 0 {
-		l.credit--
-		wait = 0
+	wait, ever := l.bucket.wait()
+	if !ever {
+		wait = busyWait
 	}
 	if wait > 0 {
 		return nil, fault.New(kind.OverLimit, "account", "account %s is over its rate on %s", account, e.Name).After(min(wait, maxWait))
 	}
+	l.bucket.tokens--
 	l.running++
 	l.recent = l.decayed(now) + 1
 	l.at = now
@@ -96,68 +92,39 @@
 	}
 	l := g.lines[k]
 	if l == nil {
-		burst := burstOf(e, share)
-		l = &line{limiter: rate.NewLimiter(rate.Limit(e.Limits.Rate*share), burst)}
-		l.limiter.AllowN(g.Started, burst)
+		l = &line{bucket: bucket{at: g.Started}}
+		l.bucket.rate, l.bucket.burst = e.Limits.Rate*share, float64(e.Limits.Burst)*share
 		g.lines[k] = l
 	}
 	return l
 }
 
-func burstOf(e *entry.Entry, share float64) int { return int(float64(e.Limits.Burst) * share) }
-
-// adapt sets the limiter to the process's part of the limits.
+// adapt sets the bucket to the process's part of the limits.
 func (l *line) adapt(e *entry.Entry, share float64, now time.Time) {
-	limit := rate.Limit(e.Limits.Rate * share)
-	burst := burstOf(e, share)
-	if l.limiter.Limit() != limit {
-		l.limiter.SetLimitAt(now, limit)
-	}
-	if l.limiter.Burst() != burst {
-		l.limiter.SetBurstAt(now, burst)
-	}
-	l.clip(now)
-}
-
-// clip keeps tokens and credit together at or below the burst.
-func (l *line) clip(now time.Time) {
-	l.credit = max(0, min(l.credit, l.limiter.Burst()-int(l.limiter.TokensAt(now))))
+	l.bucket.set(e.Limits.Rate*share, float64(e.Limits.Burst)*share, now)
 }
 
 // Give takes the given part of the tokens saved up here and returns how many; a lender hands them over with a loan.
-func (g *Gate) Give(account acct.ID, scale float64, e *entry.Entry, part float64, now time.Time) int {
+func (g *Gate) Give(account acct.ID, scale float64, e *entry.Entry, part float64, now time.Time) float64 {
 	share := scale * g.Share(account, e.Name, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.line(key{account: account, entry: e.Name}, e, share)
-	n := int(l.limiter.TokensAt(now) * min(1, max(0, part)))
-	if n < 1 || !l.limiter.AllowN(now, n) {
-		return 0
-	}
-	return n
+	l.adapt(e, share, now)
+	given := max(0, l.bucket.tokens) * min(1, max(0, part))
+	l.bucket.tokens -= given
+	return given
 }
 
 // Take adds tokens that a lender handed over, within the burst of the part held here.
-func (g *Gate) Take(account acct.ID, scale float64, e *entry.Entry, tokens int, now time.Time) {
+func (g *Gate) Take(account acct.ID, scale float64, e *entry.Entry, tokens float64, now time.Time) {
 	share := scale * g.Share(account, e.Name, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.line(key{account: account, entry: e.Name}, e, share)
-	l.credit += max(0, tokens)
 	l.adapt(e, share, now)
-}
-
-// reserve takes one token or returns the time until there is one.
-func (l *line) reserve(now time.Time) time.Duration {
-	r := l.limiter.ReserveN(now, 1)
-	if !r.OK() {
-		return busyWait
-	}
-	wait := r.DelayFrom(now)
-	if wait > 0 {
-		r.CancelAt(now)
-	}
-	return wait
+	l.bucket.tokens += max(0, tokens)
+	l.bucket.refill(now)
 }
 
 func (l *line) decayed(now time.Time) float64 {
--- a/protocol/loan/loan.go
+++ b/protocol/loan/loan.go
@@ -18,5 +18,5 @@
 	// Share is the part, 0 to 1, that is wanted from one host in all, or granted.
 	Share float64 `json:"share"`
 	// Tokens is the number of requests that the lender's unused rate has saved up and hands over.
-	Tokens int `json:"tokens,omitempty"`
+	Tokens float64 `json:"tokens,omitempty"`
 }
