Run scenarios with the race detector in the checks

Cause: the race detector ran over packages whose tests do not start the daemon. Change: six scenarios run programs built with it; any report fails the scenario.

--- a/test/scene/world_test.go
+++ b/test/scene/world_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -38,7 +39,11 @@
 
 var _ = BeforeSuite(func() {
 	programs = GinkgoT().TempDir()
-	build := exec.Command("go", "build", "-o", programs+"/", "../..", "../../standin", "../../bench")
+	args := []string{"build", "-o", programs + "/", "../..", "../../standin", "../../bench"}
+	if os.Getenv("DRAGONFLYROUTE_RACE") != "" {
+		args = slices.Insert(args, 1, "-race")
+	}
+	build := exec.Command("go", args...)
 	out, err := build.CombinedOutput()
 	Expect(err).NotTo(HaveOccurred(), string(out))
 	SetDefaultEventuallyTimeout(patience)
@@ -86,6 +91,7 @@
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	Expect(p.cmd.Start()).To(Succeed())
 	DeferCleanup(func() {
+		Expect(p.logged()).NotTo(ContainSubstring("DATA RACE"))
 		if p.ended {
 			return
 		}
