--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -1,13 +1,17 @@
 package quota_test
 
 import (
+	"cmp"
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
@@ -18,6 +22,7 @@
 )
 
 func TestQuota(t *testing.T) {
+	NewWithT(t).Expect(flag.Set("rapid.seed", cmp.Or(os.Getenv("DRAGONFLYROUTE_SEED"), "1"))).To(Succeed())
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "quota")
 }
@@ -94,6 +99,20 @@
 		})
 	}
 
+	It("keeps parts, rate and concurrency of all hosts within the whole, whatever comes in whatever order", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			m := newMachine()
+			t.Repeat(map[string]func(*rapid.T){
+				"enter":   m.enter,
+				"leave":   m.leave,
+				"lend":    m.lend,
+				"restart": m.restart,
+				"pass":    m.pass,
+				"":        m.check,
+			})
+		})
+	})
+
 	It("gives a single busy host most of the limits", func() {
 		n := newNetwork(1)
 		for _, q := range n.quotas[1:] {
--- a/standin/app.go
+++ b/standin/app.go
@@ -30,6 +30,8 @@
 	SlowMS     int  `json:"slow-ms"`
 	// FailShare is the part of calls refused with status 500 before any effect.
 	FailShare float64 `json:"fail-share"`
+	// OnlyPath keeps the refusals to one route; empty means all.
+	OnlyPath string `json:"only-path"`
 }
 
 type instalment struct {
@@ -89,7 +91,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if a.fails(w) {
+	if a.fails(w, r) {
 		return
 	}
 	a.mu.Lock()
@@ -107,10 +109,13 @@
 	_, _ = fmt.Fprintf(w, "{\"contract\":%q,\"balance-cents\":%d}\n", q.Contract, balance)
 }
 
-func (a *app) fails(w http.ResponseWriter) bool {
+func (a *app) fails(w http.ResponseWriter, r *http.Request) bool {
 	a.mu.Lock()
-	share := a.faults.FailShare
+	share, only := a.faults.FailShare, a.faults.OnlyPath
 	a.mu.Unlock()
+	if only != "" && only != r.URL.Path {
+		return false
+	}
 	if rand.Float64() >= share {
 		return false
 	}
@@ -119,7 +124,7 @@
 }
 
 func (a *app) balance(w http.ResponseWriter, r *http.Request) {
-	if a.fails(w) {
+	if a.fails(w, r) {
 		return
 	}
 	a.mu.Lock()
--- a/standin/cloud.go
+++ b/standin/cloud.go
@@ -11,7 +11,7 @@
 type cloud struct {
 	offers []offer.Offer
 	wishes map[string]wish.Wish
-	// Refused counts orders with an old fencing number.
+	// refused counts orders with an old fencing number.
 	refused int
 }
 
@@ -45,7 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at := string(order.DataCentre) + "/" + string(order.Backend)
-	if order.Fence < p.cloud.wishes[at].Fence {
+	if order.Fence < p.cloud.wishes[at].Fence && !p.faults.IgnoreFence {
 		p.cloud.refused++
 		http.Error(w, "old fencing number", http.StatusConflict)
 		return
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -27,6 +27,8 @@
 	SlowMS int  `json:"slow-ms"`
 	// LoseEvery loses the answer of each nth commit, after its effect; 0 loses none.
 	LoseEvery int `json:"lose-every"`
+	// IgnoreFence lets the cloud take orders with an old fencing number.
+	IgnoreFence bool `json:"ignore-fence"`
 	// ListLagMS is the age of the host list.
 	ListLagMS int `json:"list-lag-ms"`
 }
