Count hedged attempts atomically in their test

Ruled out: the hedge itself (its counters belong to one goroutine). Change: an atomic counter in the test. Conclusion: a fault of the test.

--- a/coordination/hedge/hedge_test.go
+++ b/coordination/hedge/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,11 +25,12 @@
 
 // race runs one call whose attempts have the given fates, on a virtual clock.
 func race(t *testing.T, retries float64, fates ...fate) (answer claim.Claim, took time.Duration, attempts int, err error) {
+	var begun atomic.Int64
 	synctest.Test(t, func(*testing.T) {
 		h := &hedge.Hedge{Delay: 100 * time.Millisecond, Retries: &budget.Budget{Max: retries}, Max: 3}
 		started := time.Now()
 		answer, err = h.Do(context.Background(), func(ctx context.Context, n int) (claim.Claim, error) {
-			attempts++
+			begun.Add(1)
 			timer := time.NewTimer(fates[n].takes)
 			defer timer.Stop()
 			select {
@@ -43,7 +45,7 @@
 		})
 		took = time.Since(started)
 	})
-	return answer, took, attempts, err
+	return answer, took, int(begun.Load()), err
 }
 
 func TestHedge(t *testing.T) {
