Step a buyer's lease once a round, and build a request's need once a choice

Cause: reading the whole change again: the buyer read and renewed a data centre's lease for each back end in it, and a choice of endpoint copied the request's whole text twice when its first pick found none. Ruled out: a longer wait between renewals; the bound on the term stays as it is. Change: one renewal for each data centre and round; the need is built once for both picks. Held is still looked at before each order. Before and after: the same tests pass (relay, market, style, scenarios of the buyer, a killed engine and the hand-over). Conclusion: docs/CAPACITY.md's count of lease reads, one for each data centre, now holds with several back ends too.

--- a/coordination/buyer/buyer.go
+++ b/coordination/buyer/buyer.go
@@ -78,6 +78,7 @@
 		b.peaks = map[label.Name][]peak{}
 		b.sent = map[place]wish.Wish{}
 	}
+	b.renew(ctx, offers)
 	for backend, of := range byBackend(offers) {
 		for _, w := range b.Plan.Wishes(b.smooth(backend), of) {
 			b.order(ctx, w)
@@ -102,15 +103,30 @@
 	return kept[0].value
 }
 
-// order sends a wish if the process holds the data centre's lease; the lease is looked at again just before.
+// renew steps the lease of each data centre once, however many back ends it has.
+func (b *Buyer) renew(ctx context.Context, offers []offer.Offer) {
+	stepped := map[centre.ID]bool{}
+	for _, o := range offers {
+		if stepped[o.DataCentre] {
+			continue
+		}
+		stepped[o.DataCentre] = true
+		k := b.keeper(o.DataCentre)
+		if k == nil {
+			continue
+		}
+		if err := k.Step(ctx); err != nil {
+			b.Log.Debug("lease step failed", "data-centre", o.DataCentre, "error", err)
+		}
+	}
+}
+
+// order sends a wish if the process holds the data centre's lease, which is looked at just before.
 func (b *Buyer) order(ctx context.Context, w wish.Wish) {
-	k := b.keeper(w.DataCentre)
+	k := b.keepers[w.DataCentre]
 	if k == nil {
 		return
 	}
-	if err := k.Step(ctx); err != nil {
-		b.Log.Debug("lease step failed", "data-centre", w.DataCentre, "error", err)
-	}
 	fence, ok := k.Held()
 	if !ok {
 		return
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -152,10 +152,11 @@
 // pick returns the best endpoint of a version, the one to avoid only when there is no other.
 func (r *Relay) pick(j *job, version label.Name, avoid *server.Server) *server.Server {
 	now := r.Now()
+	n := j.need(now)
 	candidates := r.Pool.Candidates(j.entry.Backend, version)
-	s, _ := r.Picker.Pick(candidates, j.need(now), avoid, now)
+	s, _ := r.Picker.Pick(candidates, n, avoid, now)
 	if s == nil {
-		s, _ = r.Picker.Pick(candidates, j.need(now), nil, now)
+		s, _ = r.Picker.Pick(candidates, n, nil, now)
 	}
 	return s
 }
