Keep a role's leases in one package, release them at a drain, and freeze the mover by its lease

Change: mover and buyer had the same keeper logic twice; it is coordination/leases now, and logs 'lease taken' and 'lease ended', by which the scenario finds the holder before any load. A drain closes it: the leases are released and none taken. The new scenario (a mover that stops gracefully under a term of 10 minutes) failed after its 60 s with the close taken out, and passes with it.

--- a/bench/roles.go
+++ b/bench/roles.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/buyer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
 	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
+	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/plan"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
@@ -79,8 +80,10 @@
 	return 1, nil
 }
 
-func newLease(key string) *keeper.Keeper {
-	return &keeper.Keeper{Store: rows{}, Key: key, Self: "entry", Incarnation: 1, Term: time.Minute, Now: time.Now, NewID: func() string { return "id" }}
+func newLeases() *leases.Leases {
+	return &leases.Leases{Log: hclog.NewNullLogger(), New: func(key string) *keeper.Keeper {
+		return &keeper.Keeper{Store: rows{}, Key: key, Self: "entry", Incarnation: 1, Term: time.Minute, Now: time.Now, NewID: func() string { return "id" }}
+	}}
 }
 
 const (
@@ -128,7 +131,7 @@
 		Edits:     evidence,
 		Peers:     evidence,
 		Ramp:      ramp.Ramp{Judge: judge.Judge{Alpha: 0.001, Margin: 0.02}, Exposure: 0.02},
-		Lease:     newLease,
+		Leases:    newLeases(),
 		Now:       time.Now,
 		Log:       hclog.NewNullLogger(),
 	}
@@ -159,6 +162,6 @@
 
 func newBuyer(centres int) func(ctx context.Context) {
 	m := stall(centres)
-	b := &buyer.Buyer{Cloud: m, Demand: m, Plan: plan.Plan{Busy: 0.7, Spare: 1, MaxStarting: 4}, Lease: newLease, Idle: time.Minute, Now: time.Now, Log: hclog.NewNullLogger()}
+	b := &buyer.Buyer{Cloud: m, Demand: m, Plan: plan.Plan{Busy: 0.7, Spare: 1, MaxStarting: 4}, Leases: newLeases(), Idle: time.Minute, Now: time.Now, Log: hclog.NewNullLogger()}
 	return b.Step
 }
--- a/coordination/buyer/buyer.go
+++ b/coordination/buyer/buyer.go
@@ -8,7 +8,6 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
 	"github.com/dragonflyroute/dragonflyroute/coordination/plan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
@@ -28,6 +27,11 @@
 	Demand(backend label.Name) float64
 }
 
+type leases interface {
+	Step(ctx context.Context, key string) (fence int64, held bool)
+	Held(key string) (fence int64, held bool)
+}
+
 // Buyer orders hosts in the data centres whose lease it holds.
 //
 // Every process works out the wishes for all data centres; only the holder of a data centre's lease sends its own. A
@@ -40,10 +44,8 @@
 	Demand demand
 	// Plan decides.
 	Plan plan.Plan
-	// Lease returns a new keeper of the lease with the given key.
-	Lease func(key string) *keeper.Keeper
-	// Tries reports whether this process shall try to take a lease; nil means always.
-	Tries func(key string) bool
+	// Leases keeps a lease for each data centre.
+	Leases leases
 	// Idle is how long fewer hosts must do before any is given up.
 	Idle time.Duration
 	// Now returns the time.
@@ -51,9 +53,8 @@
 	// Log takes one line for each change.
 	Log hclog.Logger
 
-	keepers map[centre.ID]*keeper.Keeper
-	peaks   map[label.Name][]peak
-	sent    map[place]wish.Wish
+	peaks map[label.Name][]peak
+	sent  map[place]wish.Wish
 }
 
 type place struct {
@@ -73,8 +74,7 @@
 		b.Log.Debug("no offers", "error", err)
 		return
 	}
-	if b.keepers == nil {
-		b.keepers = map[centre.ID]*keeper.Keeper{}
+	if b.peaks == nil {
 		b.peaks = map[label.Name][]peak{}
 		b.sent = map[place]wish.Wish{}
 	}
@@ -111,23 +111,16 @@
 			continue
 		}
 		stepped[o.DataCentre] = true
-		k := b.keeper(o.DataCentre)
-		if k == nil {
-			continue
-		}
-		if err := k.Step(ctx); err != nil {
-			b.Log.Debug("lease step failed", "data-centre", o.DataCentre, "error", err)
-		}
+		b.Leases.Step(ctx, leaseOf(o.DataCentre))
 	}
 }
 
+// leaseOf returns the key of the lease under which hosts of a data centre are ordered.
+func leaseOf(at centre.ID) string { return "lease/buyer/" + string(at) }
+
 // order sends a wish if the process holds the data centre's lease, which is looked at just before.
 func (b *Buyer) order(ctx context.Context, w wish.Wish) {
-	k := b.keepers[w.DataCentre]
-	if k == nil {
-		return
-	}
-	fence, ok := k.Held()
+	fence, ok := b.Leases.Held(leaseOf(w.DataCentre))
 	if !ok {
 		return
 	}
@@ -142,22 +135,3 @@
 		b.Log.Info("hosts ordered", "data-centre", w.DataCentre, "backend", w.Backend, "reclaimable", w.Reclaimable, "on-demand", w.OnDemand, "fence", fence)
 	}
 }
-
-// keeper returns the keeper of a data centre's lease, or nil for a process that neither holds it nor shall try to.
-func (b *Buyer) keeper(at centre.ID) *keeper.Keeper {
-	key := "lease/buyer/" + string(at)
-	k := b.keepers[at]
-	if k != nil {
-		if _, held := k.Held(); held {
-			return k
-		}
-	}
-	if b.Tries != nil && !b.Tries(key) {
-		return nil
-	}
-	if k == nil {
-		k = b.Lease(key)
-		b.keepers[at] = k
-	}
-	return k
-}
--- /dev/null
+++ b/coordination/leases/leases.go
@@ -0,0 +1,141 @@
+// Package leases holds the leases that one role of a process takes.
+package leases
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
+)
+
+// Leases keeps one lease for each thing that a role cares for.
+//
+// Its methods may be called concurrently; one that talks to the table makes the others wait, but for Held.
+type Leases struct {
+	// New returns a new keeper of the lease with the given key.
+	New func(key string) *keeper.Keeper
+	// Tries reports whether this process shall try to take a lease; nil means always.
+	Tries func(key string) bool
+	// Log takes one line for each lease taken, lost or released.
+	Log hclog.Logger
+
+	stepping sync.Mutex
+
+	mu      sync.Mutex
+	keepers map[string]*keeper.Keeper
+	fences  map[string]int64
+	closed  bool
+}
+
+// Step renews the lease or tries to take it, unless the process shall not, and returns Held.
+func (l *Leases) Step(ctx context.Context, key string) (fence int64, held bool) {
+	l.stepping.Lock()
+	defer l.stepping.Unlock()
+	if k := l.due(key); k != nil {
+		if err := k.Step(ctx); err != nil {
+			l.Log.Debug("lease step failed", "lease", key, "error", err)
+		}
+	}
+	fence, held = l.Held(key)
+	l.tell(key, fence, held)
+	return fence, held
+}
+
+// Held returns the fencing number if the process holds the lease now; call it again before each effect.
+func (l *Leases) Held(key string) (fence int64, held bool) {
+	l.mu.Lock()
+	k := l.keepers[key]
+	l.mu.Unlock()
+	if k == nil {
+		return 0, false
+	}
+	return k.Held()
+}
+
+// Release gives the lease up if the process has it; others may take it at once.
+func (l *Leases) Release(ctx context.Context, key string) {
+	l.stepping.Lock()
+	defer l.stepping.Unlock()
+	l.release(ctx, key)
+}
+
+// Close releases all leases and takes none from now on.
+func (l *Leases) Close(ctx context.Context) {
+	l.stepping.Lock()
+	defer l.stepping.Unlock()
+	for _, key := range l.close() {
+		l.release(ctx, key)
+	}
+}
+
+func (l *Leases) close() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	var keys []string
+	for key := range l.keepers {
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+// due returns the keeper to step, or nil for a process that neither holds the lease nor shall try to take it.
+func (l *Leases) due(key string) *keeper.Keeper {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	k := l.keepers[key]
+	if k != nil {
+		if _, held := k.Held(); held {
+			return k
+		}
+	}
+	if l.Tries != nil && !l.Tries(key) {
+		return nil
+	}
+	if k == nil {
+		k = l.add(key)
+	}
+	return k
+}
+
+func (l *Leases) add(key string) *keeper.Keeper {
+	if l.keepers == nil {
+		l.keepers = map[string]*keeper.Keeper{}
+		l.fences = map[string]int64{}
+	}
+	k := l.New(key)
+	l.keepers[key] = k
+	return k
+}
+
+func (l *Leases) release(ctx context.Context, key string) {
+	l.mu.Lock()
+	k := l.keepers[key]
+	delete(l.keepers, key)
+	l.mu.Unlock()
+	if k == nil {
+		return
+	}
+	if err := k.Release(ctx); err != nil {
+		l.Log.Warn("lease not released; it runs out by itself", "lease", key, "error", err)
+	}
+	l.tell(key, 0, false)
+}
+
+// tell logs a change of what is held.
+func (l *Leases) tell(key string, fence int64, held bool) {
+	before, was := l.fences[key]
+	switch {
+	case held && (!was || before != fence):
+		l.fences[key] = fence
+		l.Log.Info("lease taken", "lease", key, "fence", fence)
+	case !held && was:
+		delete(l.fences, key)
+		l.Log.Info("lease ended", "lease", key, "fence", before)
+	}
+}
--- a/coordination/mover/mover.go
+++ b/coordination/mover/mover.go
@@ -11,10 +11,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/alarm"
-	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
-	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/move"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 )
@@ -37,6 +35,12 @@
 	Head(ctx context.Context) (*catlog.Catalogue, error)
 }
 
+type leases interface {
+	Step(ctx context.Context, key string) (fence int64, held bool)
+	Held(key string) (fence int64, held bool)
+	Release(ctx context.Context, key string)
+}
+
 type peers interface {
 	// Evidence returns the trials of a move on all other entry hosts, by host.
 	Evidence(ctx context.Context, move string) map[string][]trial.Trial
@@ -56,17 +60,14 @@
 	Peers peers
 	// Ramp decides steps.
 	Ramp ramp.Ramp
-	// Lease returns a new keeper of the lease with the given key.
-	Lease func(key string) *keeper.Keeper
-	// Tries reports whether this process shall try to take a lease; nil means always.
-	Tries func(key string) bool
+	// Leases keeps a lease for each entry that moves.
+	Leases leases
 	// Now returns the time.
 	Now func() time.Time
 	// Log takes one line for each step.
 	Log hclog.Logger
 
-	keepers map[label.Name]*keeper.Keeper
-	stages  map[string]map[string]*stage
+	stages map[string]map[string]*stage
 
 	mu     sync.Mutex
 	alarms map[watched]*alarm.Alarm
@@ -80,8 +81,7 @@
 	if c == nil {
 		return
 	}
-	if m.keepers == nil {
-		m.keepers = map[label.Name]*keeper.Keeper{}
+	if m.stages == nil {
 		m.stages = map[string]map[string]*stage{}
 	}
 	var known []string
@@ -103,42 +103,20 @@
 		m.Scores.Withdraw(mv.ID)
 	}
 	if mv.Ended() {
-		m.release(ctx, mv)
+		m.Leases.Release(ctx, leaseOf(mv))
+		delete(m.stages, mv.ID)
 		return
 	}
 	m.stopLocally(mv)
-	k := m.keeper(mv)
-	if k == nil {
-		return
-	}
-	if err := k.Step(ctx); err != nil {
-		m.Log.Debug("lease step failed", "move", mv.ID, "error", err)
-	}
-	if _, ok := k.Held(); !ok {
+	if _, held := m.Leases.Step(ctx, leaseOf(mv)); !held {
 		delete(m.stages, mv.ID)
 		return
 	}
-	m.lead(ctx, mv, k)
+	m.lead(ctx, mv)
 }
 
-// keeper returns the keeper of the move's lease, or nil for a process that neither holds it nor shall try to.
-func (m *Mover) keeper(mv move.Move) *keeper.Keeper {
-	key := "lease/mover/" + string(mv.Entry)
-	k := m.keepers[mv.Entry]
-	if k != nil {
-		if _, held := k.Held(); held {
-			return k
-		}
-	}
-	if m.Tries != nil && !m.Tries(key) {
-		return nil
-	}
-	if k == nil {
-		k = m.Lease(key)
-		m.keepers[mv.Entry] = k
-	}
-	return k
-}
+// leaseOf returns the key of the lease under which the move is stepped.
+func leaseOf(mv move.Move) string { return "lease/mover/" + string(mv.Entry) }
 
 // stopLocally withdraws the move here on the process's own evidence; the heartbeat tells the peers.
 func (m *Mover) stopLocally(mv move.Move) {
@@ -151,19 +129,7 @@
 	}
 }
 
-func (m *Mover) release(ctx context.Context, mv move.Move) {
-	k := m.keepers[mv.Entry]
-	if k == nil {
-		return
-	}
-	if err := k.Release(ctx); err != nil {
-		m.Log.Debug("lease release failed", "move", mv.ID, "error", err)
-	}
-	delete(m.keepers, mv.Entry)
-	delete(m.stages, mv.ID)
-}
-
-func (m *Mover) lead(ctx context.Context, mv move.Move, k *keeper.Keeper) {
+func (m *Mover) lead(ctx context.Context, mv move.Move) {
 	evidence := m.Peers.Evidence(ctx, mv.ID)
 	if evidence == nil {
 		evidence = map[string][]trial.Trial{}
@@ -176,7 +142,7 @@
 	if next.State == move.TakenBack && m.Scores.Withdraw(mv.ID) {
 		m.Log.Warn("version withdrawn", "move", mv.ID, "entry", mv.Entry, "version", mv.To, "reason", next.Reason)
 	}
-	m.commit(ctx, next, k)
+	m.commit(ctx, next)
 }
 
 func (m *Mover) next(mv move.Move, total []trial.Trial) move.Move {
@@ -195,8 +161,8 @@
 }
 
 // commit writes the step under the lease's fencing number; the lease is checked again before the write.
-func (m *Mover) commit(ctx context.Context, next move.Move, k *keeper.Keeper) {
-	fence, ok := k.Held()
+func (m *Mover) commit(ctx context.Context, next move.Move) {
+	fence, ok := m.Leases.Held(leaseOf(next))
 	if !ok {
 		return
 	}
--- a/model/market/market.go
+++ b/model/market/market.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/buyer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
+	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/plan"
 	"github.com/dragonflyroute/dragonflyroute/model/sched"
 	"github.com/dragonflyroute/dragonflyroute/model/store"
@@ -115,12 +116,12 @@
 		Idle:   idleTime,
 		Now:    m.sched.Now,
 		Log:    hclog.NewNullLogger(),
-		Lease: func(key string) *keeper.Keeper {
+		Leases: &leases.Leases{Log: hclog.NewNullLogger(), New: func(key string) *keeper.Keeper {
 			return &keeper.Keeper{Store: m.store, Key: key, Self: id, Incarnation: incarnation, Term: leaseTerm, Now: m.sched.Now, NewID: func() string {
 				n++
 				return fmt.Sprintf("%s/%d/%d", id, incarnation, n)
 			}}
-		},
+		}},
 	}
 	m.sched.Go(string(id), func() {
 		for {
--- a/model/shift/shift.go
+++ b/model/shift/shift.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/edits"
 	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
 	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
+	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/coordination/steer"
@@ -231,13 +232,13 @@
 		Ramp:      ramp.Ramp{Judge: judge.Judge{Alpha: alpha, Margin: margin}, Exposure: exposure},
 		Now:       s.sched.Now,
 		Log:       hclog.NewNullLogger(),
-		Lease: func(key string) *keeper.Keeper {
+		Leases: &leases.Leases{Log: hclog.NewNullLogger(), New: func(key string) *keeper.Keeper {
 			n := 0
 			return &keeper.Keeper{Store: s.store, Key: key, Self: p.id, Incarnation: incarnation, Term: leaseTerm, Now: s.sched.Now, NewID: func() string {
 				n++
 				return fmt.Sprintf("lease/%s/%d", name, n)
 			}}
-		},
+		}},
 	}
 	p.mover = m
 	s.sched.Go(string(p.id), func() {
--- a/test/scene/agree_test.go
+++ b/test/scene/agree_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,6 +41,19 @@
 	})
 })
 
+// leads reports whether the entry host holds the lease of the move of caisse, by its log.
+func leads(e *process) bool {
+	taken, ended := 0, 0
+	for _, line := range strings.Split(e.logged(), "\n") {
+		if !strings.Contains(line, "lease/mover/caisse") {
+			continue
+		}
+		taken += strings.Count(line, "lease taken")
+		ended += strings.Count(line, "lease ended")
+	}
+	return taken > ended
+}
+
 var _ = Describe("a version move", func() {
 	load := func(w *world) {
 		var at []string
@@ -69,19 +83,35 @@
 		}
 	}
 
-	It("of a bad version is taken back although its mover is frozen past its lease", func() {
-		w := newWorld(1, 3)
-		w.fault(w.app("v2"), `{"fail-share":0.6}`)
-		begin(w, patience)
-		var mover *process
+	mover := func(w *world) *process {
+		var found *process
 		Eventually(func() *process {
 			for _, e := range w.entries {
-				if strings.Contains(e.logged(), "move step") {
-					mover = e
+				if leads(e) {
+					found = e
 				}
 			}
-			return mover
+			return found
 		}).ShouldNot(BeNil())
+		return found
+	}
+
+	It("goes on at once under another mover when its own stops gracefully, however long the lease's term", func() {
+		w := newWorld(1, 3, func(w *world) { w.leaseTerm = "10m" })
+		w.app("v2")
+		begin(w, patience)
+		first := mover(w)
+		first.signal(os.Interrupt)
+		w.entries = slices.DeleteFunc(w.entries, func(e *process) bool { return e == first })
+		Expect(mover(w)).NotTo(BeNil())
+		Expect(first.wait()).To(Succeed())
+	})
+
+	It("of a bad version is taken back although its mover is frozen past its lease", func() {
+		w := newWorld(1, 3)
+		w.fault(w.app("v2"), `{"fail-share":0.6}`)
+		begin(w, patience)
+		mover := mover(w)
 		freeze(mover)
 		load(w)
 		for _, e := range w.entries {
--- a/test/scene/world_test.go
+++ b/test/scene/world_test.go
@@ -73,6 +73,8 @@
 	entries  []*process
 	// tokens is the length of a long answer.
 	tokens int
+	// leaseTerm is the term of the entry hosts' leases.
+	leaseTerm string
 }
 
 func freeAddress() string {
@@ -112,8 +114,11 @@
 
 func tail(text string) string { return text[max(0, len(text)-4000):] }
 
-func newWorld(engines, entries int) *world {
-	w := &world{dir: GinkgoT().TempDir(), tokens: 200}
+func newWorld(engines, entries int, changes ...func(w *world)) *world {
+	w := &world{dir: GinkgoT().TempDir(), tokens: 200, leaseTerm: "1s"}
+	for _, change := range changes {
+		change(w)
+	}
 	address := freeAddress()
 	w.platform = start("standin", address, "platform", "--listen", address)
 	Eventually(func() error { return ping(address + "/stats") }).Should(Succeed())
@@ -160,7 +165,7 @@
 		"operator-key": operatorKey, "peer-secret": "scene-peer-secret-1", "log-level": "debug", "trace": map[string]string{},
 		"bounds": map[string]any{"body-bytes": 20000, "connections": 300, "read-timeout": "1s"},
 		"intervals": map[string]string{
-			"heartbeat": "100ms", "host-list": "100ms", "load": "100ms", "table-read": "300ms", "lease-term": "1s", "move-step": "100ms",
+			"heartbeat": "100ms", "host-list": "100ms", "load": "100ms", "table-read": "300ms", "lease-term": w.leaseTerm, "move-step": "100ms",
 			"config-age": "5s", "keep-answer": "500ms", "drain": "6s", "platform-timeout": "1s",
 		},
 	}
--- a/transport/daemon/build.go
+++ b/transport/daemon/build.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
 	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
 	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
+	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
 	"github.com/dragonflyroute/dragonflyroute/coordination/place"
@@ -99,14 +100,14 @@
 		RoundTime: s.Intervals.Heartbeat.Of(),
 		Started:   d.start,
 	}
+	d.leases = &leases.Leases{New: d.lease, Tries: d.tries, Log: d.Log}
 	d.mover = &mover.Mover{
 		Catalogue: d.holder,
 		Scores:    d.score,
 		Edits:     d.edits,
 		Peers:     d.peers,
 		Ramp:      ramp.Ramp{Judge: judge.Judge{Alpha: judgeAlpha, Margin: judgeMargin}, Exposure: exposure},
-		Lease:     d.lease,
-		Tries:     d.tries,
+		Leases:    d.leases,
 		Now:       time.Now,
 		Log:       d.Log,
 	}
@@ -117,8 +118,7 @@
 		Cloud:  d.platform,
 		Demand: d.pool,
 		Plan:   plan.Plan{Busy: busyPart, Spare: spareHosts, MaxStarting: maxStarting},
-		Lease:  d.lease,
-		Tries:  d.tries,
+		Leases: d.leases,
 		Idle:   idleTime,
 		Now:    time.Now,
 		Log:    d.Log,
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/buyer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/edits"
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
+	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
@@ -91,6 +92,7 @@
 	spread      *spread.Spread
 	ledger      *once.Ledger
 	edits       *edits.Edits
+	leases      *leases.Leases
 	mover       *mover.Mover
 	buyer       *buyer.Buyer
 	meter       *meter.Meter
--- a/transport/daemon/drain.go
+++ b/transport/daemon/drain.go
@@ -9,8 +9,9 @@
 
 // drain ends the process's work without losing any of it.
 //
-// Peers and the platform's list are told first; callers with older address answers are served until those run
-// out; then streams are handed to peers, and what is left after the bound is handed over too.
+// Peers and the platform's list are told first, and leases are released so that others take the roles at once;
+// callers with older address answers are served until those run out; then streams are handed to peers, and what is
+// left after the bound is handed over too.
 func (d *Daemon) drain(ctx context.Context) {
 	d.Log.Info("draining", "running", d.runs.Running())
 	ctx, cancel := context.WithTimeout(ctx, d.Settings.Intervals.Drain.Of())
@@ -20,6 +21,7 @@
 	d.heart.mu.Unlock()
 	d.front.Drain()
 	d.join(ctx)
+	d.leases.Close(ctx)
 	d.spread.Round(ctx)
 	wait(ctx, d.Settings.Intervals.KeepAnswer.Of(), func() bool { return false })
 	d.front.Move(false)
