Read engines' cache events, late and with gaps

Cause: an entry host knew an engine's prefix cache only by what it had itself sent there, so one host's prompts missed what the other five had cached, and a cache that turned over was noticed a miss later. Engines hash blocks by tokens, which an entry host does not have; the prefix's hash goes along as cache_salt and comes back as the blocks' extra key. Prompts that share less than 512 bytes no longer share blocks: at most 128 tokens of prefill each. Change: state/cached holds the beliefs (taken out of state/server): told prefixes are sure while events are whole, age from the last whole read after a gap, an engine that starts anew clears them. A resumed short prompt kept no prefix of its own before (the hash covered the tokens so far); it is the prompt's now. bench cost plays lost (1 %) and late events.

--- a/bench/cost.go
+++ b/bench/cost.go
@@ -6,7 +6,9 @@
 
 type costCmd struct {
 	output
-	Runs int `default:"8" help:"Runs of each policy, each of half an hour."`
+	Runs     int  `default:"8" help:"Runs of each policy, each of half an hour."`
+	Prefixes int  `default:"40" help:"Prefixes of prompts; an engine caches 64."`
+	Deaf     bool `help:"Leave the engines' cache events unheard."`
 }
 
 type costFigures struct {
@@ -20,6 +22,7 @@
 	LongInTime      float64 `json:"long-in-time"`
 	SmallInTime     float64 `json:"small-accounts-quick-in-time-under-flood"`
 	Lost            int     `json:"accepted-lost"`
+	PrefixHits      float64 `json:"prefix-hit-share"`
 	Recomputed      int     `json:"tokens-recomputed"`
 	Euros           float64 `json:"euros"`
 	Refunds         float64 `json:"euros-refunded"`
@@ -51,12 +54,13 @@
 func (c *costCmd) measure(user, policy string) costFigures {
 	runs := make([]*serve.Serve, c.Runs)
 	parallel(c.Runs, func(i int) {
-		runs[i] = &serve.Serve{Seed: c.Seed*1_000_003 + uint64(i), User: user, Policy: policy}
+		runs[i] = &serve.Serve{Seed: c.Seed*1_000_003 + uint64(i), User: user, Policy: policy, Prefixes: c.Prefixes, Deaf: c.Deaf}
 		runs[i].Run()
 	})
 	var f costFigures
 	var refused, quick, quickOK, long, longOK, small, smallOK int
 	var price, refunds float64
+	var prefixes, hits int
 	for _, r := range runs {
 		f.Sent += r.Sent
 		f.Lost += r.Lost
@@ -71,7 +75,9 @@
 		small, smallOK = small+r.SmallQuick, smallOK+r.SmallQuickInTime
 		price += r.Price
 		refunds += r.Refunds
+		prefixes, hits = prefixes+r.PrefixSent, hits+r.PrefixHits
 	}
+	f.PrefixHits = float64(hits) / float64(prefixes)
 	f.RefusedShare = float64(refused) / float64(f.Sent)
 	f.RefusedLate /= float64(f.Sent)
 	f.RefusedFlood /= float64(f.Sent)
--- a/coordination/relay/job.go
+++ b/coordination/relay/job.go
@@ -72,7 +72,7 @@
 		Class:        j.entry.Class,
 		PromptTokens: len(text) / bytesPerToken,
 		OutTokens:    j.left(),
-		Prefix:       Prefix(text),
+		Prefix:       Prefix(j.ticket.Prompt),
 		Answer:       j.entry.Limits.Answer.Of() - now.Sub(j.started),
 		Refund:       j.entry.Refund,
 		PriceCeiling: j.entry.PriceCeiling,
--- a/coordination/relay/try.go
+++ b/coordination/relay/try.go
@@ -77,13 +77,13 @@
 		Extra:     j.ticket.Extra,
 	}
 	j.keptBy = ""
-	o.Prefix = Prefix(o.Text)
-	o.PrefixChance = s.PrefixChance(o.Prefix, r.Now())
+	o.Prefix = Prefix(j.ticket.Prompt)
+	o.PrefixChance = s.Cached().Chance(o.Prefix, r.Now())
 	ctx, end := r.Trace(ctx, "endpoint-attempt", o.Attempt, s)
 	defer func() { end(err) }()
 	s.Begin(j.entry.Class, r.Now())
 	defer s.End(j.entry.Class)
-	s.Remember(o.Prefix, r.Now())
+	s.Cached().Remember(o.Prefix, r.Now())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	tokens := make(chan string, tokenQueue)
--- a/model/serve/engine.go
+++ b/model/serve/engine.go
@@ -1,9 +1,11 @@
 package serve
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/change"
 	"github.com/dragonflyroute/dragonflyroute/protocol/class"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
@@ -18,6 +20,8 @@
 	// transferRate is tokens per second at which engines hand their KV cache to each other.
 	transferRate = 20_000.0
 	warmTime     = 30 * time.Second
+	// eventLoss is the part of the cache's events that nobody hears of.
+	eventLoss = 0.01
 )
 
 // engine is a model server: a batch of slots, quick work before long, a small prefix cache.
@@ -37,6 +41,9 @@
 	long    []*job
 	cache   map[uint64]bool
 	recent  []uint64
+	// changes are the cache's events of this boot that are not lost; seq counts all.
+	changes []change.Change
+	seq     uint64
 }
 
 func (e *engine) boot() {
@@ -44,6 +51,7 @@
 	e.since = e.serve.now
 	e.boots++
 	e.cache, e.recent = map[uint64]bool{}, nil
+	e.changes, e.seq = nil, 0
 }
 
 // held returns how long the host was paid for.
@@ -154,7 +162,9 @@
 		e.serve.Recomputed += tokens
 	}
 	j.computed = true
+	e.serve.PrefixSent++
 	if e.cache[j.prefix] {
+		e.serve.PrefixHits++
 		tokens -= j.shared
 	}
 	e.remember(j.prefix)
@@ -171,13 +181,31 @@
 		return
 	}
 	e.cache[prefix] = true
+	e.tell(prefix, true)
 	e.recent = append(e.recent, prefix)
 	if len(e.recent) > cacheSize {
+		e.tell(e.recent[0], false)
 		delete(e.cache, e.recent[0])
 		e.recent = e.recent[1:]
 	}
 }
 
+// tell makes a change of the cache known, or loses it.
+func (e *engine) tell(prefix uint64, stored bool) {
+	e.seq++
+	if e.serve.events.Float64() >= eventLoss {
+		e.changes = append(e.changes, change.Change{Seq: e.seq, Prefix: spread(prefix), Stored: stored})
+	}
+}
+
+// hear gives an entry host the events up to a number, as they were a while ago.
+func (e *engine) hear(known *server.Server, last uint64, now time.Time) {
+	after := known.Cached().Last()
+	from, _ := slices.BinarySearchFunc(e.changes, after+1, func(c change.Change, seq uint64) int { return cmp.Compare(c.Seq, seq) })
+	to, _ := slices.BinarySearchFunc(e.changes, last+1, func(c change.Change, seq uint64) int { return cmp.Compare(c.Seq, seq) })
+	known.Cached().Hear(last, e.changes[min(from, to):to], now)
+}
+
 func (e *engine) remove(j *job) {
 	same := func(o *job) bool { return o == j }
 	e.active = slices.DeleteFunc(e.active, same)
--- a/model/serve/job.go
+++ b/model/serve/job.go
@@ -51,7 +51,7 @@
 		}
 		return
 	}
-	j := &job{serve: s, host: h, account: id, entry: e, sent: s.now, leave: leave, flood: s.flood && id != floodAccount, prefix: uint64(s.rand.IntN(40))}
+	j := &job{serve: s, host: h, account: id, entry: e, sent: s.now, leave: leave, flood: s.flood && id != floodAccount, prefix: uint64(s.rand.IntN(s.Prefixes))}
 	if e.Class == class.Quick {
 		j.prompt, j.shared, j.tokens = 300+s.rand.IntN(900), 250, 20+s.rand.IntN(45)
 	} else {
@@ -61,7 +61,9 @@
 }
 
 // hash spreads the prefixes as the product's own hash does.
-func (j *job) hash() uint64 { return (j.prefix + 1) * 0x9e3779b97f4a7c15 }
+func (j *job) hash() uint64 { return spread(j.prefix) }
+
+func spread(prefix uint64) uint64 { return (prefix + 1) * 0x9e3779b97f4a7c15 }
 
 func (j *job) need() *need.Need {
 	n := &need.Need{
@@ -98,7 +100,7 @@
 	j.host.sent[e]++
 	if j.known = j.host.server(e); j.known != nil {
 		j.known.Begin(j.entry.Class, j.serve.now)
-		j.known.Remember(j.hash(), j.serve.now)
+		j.known.Cached().Remember(j.hash(), j.serve.now)
 	}
 	e.add(j)
 }
--- a/model/serve/serve.go
+++ b/model/serve/serve.go
@@ -90,6 +90,10 @@
 	User string
 	// Policy is how requests are routed.
 	Policy string
+	// Prefixes is the number of prompts' prefixes; an engine caches cacheSize of them.
+	Prefixes int
+	// Deaf keeps entry hosts from hearing of the engines' caches.
+	Deaf bool
 
 	// Sent, Refused and Lost count requests; Lost ones were accepted and never answered.
 	Sent, Refused, Lost int
@@ -107,10 +111,14 @@
 	SmallQuick, SmallQuickInTime int
 	// Recomputed counts tokens that were computed more than once.
 	Recomputed int
+	// PrefixSent counts prompts that engines computed, and PrefixHits those whose prefix was cached.
+	PrefixSent, PrefixHits int
 	// Price and Refunds are micro-euros.
 	Price, Refunds float64
 
-	rand    *rand.Rand
+	rand *rand.Rand
+	// events draws the lost events, apart from rand so that they change nothing else.
+	events  *rand.Rand
 	now     time.Time
 	start   time.Time
 	queue   events
@@ -137,6 +145,7 @@
 // Run plays the fleet.
 func (s *Serve) Run() {
 	s.rand = rand.New(rand.NewPCG(s.Seed, 7))
+	s.events = rand.New(rand.NewPCG(s.Seed, 8))
 	s.start = time.Unix(1_000_000, 0)
 	s.now = s.start
 	s.burst = 1
@@ -215,10 +224,16 @@
 			continue
 		}
 		running, waiting := e.load()
+		boot, last := e.boots, e.seq
 		s.after(reportPeriod, func() {
 			for _, h := range s.hosts {
-				if known := h.server(e); known != nil {
-					known.SetLoad(running, waiting, slots, tokenTime, prefillRate)
+				known := h.server(e)
+				if known == nil {
+					continue
+				}
+				known.SetLoad(running, waiting, slots, tokenTime, prefillRate)
+				if !s.Deaf && boot == e.boots {
+					e.hear(known, last, s.now)
 				}
 			}
 		})
--- a/protocol/order/order.go
+++ b/protocol/order/order.go
@@ -17,7 +17,7 @@
 	Model string
 	// Text is the prompt followed by the tokens generated so far.
 	Text string
-	// Prefix is the hash of Text's leading part.
+	// Prefix is the hash of the prompt's leading part.
 	Prefix uint64
 	// PrefixChance is the probability, before this attempt, that the endpoint caches the prefix.
 	PrefixChance float64
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -30,6 +30,7 @@
 	Slots       int    `default:"8" help:"Size of the batch."`
 	TokenMS     int    `default:"10" help:"Milliseconds between tokens."`
 	PrefillRate int    `default:"20000" help:"Prompt tokens per second."`
+	Prefixes    int    `default:"256" help:"Prefixes that the cache holds."`
 }
 
 // engineFaults are set over HTTP while the engine runs; a bad version is one that has some.
@@ -46,6 +47,10 @@
 	BreakAfter int `json:"break-after-tokens"`
 	// LoadLagMS is the age of the load that the engine reports.
 	LoadLagMS int `json:"load-lag-ms"`
+	// EventLagMS is the age of the cache events that the engine makes known.
+	EventLagMS int `json:"event-lag-ms"`
+	// EventLoss is the part of the cache events that are lost.
+	EventLoss float64 `json:"event-loss"`
 	// RefuseKV keeps the engine from taking another one's KV cache.
 	RefuseKV bool `json:"refuse-kv"`
 }
@@ -56,6 +61,7 @@
 	Prefilled atomic.Int64
 	Late      atomic.Int64
 	Fetched   atomic.Int64
+	Hits      atomic.Int64
 }
 
 type engine struct {
@@ -64,7 +70,7 @@
 	queue  queue
 	faults atomic.Pointer[engineFaults]
 	stats  engineStats
-	cache  sync.Map
+	cache  prefixes
 	kept   sync.Map
 	// reports holds the loads of the lag's time; mu guards it.
 	reports []report
@@ -73,6 +79,7 @@
 type generateRequest struct {
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
+	Salt      string `json:"cache_salt"`
 	Priority  int    `json:"priority"`
 	Transfer  *struct {
 		Engine string `json:"remote_engine_id"`
@@ -83,7 +90,7 @@
 
 // Run serves the engine until ctx ends.
 func (c *engineCmd) Run(ctx context.Context) error {
-	e := &engine{cmd: c, queue: queue{slots: c.Slots}}
+	e := &engine{cmd: c, queue: queue{slots: c.Slots}, cache: prefixes{size: c.Prefixes}}
 	e.queue.init()
 	e.platform = c.Platform
 	e.row = roster.Row{
@@ -100,6 +107,7 @@
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v1/completions", e.complete)
 	m.HandleFunc("GET /metrics", e.metrics)
+	m.HandleFunc("GET /kv-events", e.events)
 	m.HandleFunc("POST /reclaim", e.reclaim)
 	m.HandleFunc("GET /kv/{id}", e.keep)
 	m.HandleFunc("POST /faults", e.setFaults)
@@ -128,6 +136,7 @@
 		"prefilled":            e.stats.Prefilled.Load(),
 		"accepted-while-going": e.stats.Late.Load(),
 		"kv-fetched":           e.stats.Fetched.Load(),
+		"prefix-hits":          e.stats.Hits.Load(),
 		"leaving":              leaving,
 	})
 }
@@ -163,7 +172,7 @@
 	defer e.queue.leave(q.Priority)
 	cached, ok := len(q.Prompt)/4, e.fetch(r.Context(), q)
 	if !ok {
-		cached, ok = e.prefill(r.Context(), q.Prompt)
+		cached, ok = e.prefill(r.Context(), q.Prompt, q.Salt)
 	}
 	if !ok {
 		return
@@ -206,12 +215,11 @@
 }
 
 // prefill computes the prompt and returns how many of its tokens were cached.
-func (e *engine) prefill(ctx context.Context, text string) (cached int, ok bool) {
+func (e *engine) prefill(ctx context.Context, text, salt string) (cached int, ok bool) {
 	tokens := len(text) / 4
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(text[:min(len(text), 512)]))
-	if _, known := e.cache.LoadOrStore(h.Sum64(), true); known {
+	if e.cache.use(salt+text[:min(len(text), 512)], salt, e.faults.Load()) {
 		cached = tokens * 9 / 10
+		e.stats.Hits.Add(1)
 	}
 	tokens -= cached
 	e.stats.Prefilled.Add(int64(tokens))
--- a/state/server/server.go
+++ b/state/server/server.go
@@ -7,12 +7,11 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/class"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/state/cached"
 )
 
 const (
-	prefixSlots   = 256
-	classes       = int(class.Call) + 1
-	prefixHalfAge = 60 * time.Second
+	classes = int(class.Call) + 1
 )
 
 const (
@@ -53,7 +52,7 @@
 	leaving  atomic.Bool
 	leaveAt  atomic.Int64
 	left     chan struct{}
-	prefixes [prefixSlots]struct{ hash, at atomic.Uint64 }
+	cached   cached.Cached
 }
 
 // New returns an endpoint that has not reported yet.
@@ -157,40 +156,8 @@
 	return time.Duration(now.UnixNano() - at)
 }
 
-// Remember records that a prompt with the given prefix hash was sent at now.
-func (s *Server) Remember(hash uint64, now time.Time) {
-	p := &s.prefixes[hash%prefixSlots]
-	p.hash.Store(hash)
-	p.at.Store(uint64(now.UnixNano()))
-}
-
-// Learn takes what an engine said of a prompt whose prefix it was expected to cache with the given probability.
-//
-// A miss where a hit was likely means that the cache turns over faster than assumed, so all that was sent there counts
-// as older.
-func (s *Server) Learn(expected float64, cached bool) {
-	if cached || expected < likely {
-		return
-	}
-	for i := range s.prefixes {
-		if at := s.prefixes[i].at.Load(); at > uint64(prefixHalfAge) {
-			s.prefixes[i].at.Store(at - uint64(prefixHalfAge))
-		}
-	}
-}
-
-// likely is the chance from which a cached prefix is expected.
-const likely = 0.5
-
-// PrefixChance returns the probability, 0 to 1, that the endpoint still caches the prefix.
-func (s *Server) PrefixChance(hash uint64, now time.Time) float64 {
-	p := &s.prefixes[hash%prefixSlots]
-	if p.hash.Load() != hash {
-		return 0
-	}
-	age := time.Duration(now.UnixNano() - int64(p.at.Load()))
-	return float64(prefixHalfAge) / float64(prefixHalfAge+max(age, 0))
-}
+// Cached returns what the process believes of the endpoint's prefix cache.
+func (s *Server) Cached() *cached.Cached { return &s.cached }
 
 // InFlight returns this process's requests on the endpoint.
 func (s *Server) InFlight() int {
--- /dev/null
+++ b/test/scene/prefix_test.go
@@ -0,0 +1,57 @@
+package scene_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// stat returns one of the engine's counts.
+func stat(e *process, name string) float64 {
+	var got map[string]any
+	Expect(json.Unmarshal([]byte(send(http.MethodGet, e.address+"/stats", nil, "").body), &got)).To(Succeed())
+	return got[name].(float64)
+}
+
+var _ = Describe("an engine's cache", func() {
+	const prompts = 8
+	header := map[string]string{"Content-Type": "application/json", "X-Account": "mutuelle"}
+
+	// sent returns the number of cached prefixes met by prompts that one entry host sends after another one sent them.
+	sent := func(faults string, heard bool) float64 {
+		w := newWorld(3, 2)
+		for _, e := range w.engines {
+			w.fault(e, faults)
+		}
+		for i := range prompts {
+			text := fmt.Sprintf("%d ", i) + strings.Repeat("long contract ", 1200)
+			for turn, from := range w.entries {
+				if turn > 0 && heard {
+					Eventually(func() string {
+						return send(http.MethodGet, from.address+"/metrics", nil, "").body
+					}).Should(ContainSubstring(fmt.Sprintf("cache_events %d\n", i+1)))
+				}
+				body := fmt.Sprintf(`{"model":"conseil-quick","prompt":%q,"max_tokens":2}`, text)
+				Eventually(func() int { return send(http.MethodPost, from.address+"/v1/completions", header, body).status }).Should(Equal(http.StatusOK))
+			}
+		}
+		hits := 0.0
+		for _, e := range w.engines {
+			hits += stat(e, "prefix-hits")
+		}
+		GinkgoWriter.Println("hits", hits)
+		return hits
+	}
+
+	It("is known on an entry host that sent nothing there, by events that come late", func() {
+		Expect(sent(`{"event-lag-ms":300}`, true)).To(BeNumerically("==", prompts))
+	})
+
+	It("is guessed when all events are lost, and every answer is given", func() {
+		Expect(sent(`{"event-loss":1}`, false)).To(BeNumerically("<=", prompts))
+	})
+})
--- a/test/style/style.go
+++ b/test/style/style.go
@@ -23,9 +23,11 @@
 // foreign lists the files that speak a published format, whose field names are not ours.
 var foreign = []string{
 	"standin/engine.go",
+	"standin/prefixes.go",
 	"standin/table.go",
 	"transport/caller/stream.go",
 	"transport/engine/engine.go",
+	"transport/engine/events.go",
 	"transport/front/models.go",
 	"transport/plat/plat.go",
 }
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -122,12 +122,24 @@
 			if err := d.engine.Load(ctx, s); err != nil {
 				d.Log.Trace("load not read", "endpoint", s.Row().ID, "error", err)
 			}
+			if err := d.engine.Events(ctx, s); err != nil {
+				d.Log.Trace("cache events not read", "endpoint", s.Row().ID, "error", err)
+			}
 			return nil
 		})
 	}
 	_ = g.Wait()
 }
 
+// cacheEvents returns the number of cache events that the engines known here have made known.
+func (d *Daemon) cacheEvents() uint64 {
+	sum := uint64(0)
+	for _, s := range d.pool.All() {
+		sum += s.Cached().Last()
+	}
+	return sum
+}
+
 func (d *Daemon) reconcile(ctx context.Context) {
 	if err := d.ledger.Reconcile(ctx); err != nil {
 		d.Log.Debug("outcomes wait for the table", "waiting", d.ledger.Pending(), "error", err)
@@ -135,6 +147,7 @@
 	d.meter.Gauge("pending_records", float64(d.ledger.Pending()))
 	d.meter.Gauge("catalogue_revision", float64(d.holder.Revision()))
 	d.meter.Gauge("peer_bytes", float64(d.peers.Bytes()))
+	d.meter.Gauge("cache_events", float64(d.cacheEvents()))
 	d.meter.Gauge("running_requests", float64(d.runs.Running()))
 }
 
--- a/transport/engine/engine.go
+++ b/transport/engine/engine.go
@@ -33,6 +33,8 @@
 	maxEvent = 1 << 20
 	// requestIDHeader carries the request's id.
 	requestIDHeader = "X-Request-Id"
+	// saltField names the salt of a request's blocks in an engine's cache, which its cache events name too.
+	saltField = "cache_salt"
 	// timeoutHeader tells an engine how many milliseconds are left for the answer.
 	timeoutHeader = "X-Request-Timeout-Ms"
 )
@@ -79,7 +81,7 @@
 	if w.StatusCode != http.StatusOK {
 		return fault.New(kind.Unavailable, "", "engine %s answered status %d", s.Row().ID, w.StatusCode)
 	}
-	return readEvents(w, emit, func(cached int) { s.Learn(g.PrefixChance, cached > 0) })
+	return readEvents(w, emit, func(cached int) { s.Cached().Learn(g.PrefixChance, cached > 0) })
 }
 
 func request(ctx context.Context, address string, g order.Order) (*http.Request, error) {
@@ -93,6 +95,9 @@
 	body["stream"] = true
 	body["stream_options"] = map[string]bool{"include_usage": true}
 	body["priority"] = Priority(g.Class)
+	if _, own := body[saltField]; !own {
+		body[saltField] = salt(g.Prefix)
+	}
 	if name, port, err := net.SplitHostPort(g.KeptBy); err == nil {
 		body["kv_transfer_params"] = transfer{Prefill: true, Engine: g.ID, Host: name, Port: port}
 	}
