Let a caller that resumes from its own tokens name the version that generated them

Cause: a caller that went on from its own tokens, without a ticket of the host it had left, could get the rest from another version while a move ran, because nothing said which version its tokens were from. Ruled out: keeping tickets of broken streams (a killed host keeps nothing), refusing to resume during a move. Change: every answer and each of its events carry the version as system_fingerprint; a resume sends it back with partial, and the answer stays with that version while it has endpoints and is not withdrawn, as for a ticket. The product's own caller does so. A fingerprint that is no version's name is refused with the field's name.

--- a/coordination/relay/job.go
+++ b/coordination/relay/job.go
@@ -20,7 +20,7 @@
 	first   time.Time
 	// keptBy is the address of the leaving endpoint that keeps the KV cache of the answer so far.
 	keptBy string
-	emit   func(offset int, token string) error
+	emit   func(offset int, version label.Name, token string) error
 }
 
 func (j *job) snapshot() ticket.Ticket {
@@ -31,11 +31,11 @@
 	return t
 }
 
-func (j *job) add(token string) int {
+func (j *job) add(token string) (offset int, version label.Name) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.ticket.Tokens = append(j.ticket.Tokens, token)
-	return len(j.ticket.Tokens) - 1
+	return len(j.ticket.Tokens) - 1, j.ticket.Version
 }
 
 func (j *job) attempt() int {
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -105,11 +105,11 @@
 	return nil
 }
 
-// Run generates the answer of t from its token offset on and calls emit for each further token.
+// Run generates the answer of t from its token offset on and calls emit for each further token and its version.
 //
 // begin is told how to read the request's ticket at any time. Endpoints that leave, fail or break are replaced;
 // the answer goes on from the tokens already there. An error from emit ends the request and is returned.
-func (r *Relay) Run(ctx context.Context, t ticket.Ticket, e *entry.Entry, begin func(snapshot func() ticket.Ticket), emit func(offset int, token string) error) error {
+func (r *Relay) Run(ctx context.Context, t ticket.Ticket, e *entry.Entry, begin func(snapshot func() ticket.Ticket), emit func(offset int, version label.Name, token string) error) error {
 	j := &job{ticket: t, entry: e, started: r.Now(), emit: emit}
 	j.ticket.Tokens = append([]string(nil), t.Tokens...)
 	begin(j.snapshot)
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/limit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/move"
 	"github.com/dragonflyroute/dragonflyroute/protocol/order"
@@ -161,7 +162,7 @@
 			r, e := newRelay(seed, true)
 			t := ticket.Ticket{ID: "r", Prompt: fmt.Sprint("prompt ", seed), MaxTokens: 1 + int(seed%64)}
 			text, due := strings.Builder{}, 0
-			err := r.Run(context.Background(), t, model, ignore, func(offset int, token string) error {
+			err := r.Run(context.Background(), t, model, ignore, func(offset int, _ label.Name, token string) error {
 				Expect(offset).To(Equal(due))
 				due++
 				text.WriteString(token)
@@ -180,7 +181,7 @@
 		prompt, full := "p", whole("p", 20)
 		t := ticket.Ticket{ID: "r", Prompt: prompt, MaxTokens: 20, Tokens: []string{full[:6], full[6:12]}}
 		text := full[:12]
-		Expect(r.Run(context.Background(), t, model, ignore, func(offset int, token string) error {
+		Expect(r.Run(context.Background(), t, model, ignore, func(offset int, _ label.Name, token string) error {
 			Expect(offset).To(BeNumerically(">=", 2))
 			text += token
 			return nil
@@ -204,7 +205,7 @@
 			h.Offer(&catlog.Catalogue{Revision: 1, Moves: []move.Move{{ID: "m", Entry: "q", From: "v1", To: "v2", State: move.Ramping, Routes: []share.Share{{Name: "q", Share: 0.5}}}}})
 			r.Catalogue = h
 			t := ticket.Ticket{ID: "r", Prompt: "p", MaxTokens: 30}
-			Expect(r.Run(context.Background(), t, model, ignore, func(offset int, _ string) error {
+			Expect(r.Run(context.Background(), t, model, ignore, func(offset int, _ label.Name, _ string) error {
 				if offset == 20 && seed%2 == 0 {
 					moves.Withdraw("m")
 				}
@@ -225,7 +226,7 @@
 	It("ends at once when the caller does, and says so", func() {
 		r, e := newRelay(1, false)
 		gone := fault.New(kind.OutcomeUnknown, "", "gone")
-		err := r.Run(context.Background(), ticket.Ticket{ID: "r", Prompt: "p", MaxTokens: 9}, model, ignore, func(int, string) error { return gone })
+		err := r.Run(context.Background(), ticket.Ticket{ID: "r", Prompt: "p", MaxTokens: 9}, model, ignore, func(int, label.Name, string) error { return gone })
 		Expect(err).To(MatchError(gone))
 		Expect(e.calls).To(Equal(1))
 	})
--- a/coordination/relay/try.go
+++ b/coordination/relay/try.go
@@ -145,7 +145,8 @@
 	if j.first.IsZero() {
 		j.first = r.Now()
 	}
-	if err := j.emit(j.add(token), token); err != nil {
+	offset, version := j.add(token)
+	if err := j.emit(offset, version, token); err != nil {
 		return callerError{err}
 	}
 	return nil
--- a/protocol/prompt/prompt.go
+++ b/protocol/prompt/prompt.go
@@ -21,6 +21,8 @@
 	Stream bool
 	// Partial holds the tokens that the caller already has when it resumes a stream without a known request id.
 	Partial []string
+	// Version is the version that generated Partial, as the answer's system_fingerprint told; empty if not known.
+	Version label.Name
 	// Extra holds further parameters, which engines get as they are.
 	Extra map[string]json.RawMessage
 }
@@ -40,6 +42,7 @@
 		{"max_tokens", &p.MaxTokens},
 		{"stream", &p.Stream},
 		{"partial", &p.Partial},
+		{"system_fingerprint", &p.Version},
 	}
 	for _, f := range fields {
 		raw, ok := p.Extra[f.name]
@@ -62,6 +65,9 @@
 	if p.Prompt == "" {
 		return fault.New(kind.BadRequest, "prompt", "must not be empty")
 	}
+	if p.Version != "" && !p.Version.Valid() {
+		return fault.New(kind.BadRequest, "system_fingerprint", "%q is not the name of a version", p.Version)
+	}
 	if p.MaxTokens < 0 {
 		return fault.New(kind.BadRequest, "max_tokens", "must not be negative")
 	}
--- a/transport/caller/stream.go
+++ b/transport/caller/stream.go
@@ -23,9 +23,11 @@
 	MaxTokens int        `json:"max_tokens"`
 	Stream    bool       `json:"stream"`
 	Partial   []string   `json:"partial,omitempty"`
+	Version   label.Name `json:"system_fingerprint,omitempty"`
 }
 
 type streamChunk struct {
+	Version label.Name `json:"system_fingerprint"`
 	Choices []struct {
 		Text string `json:"text"`
 	} `json:"choices"`
@@ -170,6 +172,7 @@
 	if err := json.Unmarshal([]byte(data), &c); err != nil || len(c.Choices) == 0 {
 		return false, fault.New(kind.Unavailable, "", "token %d is not readable", id)
 	}
+	s.ask.Version = c.Version
 	s.tokens = append(s.tokens, c.Choices[0].Text)
 	s.emit(c.Choices[0].Text)
 	return false, nil
--- a/transport/front/models.go
+++ b/transport/front/models.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/prompt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/transport/spans"
@@ -37,11 +38,13 @@
 }
 
 type completion struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage,omitempty"`
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	Model  string `json:"model"`
+	// Fingerprint is the version that generated the choices; a caller that resumes from its own tokens sends it back.
+	Fingerprint string   `json:"system_fingerprint,omitempty"`
+	Choices     []choice `json:"choices"`
+	Usage       *usage   `json:"usage,omitempty"`
 }
 
 // completions serves a model request, whole or as server-sent events.
@@ -125,7 +128,7 @@
 	if id == "" {
 		id = f.NewID()
 	}
-	t := ticket.Ticket{ID: id, Entry: e.Name, Prompt: p.Prompt, MaxTokens: maxTokens, Tokens: p.Partial, Extra: p.Extra}
+	t := ticket.Ticket{ID: id, Entry: e.Name, Prompt: p.Prompt, MaxTokens: maxTokens, Tokens: p.Partial, Version: p.Version, Extra: p.Extra}
 	last := c.GetHeader(lastEventHeader)
 	if last != "" {
 		return f.resume(c, t, last)
@@ -164,7 +167,9 @@
 	for _, token := range t.Tokens {
 		text.WriteString(token)
 	}
-	to, err := f.run(ctx, t, e, false, func(_ int, token string) error {
+	version := t.Version
+	to, err := f.run(ctx, t, e, false, func(_ int, by label.Name, token string) error {
+		version = by
 		text.WriteString(token)
 		return nil
 	})
@@ -178,11 +183,12 @@
 	}
 	stop := "length"
 	writeJSON(c, completion{
-		ID:      t.ID,
-		Object:  "text_completion",
-		Model:   string(e.Name),
-		Choices: []choice{{Text: text.String(), FinishReason: &stop}},
-		Usage:   &usage{CompletionTokens: t.MaxTokens},
+		ID:          t.ID,
+		Object:      "text_completion",
+		Model:       string(e.Name),
+		Fingerprint: string(version),
+		Choices:     []choice{{Text: text.String(), FinishReason: &stop}},
+		Usage:       &usage{CompletionTokens: t.MaxTokens},
 	})
 	return nil
 }
@@ -201,7 +207,7 @@
 }
 
 // run runs the request here. When this entry host leaves, it hands the request over and returns where to go.
-func (f *Front) run(ctx context.Context, t ticket.Ticket, e *entry.Entry, stream bool, emit func(offset int, token string) error) (*reconnect, error) {
+func (f *Front) run(ctx context.Context, t ticket.Ticket, e *entry.Entry, stream bool, emit func(offset int, version label.Name, token string) error) (*reconnect, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var snapshot func() ticket.Ticket
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 )
 
@@ -35,13 +36,13 @@
 	return nil
 }
 
-func (v *events) token(offset int, token string, last bool) error {
+func (v *events) token(offset int, version label.Name, token string, last bool) error {
 	ch := choice{Text: token}
 	if last {
 		stop := "length"
 		ch.FinishReason = &stop
 	}
-	data, err := json.Marshal(completion{ID: v.id, Object: "text_completion", Model: v.model, Choices: []choice{ch}})
+	data, err := json.Marshal(completion{ID: v.id, Object: "text_completion", Model: v.model, Fingerprint: string(version), Choices: []choice{ch}})
 	if err != nil {
 		return fault.Wrap(kind.Internal, err, "event is not writable")
 	}
@@ -64,12 +65,12 @@
 	w.Header().Set(requestIDHeader, t.ID)
 	v := &events{w: w, control: http.NewResponseController(w), timeout: f.Settings.Bounds.WriteTimeout.Of(), id: t.ID, model: string(e.Name)}
 	for offset := skip; offset < len(t.Tokens); offset++ {
-		if err := v.token(offset, t.Tokens[offset], offset == t.MaxTokens-1); err != nil {
+		if err := v.token(offset, t.Version, t.Tokens[offset], offset == t.MaxTokens-1); err != nil {
 			return err
 		}
 	}
-	to, err := f.run(ctx, t, e, true, func(offset int, token string) error {
-		return v.token(offset, token, offset == t.MaxTokens-1)
+	to, err := f.run(ctx, t, e, true, func(offset int, version label.Name, token string) error {
+		return v.token(offset, version, token, offset == t.MaxTokens-1)
 	})
 	return f.endStream(v, to, err)
 }
