Bound what waits unread in the kernel for each caller

Cause: the new scenario of a caller that does not read failed: the engine generated all 1,024 tokens for it, because the kernel's send buffer of the connection grew and took the whole answer. The time a caller may take to read one event was bounded, the bytes that wait for it were not, so 4,096 slow callers could hold gigabytes of kernel memory. Ruled out: a bound in the entry host alone (the kernel's buffer lies behind it), pacing by acknowledged offsets (callers speak plain server-sent events). Change: bounds.write-buffer-bytes (64 KiB, at least 4 KiB), set on each accepted connection.

--- a/protocol/config/config.go
+++ b/protocol/config/config.go
@@ -29,6 +29,8 @@
 	HeaderBytes int `json:"header-bytes"`
 	// Connections bounds the callers' connections at one time.
 	Connections int `json:"connections"`
+	// WriteBuffer bounds what waits unread in the kernel for each caller, in bytes.
+	WriteBuffer int `json:"write-buffer-bytes"`
 	// ReadTimeout bounds the time to read a request.
 	ReadTimeout period.Period `json:"read-timeout"`
 	// WriteTimeout bounds the time that a caller may take to read one event.
@@ -97,6 +99,8 @@
 
 const (
 	minKeyBytes = 16
+	// minWriteBuffer holds a few events, in bytes.
+	minWriteBuffer = 4 << 10
 	// minLeaseTerm is several times what a holder needs to gather evidence before it acts.
 	minLeaseTerm = time.Second
 )
@@ -111,6 +115,7 @@
 			BodyBytes:    1 << 20,
 			HeaderBytes:  16 << 10,
 			Connections:  4096,
+			WriteBuffer:  64 << 10,
 			ReadTimeout:  period.Period(10 * time.Second),
 			WriteTimeout: period.Period(10 * time.Second),
 			Subset:       32,
@@ -163,6 +168,7 @@
 	require(s.Bounds.BodyBytes > 0, "bounds.body-bytes", "must be above 0")
 	require(s.Bounds.HeaderBytes > 0, "bounds.header-bytes", "must be above 0")
 	require(s.Bounds.Connections > 0, "bounds.connections", "must be above 0")
+	require(s.Bounds.WriteBuffer >= minWriteBuffer, "bounds.write-buffer-bytes", "must be at least %d", minWriteBuffer)
 	require(s.Bounds.Subset > 0, "bounds.subset", "must be above 0")
 	require(s.Intervals.LeaseTerm.Of() >= minLeaseTerm, "intervals.lease-term", "must be at least %s", minLeaseTerm)
 	for name, p := range s.periods() {
--- a/test/scene/callers_test.go
+++ b/test/scene/callers_test.go
@@ -1,16 +1,53 @@
 package scene_test
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
+// smallWindow is the size of a slow caller's receive buffer, in bytes.
+const smallWindow = 1024
+
+// dialSlow connects with a small receive buffer, so that little is on its way unread.
+func dialSlow(address string) net.Conn {
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if e := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallWindow) }); e != nil {
+			return e
+		}
+		return err
+	}}
+	conn, err := dialer.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	return conn
+}
+
+// readTokens returns the tokens of a stream until it ends or breaks.
+func readTokens(conn net.Conn) []string {
+	var tokens []string
+	lines := bufio.NewScanner(conn)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		var chunk struct{ Choices []struct{ Text string } }
+		if ok && json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) == 1 {
+			tokens = append(tokens, chunk.Choices[0].Text)
+		}
+	}
+	return tokens
+}
+
 var _ = Describe("a caller", func() {
+	const maxTokens = 1024
 	headers := func(more ...string) map[string]string {
 		out := map[string]string{"Content-Type": "application/json", "X-Account": string(account)}
 		for i := 0; i < len(more); i += 2 {
@@ -19,6 +56,30 @@
 		return out
 	}
 
+	It("that is too slow to read frees its engine, holds up nobody, and goes on later from what it has", func() {
+		w := newWorld(1, 1, func(w *world) { w.writeTimeout = "1s" })
+		w.tokens = maxTokens
+		conn := dialSlow(w.entries[0].address)
+		body := fmt.Sprintf(`{"model":"contrat-long","prompt":%q,"max_tokens":%d,"stream":true}`, longText, maxTokens)
+		_, err := fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nX-Account: %s\r\nX-Request-Id: slow-1\r\nContent-Length: %d\r\n\r\n%s", account, len(body), body)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int { return w.running(w.entries[0]) }).Should(Equal(1))
+		Eventually(func() int { return w.running(w.entries[0]) }).Should(Equal(0))
+		generated := int(tokens(w.engines[0]))
+		Expect(generated).To(BeNumerically("<", maxTokens))
+		unbroken, _ := w.stream(w.caller(), nothing)
+
+		got := readTokens(conn)
+		Expect(len(got)).To(And(BeNumerically(">", 0), BeNumerically("<=", generated)))
+		Expect(unbroken).To(HavePrefix(strings.Join(got, "")))
+		partial, err := json.Marshal(got)
+		Expect(err).NotTo(HaveOccurred())
+		rest := fmt.Sprintf(`{"model":"contrat-long","prompt":%q,"max_tokens":%d,"partial":%s}`, longText, maxTokens, partial)
+		answer := send(http.MethodPost, w.entries[0].address+"/v1/completions", headers(), rest)
+		Expect(answer.status).To(Equal(http.StatusOK), answer.body)
+		Expect(answer.body).To(ContainSubstring(unbroken))
+	})
+
 	It("that resumes from its own tokens goes on with the version that generated them", func() {
 		w := newWorld(1, 1)
 		w.engine(1, "v2")
--- a/test/scene/world_test.go
+++ b/test/scene/world_test.go
@@ -75,6 +75,8 @@
 	tokens int
 	// leaseTerm is the term of the entry hosts' leases.
 	leaseTerm string
+	// writeTimeout is the time that a caller may take to read one event.
+	writeTimeout string
 }
 
 func freeAddress() string {
@@ -115,7 +117,7 @@
 func tail(text string) string { return text[max(0, len(text)-4000):] }
 
 func newWorld(engines, entries int, changes ...func(w *world)) *world {
-	w := &world{dir: GinkgoT().TempDir(), tokens: 200, leaseTerm: "1s"}
+	w := &world{dir: GinkgoT().TempDir(), tokens: 200, leaseTerm: "1s", writeTimeout: "10s"}
 	for _, change := range changes {
 		change(w)
 	}
@@ -139,12 +141,10 @@
 	return w
 }
 
-func (w *world) engine(i int, version string) *process {
+func (w *world) engine(i int, version string) {
 	address := freeAddress()
-	p := start("standin", address, "engine", "--listen", address, "--platform", "http://"+w.platform.address, "--id", fmt.Sprintf("plume-%s-%d", version, i),
-		"--backend", "plume", "--version", version, "--data-centre", fmt.Sprintf("dc-%d", i), "--token-ms", "5")
-	w.engines = append(w.engines, p)
-	return p
+	w.engines = append(w.engines, start("standin", address, "engine", "--listen", address, "--platform", "http://"+w.platform.address, "--id", fmt.Sprintf("plume-%s-%d", version, i),
+		"--backend", "plume", "--version", version, "--data-centre", fmt.Sprintf("dc-%d", i), "--token-ms", "5"))
 }
 
 func (w *world) app(version string) *process {
@@ -163,7 +163,7 @@
 		"listen":   map[string]string{"callers": address, "peers": freeAddress()},
 		"platform": "http://" + w.platform.address, "entry-hosts": 3,
 		"operator-key": operatorKey, "peer-secret": "scene-peer-secret-1", "log-level": "debug", "trace": map[string]string{},
-		"bounds": map[string]any{"body-bytes": 20000, "connections": 300, "read-timeout": "1s"},
+		"bounds": map[string]any{"body-bytes": 20000, "connections": 300, "read-timeout": "1s", "write-timeout": w.writeTimeout},
 		"intervals": map[string]string{
 			"heartbeat": "100ms", "host-list": "100ms", "load": "100ms", "table-read": "300ms", "lease-term": w.leaseTerm, "move-step": "100ms",
 			"config-age": "5s", "keep-answer": "500ms", "drain": "6s", "platform-timeout": "1s",
--- a/transport/front/door.go
+++ b/transport/front/door.go
@@ -19,11 +19,14 @@
 	doorWait = time.Second
 )
 
-// door bounds the open connections; one too many is told so and closed, instead of left waiting.
+// door bounds the open connections, and what each keeps in the kernel; one too many is told so and closed, instead of
+// left waiting.
 type door struct {
 	net.Listener
-	max  int64
-	open atomic.Int64
+	max int64
+	// buffer bounds what waits unread in the kernel for each caller, in bytes.
+	buffer int
+	open   atomic.Int64
 }
 
 // Accept returns the next connection within the bound.
@@ -33,6 +36,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetWriteBuffer(d.buffer)
+		}
 		if d.open.Add(1) <= d.max {
 			return &counted{Conn: conn, door: d}, nil
 		}
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -149,7 +149,7 @@
 		return s.Shutdown(stop)
 	})
 	g.Go(func() error {
-		err := s.Serve(&door{Listener: l, max: int64(f.Settings.Bounds.Connections)})
+		err := s.Serve(&door{Listener: l, max: int64(f.Settings.Bounds.Connections), buffer: f.Settings.Bounds.WriteBuffer})
 		if err == http.ErrServerClosed {
 			return nil
 		}
