Measure claims under a long lease beside refusing while the table is down

Cause: the rule for calls under an outage was weighed in words and against a twin without claims only. Change: model/calls has a leased twin (claims in the owner's memory while the table is down, written behind, a new owner waits out the term) and long outages; bench once prints both ways; 400 histories are a test.

--- a/bench/once.go
+++ b/bench/once.go
@@ -27,21 +27,27 @@
 
 // Run measures non-idempotent calls over failing histories, beside a twin that retries without claims.
 func (c *onceCmd) Run() error {
-	product, naive := c.measure(false), c.measure(true)
+	product, naive := c.measure(calls.Calls{}), c.measure(calls.Calls{Naive: true})
 	return c.print(map[string]any{
-		"product":              product,
-		"naive":                naive,
-		"added-latency-p99-ms": product.LatencyP99 - naive.LatencyP99,
+		"product":                 product,
+		"naive":                   naive,
+		"product-in-long-outages": c.measure(calls.Calls{Outage: longOutage}),
+		"leased-in-long-outages":  c.measure(calls.Calls{Outage: longOutage, Leased: true}),
+		"added-latency-p99-ms":    product.LatencyP99 - naive.LatencyP99,
 	})
 }
 
-func (c *onceCmd) measure(naive bool) onceFigures {
+// longOutage bounds an outage that outlasts callers' retries.
+const longOutage = time.Second
+
+// measure plays the histories of a policy, with its failures and without any.
+func (c *onceCmd) measure(policy calls.Calls) onceFigures {
 	failing, calm := make([]*calls.Calls, c.Histories), make([]*calls.Calls, c.Histories)
 	parallel(c.Histories, func(i int) {
 		seed := c.Seed*1_000_003 + uint64(i)
-		failing[i] = &calls.Calls{Seed: seed, Naive: naive}
+		failing[i] = &calls.Calls{Seed: seed, Naive: policy.Naive, Leased: policy.Leased, Outage: policy.Outage}
 		failing[i].Run()
-		calm[i] = &calls.Calls{Seed: seed, Naive: naive, Calm: true}
+		calm[i] = &calls.Calls{Seed: seed, Naive: policy.Naive, Leased: policy.Leased, Calm: true}
 		calm[i].Run()
 	})
 	f := onceFigures{Histories: c.Histories}
--- a/model/calls/calls.go
+++ b/model/calls/calls.go
@@ -20,6 +20,7 @@
 	entryHosts   = 3
 	keys         = 6
 	tries        = 5
+	longTries    = 100
 	storeLatency = 4 * time.Millisecond
 	callLatency  = 6 * time.Millisecond
 	callerWait   = 60 * time.Millisecond
@@ -35,6 +36,10 @@
 	Seed uint64
 	// Naive retries without claims.
 	Naive bool
+	// Leased claims in memory under a long lease of each key's owner while the table is down.
+	Leased bool
+	// Outage bounds long outages of the table, beside the other failures; zero means none.
+	Outage time.Duration
 	// Calm leaves out every failure.
 	Calm bool
 
@@ -63,8 +68,10 @@
 	runs   map[string]int
 	denied map[string]bool
 	cut    bool
-	ended  int
-	over   bool
+	// longOut tells that a long outage runs.
+	longOut bool
+	ended   int
+	over    bool
 }
 
 // process is one entry host over its incarnations.
@@ -72,6 +79,7 @@
 	id          host.ID
 	incarnation int64
 	ledger      *once.Ledger
+	owned       *owned
 }
 
 // Run plays the history.
@@ -85,6 +93,9 @@
 		c.store.LoseAfter = 0.2 * c.sched.Rand.Float64()
 		c.store.Delay = 0.1 * c.sched.Rand.Float64()
 		c.sched.Go("nemesis", c.nemesis)
+		if c.Outage > 0 {
+			c.sched.Go("nemesis", c.outages)
+		}
 	}
 	for i := range entryHosts {
 		p := &process{id: host.ID(fmt.Sprintf("entry-%d", i))}
@@ -143,6 +154,7 @@
 func (c *Calls) start(p *process) {
 	p.incarnation++
 	n := 0
+	var behind func(ctx context.Context)
 	p.ledger = &once.Ledger{
 		Store:       c.store,
 		Self:        p.id,
@@ -153,10 +165,17 @@
 		},
 		Dead: c.dead,
 	}
+	if c.Leased {
+		p.owned = newOwned(c, p.owned)
+		p.ledger.Store, behind = p.owned, p.owned.behind
+	}
 	ledger := p.ledger
 	c.sched.Go(string(p.id), func() {
 		for !c.over {
 			c.sched.Jitter(callerWait)
+			if behind != nil {
+				behind(context.Background())
+			}
 			_ = ledger.Reconcile(context.Background())
 		}
 	})
@@ -171,10 +190,20 @@
 	return false
 }
 
+// outages takes the table out of service for long until the callers have ended.
+func (c *Calls) outages() {
+	for c.ended < keys {
+		c.sched.Jitter(c.Outage)
+		c.longOut, c.store.Down = true, true
+		c.sched.Jitter(c.Outage)
+		c.longOut, c.store.Down = false, false
+	}
+}
+
 // nemesis kills, pauses and cuts until the callers have ended.
 func (c *Calls) nemesis() {
 	for c.ended < keys {
-		c.sched.Jitter(2 * callerWait)
+		c.sched.Jitter(2 * max(callerWait, c.Outage))
 		p := c.hosts[c.sched.Rand.IntN(entryHosts)]
 		switch c.sched.Rand.IntN(5) {
 		case 0:
@@ -185,7 +214,7 @@
 		case 2:
 			c.store.Down = true
 			c.sched.Jitter(callerWait)
-			c.store.Down = false
+			c.store.Down = c.longOut
 		case 3:
 			c.cut = true
 			c.sched.Jitter(callerWait)
@@ -201,11 +230,22 @@
 	done   bool
 }
 
+// tries bounds a caller's tries; with long outages they outlast these.
+func (c *Calls) tries() int {
+	if c.Outage > 0 {
+		return longTries
+	}
+	return tries
+}
+
 // caller tries a key on random entry hosts, without waiting for the answer of an earlier try for ever.
 func (c *Calls) caller(key string) {
 	defer func() { c.ended++ }()
-	for try := range tries {
+	for try := range c.tries() {
 		p := c.hosts[c.sched.Rand.IntN(entryHosts)]
+		if c.Leased {
+			p = c.owner(key)
+		}
 		out := &outcome{}
 		started := c.sched.Now()
 		ledger := p.ledger
--- a/model/calls/calls_test.go
+++ b/model/calls/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,7 +15,10 @@
 	RunSpecs(t, "calls")
 }
 
-const histories = 2000
+const (
+	histories       = 2000
+	leasedHistories = 400
+)
 
 func play(naive bool) (total calls.Calls) {
 	for seed := range uint64(histories) {
@@ -44,6 +48,19 @@
 		Expect(play(true).DoubleRuns).To(BeNumerically(">", 0))
 	})
 
+	It("run twice under a long lease when an owner dies while the table is down, so that refusing is the rule", func() {
+		doubles := 0
+		for seed := range uint64(leasedHistories) {
+			c := &calls.Calls{Seed: seed, Leased: true, Outage: time.Second}
+			c.Run()
+			doubles += c.DoubleRuns
+			c = &calls.Calls{Seed: seed, Outage: time.Second}
+			c.Run()
+			Expect(c.DoubleRuns+c.FalseNotRun).To(BeZero(), "seed %d", seed)
+		}
+		Expect(doubles).To(BeNumerically(">", 0))
+	})
+
 	It("all get their answer when nothing fails", func() {
 		c := &calls.Calls{Seed: 1, Calm: true}
 		c.Run()
