Weigh entry hosts in address answers by their load

Ruled out: naming the host of least load (an account's limits and prefixes would scatter), weights that every process works out for its peers (answers would differ between hosts). Change: coordination/weight: each host turns its own weight down while its smoothed load is above the mean, slower than callers keep answers, and tells it in its heartbeat; coordination/place multiplies the hash's weight by it. A host of less weight loses accounts only, no other pair changes (test in coordination/place).

--- /dev/null
+++ b/bench/homes.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"slices"
+
+	"github.com/dragonflyroute/dragonflyroute/model/homes"
+)
+
+type homesCmd struct {
+	output
+	Runs int `default:"20" help:"Runs of an hour each."`
+}
+
+type homesFigures struct {
+	Median float64 `json:"largest-over-mean-p50"`
+	P95    float64 `json:"largest-over-mean-p95"`
+	Turns  float64 `json:"changed-answers-share"`
+}
+
+// Run measures how evenly address answers use the entry hosts, beside a twin that does not look at load.
+func (c *homesCmd) Run() error {
+	return c.print(map[string]homesFigures{"product": c.measure(false), "even-weights": c.measure(true)})
+}
+
+func (c *homesCmd) measure(even bool) homesFigures {
+	runs := make([]*homes.Homes, c.Runs)
+	parallel(c.Runs, func(i int) {
+		runs[i] = &homes.Homes{Seed: c.Seed*1_000_003 + uint64(i), Even: even}
+		runs[i].Run()
+	})
+	var ratios []float64
+	turns, asks := 0, 0
+	for _, r := range runs {
+		ratios = append(ratios, r.Ratios...)
+		turns, asks = turns+r.Turns, asks+r.Asks
+	}
+	slices.Sort(ratios)
+	return homesFigures{Median: ratios[len(ratios)/2], P95: ratios[len(ratios)*95/100], Turns: float64(turns) / float64(asks)}
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -19,6 +19,7 @@
 		Moves   movesCmd   `cmd:"" help:"Version moves of every kind."`
 		Roles   rolesCmd   `cmd:"" help:"One step of mover and buyer at several sizes."`
 		Hosts   hostsCmd   `cmd:"" help:"Buying hosts over reclaim waves and refused starts."`
+		Homes   homesCmd   `cmd:"" help:"Load of entry hosts under address answers."`
 		Hop     hopCmd     `cmd:"" help:"What an entry host adds to a request (test/hop.sh starts what it needs)."`
 		Control controlCmd `cmd:"" help:"Control cost of running entry hosts (test/control.sh starts them)."`
 		Load    loadCmd    `cmd:"" help:"Sends requests to running entry hosts."`
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -19,7 +19,7 @@
 	scalePerHost = 2.0
 )
 
-// Place orders entry hosts by rendezvous hash of account and host.
+// Place orders entry hosts by rendezvous hash of account and host, with the weights that the hosts tell.
 //
 // An account has few homes, one unless it is large, so that its limits and its prompts' prefixes live in few places.
 type Place struct {
@@ -63,5 +63,12 @@
 func weight(account acct.ID, h pulse.Pulse) float64 {
 	x := xxhash.Sum64String(string(account) + "\x00" + string(h.Host))
 	uniform := (float64(x>>11) + 0.5) / (1 << 53)
-	return -1 / math.Log(uniform)
+	return -part(h) / math.Log(uniform)
+}
+
+func part(h pulse.Pulse) float64 {
+	if h.Weight <= 0 {
+		return 1
+	}
+	return h.Weight
 }
--- a/coordination/place/place_test.go
+++ b/coordination/place/place_test.go
@@ -47,6 +47,26 @@
 		Expect(moved).To(BeNumerically("<", 200/7*2))
 	})
 
+	It("takes accounts from a host of less weight, and moves no others", func() {
+		seven := hosts("live", "live", "live", "live", "live", "live", "live")
+		before, after := map[string]int{}, map[string]int{}
+		answers := func(count map[string]int) (out []string) {
+			for i := range 700 {
+				at := p.Answer(acct.ID(fmt.Sprint(i)), 1, seven)[0]
+				count[at]++
+				out = append(out, at)
+			}
+			return out
+		}
+		old := answers(before)
+		seven[3].Weight = 0.25
+		for i, at := range answers(after) {
+			Expect(at == old[i] || old[i] == seven[3].Callers).To(BeTrue())
+		}
+		Expect(after[seven[3].Callers]).To(BeNumerically("<", before[seven[3].Callers]/2))
+		Expect(after[seven[3].Callers]).To(BeNumerically(">", 0))
+	})
+
 	It("spreads a large account over its homes", func() {
 		seven := hosts("live", "live", "live", "live", "live", "live", "live")
 		first := map[string]int{}
--- a/protocol/pulse/pulse.go
+++ b/protocol/pulse/pulse.go
@@ -38,6 +38,10 @@
 	ConfirmedMillis int64 `json:"confirmed-ms"`
 	// Running is the number of requests the sender has running.
 	Running int `json:"running"`
+	// Load is the number of callers' requests in progress, model requests and calls.
+	Load int `json:"load"`
+	// Weight is the sender's part in address answers, at most 1; nought means that it does not say.
+	Weight float64 `json:"weight"`
 	// Withdrawn lists the moves that the sender knows to be withdrawn.
 	Withdrawn []string `json:"withdrawn,omitempty"`
 	// Sent counts requests in flight from the sender by endpoint.
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
+	"github.com/dragonflyroute/dragonflyroute/coordination/weight"
 	"github.com/dragonflyroute/dragonflyroute/protocol/config"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -98,6 +99,7 @@
 	meter       *meter.Meter
 	spans       *spans.Spans
 	heart       heart
+	weight      weight.Weight
 	// loadTurn is the endpoint whose load is read next; only readLoads uses it.
 	loadTurn int
 	asked    askedFor
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	seq     int64
 	leaving bool
+	weight  float64
 }
 
 // every returns a part that calls do at once and then with the given period until its context ends.
@@ -48,7 +49,7 @@
 func (d *Daemon) pulse() pulse.Pulse {
 	d.heart.mu.Lock()
 	d.heart.seq++
-	seq, leaving := d.heart.seq, d.heart.leaving
+	seq, leaving, weight := d.heart.seq, d.heart.leaving, d.heart.weight
 	d.heart.mu.Unlock()
 	state := pulse.Live
 	switch {
@@ -68,6 +69,8 @@
 		Revision:        d.holder.Revision(),
 		ConfirmedMillis: d.holder.Age(time.Now()).Milliseconds(),
 		Running:         d.runs.Running(),
+		Load:            d.front.Waiting(),
+		Weight:          weight,
 		Withdrawn:       d.score.AllWithdrawn(),
 	}
 }
@@ -167,10 +170,20 @@
 	}
 }
 
+// weigh decides the process's weight in address answers, once for each round.
+func (d *Daemon) weigh() {
+	next := d.weight.Next(d.front.Waiting(), d.fleet.Alive(time.Now()), time.Now())
+	d.meter.Gauge("address_weight", next)
+	d.heart.mu.Lock()
+	defer d.heart.mu.Unlock()
+	d.heart.weight = next
+}
+
 // rounds exchanges heartbeats.
 func (d *Daemon) rounds(ctx context.Context) error {
 	for {
 		timer := time.NewTimer(d.spread.RoundWait(d.Settings.Intervals.Heartbeat.Of()))
+		d.weigh()
 		d.spread.Round(ctx)
 		select {
 		case <-ctx.Done():
