Order engines to a move's version as its share grows

Cause: a move presumed that somebody had started engines of the new version; operators have only the catalogue and moves, and engines take orders. A move to a version without engines met no endpoint and was taken back. Ruled out: the mover as the one who orders (its lease is for one entry, engines serve several), a second set of bought hosts for each move (twice the price while it runs), engines ordered all at once at the end (no version is warm meanwhile). Change: entries say engine-orders none, fenced or unfenced; coordination/assign decides engines' versions (twice the share, one at first, at most 70 % before the end, few loading at a time, never the last live one of a version with traffic); coordination/orders sends them under a lease of each data centre, absolute, fenced, again until carried out, and to engines that ignore numbers only after the orders of the holder before can't be on their way; the mover holds the share to what the new version's live engines can carry. The stand-in engine takes SGLang's update_weights_from_disk, drains, loads, comes back. Found on the way, each with its test: rounding held the share at 0.715 for good (four engines, two entries); one engine for two versions was ordered away from the one with traffic; rapid's seeds in state/cached were not fixed. Conclusion: kept, off unless the catalogue says so; adapters, roles and a frozen holder before real engines are open.

--- a/bench/roles.go
+++ b/bench/roles.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dragonflyroute/dragonflyroute/coordination/assign"
 	"github.com/dragonflyroute/dragonflyroute/coordination/buyer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
 	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
@@ -17,10 +18,14 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/guard"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/move"
 	"github.com/dragonflyroute/dragonflyroute/protocol/offer"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/table"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 	"github.com/dragonflyroute/dragonflyroute/protocol/wish"
@@ -37,7 +42,8 @@
 	Kilobytes float64 `json:"kilobytes-allocated-per-step"`
 }
 
-// Run measures one step of the mover by entry hosts, and one of the buyer by data centres, without the network.
+// Run measures one step of the mover by entry hosts, and one of the buyer by data centres,
+// and one of the orders by engines, without the network.
 func (c *rolesCmd) Run() error {
 	figures := map[string]any{}
 	var moverLine, buyerLine line
@@ -51,6 +57,13 @@
 		figures[fmt.Sprintf("buyer-%d-data-centres", n)] = f
 		buyerLine.add(float64(n), f.Micros)
 	}
+	var ordersLine line
+	for _, n := range []int{10, 100, 1000, 5500} {
+		f := measureStep(newOrders(n))
+		figures[fmt.Sprintf("orders-%d-engines", n)] = f
+		ordersLine.add(float64(n), f.Micros)
+	}
+	figures["orders-us-by-engines"] = ordersLine.fit()
 	figures["mover-us-by-hosts"] = moverLine.fit()
 	figures["buyer-us-by-data-centres"] = buyerLine.fit()
 	return c.print(figures)
@@ -138,6 +151,20 @@
 	return m.Step
 }
 
+// newOrders works out the duties of engines in the middle of a move, and sends none.
+func newOrders(engines int) func(ctx context.Context) {
+	c := &catlog.Catalogue{
+		Entries: []entry.Entry{{Name: "e", Backend: "b", Version: "v1", EngineOrders: guard.Fenced}},
+		Moves:   []move.Move{{ID: "m", Entry: "e", From: "v1", To: "v2", State: move.Ramping, Share: 0.2}},
+	}
+	var rows []roster.Row
+	for i := range engines {
+		rows = append(rows, roster.Row{ID: endpt.ID(fmt.Sprint("e", i)), Backend: "b", Version: "v1", State: roster.Live, DataCentre: centre.ID(fmt.Sprint("dc-", i%7))})
+	}
+	a := assign.Assign{MaxLoading: 4}
+	return func(context.Context) { a.Duties(c, rows) }
+}
+
 // stall offers hosts for a few back ends in a number of data centres.
 type stall int
 
--- a/coordination/mover/mover.go
+++ b/coordination/mover/mover.go
@@ -13,7 +13,9 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/alarm"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/move"
+	"github.com/dragonflyroute/dragonflyroute/protocol/share"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 )
 
@@ -62,6 +64,8 @@
 	Ramp ramp.Ramp
 	// Leases keeps a lease for each entry that moves.
 	Leases leases
+	// Room returns the part of an entry's traffic that the endpoints of a version can carry; nil means all.
+	Room func(entry, version label.Name) float64
 	// Now returns the time.
 	Now func() time.Time
 	// Log takes one line for each step.
@@ -157,7 +161,26 @@
 	if raised != "" {
 		return ramp.TakenBack(mv, "route "+raised+" turned bad on the new version")
 	}
-	return m.Ramp.Next(mv, total, stages, m.Now())
+	return m.fit(mv, m.Ramp.Next(mv, total, stages, m.Now()))
+}
+
+// fit holds the next share back to what the new version's endpoints can carry, but not below the present one.
+func (m *Mover) fit(mv, next move.Move) move.Move {
+	if m.Room == nil || next.State != move.Ramping || next.Share <= mv.Share {
+		return next
+	}
+	room := m.Room(mv.Entry, mv.To)
+	if room >= next.Share {
+		return next
+	}
+	part := room / next.Share
+	var routes []share.Share
+	for _, r := range next.Routes {
+		routes = append(routes, share.Share{Name: r.Name, Share: max(mv.ShareOf(r.Name), part*r.Share)})
+	}
+	next.Routes = routes
+	next.Share = max(mv.Share, room)
+	return next
 }
 
 // commit writes the step under the lease's fencing number; the lease is checked again before the write.
--- a/protocol/catlog/catlog_test.go
+++ b/protocol/catlog/catlog_test.go
@@ -53,6 +53,11 @@
 		Entry("answer below first token", `"answer":"4s"`, `"answer":"1s"`, "entries[0].limits.answer"),
 		Entry("no rate", `"rate-per-second":5`, `"rate-per-second":0`, "entries[0].limits.rate-per-second"),
 		Entry("service without routes", `"class":"quick"`, `"class":"call"`, "entries[0].limits.max-tokens"),
+		Entry("orders unknown", `"class":"quick"`, `"class":"quick","engine-orders":"perhaps"`, "engine-orders"),
+		Entry("orders to servers of a service", `"class":"quick","version":"v1",`, `"class":"call","version":"v1","engine-orders":"fenced","routes":[{"name":"r","method":"GET","path":"/r","idempotent":true}],`, "entries[0].limits.max-tokens"),
+		Entry("entries that differ on orders", `}]}`, `},{"name":"l","owner":"kerlann","backend":"plume","class":"quick","version":"v1","engine-orders":"fenced",
+"limits":{"first-token":"1.2s","between-tokens":"42ms","answer":"4s","max-tokens":64,"rate-per-second":5,"burst":5,"concurrent":5},
+"price-ceiling-micros-per-hour":1,"refund-micros":0}]}`, "entries[1].engine-orders"),
 		Entry("wrong type", `"burst":5`, `"burst":"five"`, "entries.limits.burst"),
 	)
 
--- a/protocol/catlog/check.go
+++ b/protocol/catlog/check.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/class"
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/guard"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 )
@@ -33,7 +34,7 @@
 func (c *Catalogue) Check() []error {
 	k := &checker{}
 	known := c.checkAccounts(k)
-	seen := map[label.Name]bool{}
+	seen, guards := map[label.Name]bool{}, map[label.Name]guard.Guard{}
 	for i := range c.Entries {
 		path := fmt.Sprintf("entries[%d]", i)
 		e := &c.Entries[i]
@@ -41,6 +42,10 @@
 		seen[e.Name] = true
 		k.require(known[e.Owner], path+".owner", "no account %q", e.Owner)
 		checkEntry(k, path, e)
+		if g, known := guards[e.Backend]; known {
+			k.require(g == e.EngineOrders, path+".engine-orders", "another entry of back end %q says %q", e.Backend, g)
+		}
+		guards[e.Backend] = e.EngineOrders
 	}
 	for i := range c.Moves {
 		k.require(seen[c.Moves[i].Entry], fmt.Sprintf("moves[%d].entry", i), "no entry %q", c.Moves[i].Entry)
@@ -68,6 +73,7 @@
 	k.require(e.Refund >= 0, path+".refund-micros", "must not be negative")
 	checkLimits(k, path+".limits", e)
 	if e.Class == class.Call {
+		k.require(e.EngineOrders == guard.None, path+".engine-orders", "the servers of a service take no orders")
 		checkRoutes(k, path, e)
 		return
 	}
--- a/protocol/entry/entry.go
+++ b/protocol/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/class"
+	"github.com/dragonflyroute/dragonflyroute/protocol/guard"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/limit"
 )
@@ -37,6 +38,8 @@
 	PriceCeiling int64 `json:"price-ceiling-micros-per-hour"`
 	// Refund is paid for a late answer, in micro-euros.
 	Refund int64 `json:"refund-micros"`
+	// EngineOrders tells whether the back end's engines take orders to load versions, and whether they check who orders.
+	EngineOrders guard.Guard `json:"engine-orders,omitempty"`
 	// Routes lists the calls of a service entry.
 	Routes []route `json:"routes,omitempty"`
 }
--- a/protocol/roster/roster.go
+++ b/protocol/roster/roster.go
@@ -35,6 +35,8 @@
 	Reclaimable bool `json:"reclaimable"`
 	// NoticeMillis is the time left to a leaving host when the list was made.
 	NoticeMillis int64 `json:"notice-ms,omitempty"`
+	// Loading is the version that an engine loads in place of Version, empty for none.
+	Loading label.Name `json:"loading,omitempty"`
 	// Peers is the address for entry hosts' own protocol, empty for endpoints.
 	Peers string `json:"peers,omitempty"`
 }
--- /dev/null
+++ b/standin/assign.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+)
+
+// weights is an order to serve other weights, in the form that SGLang publishes.
+type weights struct {
+	ModelPath string `json:"model_path"`
+}
+
+// assign takes an order to serve a version: the engine takes no new work, ends what runs while it loads, and comes back.
+func (e *engine) assign(w http.ResponseWriter, r *http.Request) {
+	var order weights
+	fence, err := strconv.ParseInt(r.Header.Get("X-Fencing-Number"), 10, 64)
+	if err != nil || read(r, &order) != nil {
+		http.Error(w, "bad order", http.StatusBadRequest)
+		return
+	}
+	version := label.Name(order.ModelPath)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if fence < e.fence && !e.faults.Load().IgnoreFence {
+		e.stats.Refused.Add(1)
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	e.fence = max(e.fence, fence)
+	switch {
+	case e.row.Loading == version, e.row.Loading == "" && e.row.Version == version:
+	case e.row.State != roster.Live:
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	default:
+		e.stats.Loads.Add(1)
+		e.reload(version)
+	}
+	reply(w, order)
+}
+
+// reload starts to load a version; e.mu is held.
+func (e *engine) reload(version label.Name) {
+	d := time.Duration(e.cmd.LoadMS) * time.Millisecond
+	e.row.State = roster.Leaving
+	e.row.Loading = version
+	e.leaveAt = time.Now().Add(d)
+	time.AfterFunc(d, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.reclaimed {
+			return
+		}
+		e.row.State = roster.Live
+		e.row.Version = version
+		e.row.Loading = ""
+		e.cache.clear(e.faults.Load())
+	})
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -30,6 +30,7 @@
 	Slots       int    `default:"8" help:"Size of the batch."`
 	TokenMS     int    `default:"10" help:"Milliseconds between tokens."`
 	PrefillRate int    `default:"20000" help:"Prompt tokens per second."`
+	LoadMS      int    `default:"2000" help:"Milliseconds to load another version."`
 	Prefixes    int    `default:"256" help:"Prefixes that the cache holds."`
 }
 
@@ -51,6 +52,8 @@
 	EventLagMS int `json:"event-lag-ms"`
 	// EventLoss is the part of the cache events that are lost.
 	EventLoss float64 `json:"event-loss"`
+	// IgnoreFence makes the engine take orders with old fencing numbers.
+	IgnoreFence bool `json:"ignore-fence"`
 	// RefuseKV keeps the engine from taking another one's KV cache.
 	RefuseKV bool `json:"refuse-kv"`
 }
@@ -62,6 +65,8 @@
 	Late      atomic.Int64
 	Fetched   atomic.Int64
 	Hits      atomic.Int64
+	Loads     atomic.Int64
+	Refused   atomic.Int64
 }
 
 type engine struct {
@@ -72,6 +77,8 @@
 	stats  engineStats
 	cache  prefixes
 	kept   sync.Map
+	// fence is the highest fencing number of an order; mu guards it.
+	fence int64
 	// reports holds the loads of the lag's time; mu guards it.
 	reports []report
 }
@@ -108,6 +115,7 @@
 	m.HandleFunc("POST /v1/completions", e.complete)
 	m.HandleFunc("GET /metrics", e.metrics)
 	m.HandleFunc("GET /kv-events", e.events)
+	m.HandleFunc("POST /update_weights_from_disk", e.assign)
 	m.HandleFunc("POST /reclaim", e.reclaim)
 	m.HandleFunc("GET /kv/{id}", e.keep)
 	m.HandleFunc("POST /faults", e.setFaults)
@@ -137,6 +145,8 @@
 		"accepted-while-going": e.stats.Late.Load(),
 		"kv-fetched":           e.stats.Fetched.Load(),
 		"prefix-hits":          e.stats.Hits.Load(),
+		"loads":                e.stats.Loads.Load(),
+		"orders-refused":       e.stats.Refused.Load(),
 		"leaving":              leaving,
 	})
 }
--- a/standin/prefixes.go
+++ b/standin/prefixes.go
@@ -15,6 +15,7 @@
 
 	storedEvent  = "BlockStored"
 	removedEvent = "BlockRemoved"
+	clearedEvent = "AllBlocksCleared"
 )
 
 // cacheEvent is one event of the prefix cache, with the names and fields that vLLM publishes.
@@ -56,6 +57,14 @@
 	return false
 }
 
+// clear drops all prefixes.
+func (p *prefixes) clear(f *engineFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recent = nil
+	p.tell(clearedEvent, "", f)
+}
+
 func (p *prefixes) tell(kind, salt string, f *engineFaults) {
 	p.seq++
 	if rand.Float64() < f.EventLoss {
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -56,6 +56,8 @@
 	mu       sync.Mutex
 	row      roster.Row
 	leaveAt  time.Time
+	// reclaimed tells that the host is taken back after leaveAt.
+	reclaimed bool
 }
 
 // join keeps the endpoint on the platform's list until ctx ends.
@@ -105,7 +107,9 @@
 	}
 	notice := time.Duration(order.NoticeMillis) * time.Millisecond
 	e.mu.Lock()
+	e.reclaimed = true
 	e.row.State = roster.Leaving
+	e.row.Loading = ""
 	e.leaveAt = time.Now().Add(notice)
 	e.mu.Unlock()
 	time.AfterFunc(notice, func() { os.Exit(0) })
--- a/state/cached/cached_test.go
+++ b/state/cached/cached_test.go
@@ -1,6 +1,9 @@
 package cached_test
 
 import (
+	"cmp"
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -13,6 +16,7 @@
 )
 
 func TestCached(t *testing.T) {
+	NewWithT(t).Expect(flag.Set("rapid.seed", cmp.Or(os.Getenv("DRAGONFLYROUTE_SEED"), "1"))).To(Succeed())
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "cached")
 }
--- a/test/scene/world_test.go
+++ b/test/scene/world_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -274,6 +275,22 @@
 	return text, connections
 }
 
+// loadEntry sends requests for an entry in the background until the test ends.
+func (w *world) loadEntry(entry string, rate int, more ...string) {
+	var at []string
+	for _, e := range w.entries {
+		at = append(at, e.address)
+	}
+	args := []string{"load", "--at", strings.Join(at, ","), "--account", string(account), "--entry", entry, "--rate", fmt.Sprint(rate), "--for", patience.String(), "--json"}
+	cmd := exec.Command(filepath.Join(programs, "bench"), append(args, more...)...)
+	cmd.Stdout, cmd.Stderr = GinkgoWriter, GinkgoWriter
+	Expect(cmd.Start()).To(Succeed())
+	DeferCleanup(func() {
+		_ = cmd.Process.Signal(os.Interrupt)
+		_ = cmd.Wait()
+	})
+}
+
 func freeze(p *process) { p.signal(syscall.SIGSTOP) }
 
 func letGo(p *process) { p.signal(syscall.SIGCONT) }
--- a/test/style/style.go
+++ b/test/style/style.go
@@ -22,10 +22,12 @@
 
 // foreign lists the files that speak a published format, whose field names are not ours.
 var foreign = []string{
+	"standin/assign.go",
 	"standin/engine.go",
 	"standin/prefixes.go",
 	"standin/table.go",
 	"transport/caller/stream.go",
+	"transport/engine/assign.go",
 	"transport/engine/engine.go",
 	"transport/engine/events.go",
 	"transport/front/models.go",
--- a/transport/daemon/build.go
+++ b/transport/daemon/build.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/dragonflyroute/dragonflyroute/coordination/assign"
 	"github.com/dragonflyroute/dragonflyroute/coordination/batch"
 	"github.com/dragonflyroute/dragonflyroute/coordination/budget"
 	"github.com/dragonflyroute/dragonflyroute/coordination/buyer"
@@ -20,6 +21,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
+	"github.com/dragonflyroute/dragonflyroute/coordination/orders"
 	"github.com/dragonflyroute/dragonflyroute/coordination/place"
 	"github.com/dragonflyroute/dragonflyroute/coordination/plan"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
@@ -28,7 +30,10 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/route"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
 	"github.com/dragonflyroute/dragonflyroute/coordination/steer"
+	"github.com/dragonflyroute/dragonflyroute/protocol/guard"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/state/fleet"
 	"github.com/dragonflyroute/dragonflyroute/state/holder"
 	"github.com/dragonflyroute/dragonflyroute/state/pool"
@@ -65,6 +70,7 @@
 	d.buildState()
 	d.buildCoordination()
 	d.buildBuyer()
+	d.buildOrders()
 	d.buildFront()
 	return nil
 }
@@ -108,6 +114,7 @@
 		Peers:     d.peers,
 		Ramp:      ramp.Ramp{Judge: judge.Judge{Alpha: judgeAlpha, Margin: judgeMargin}, Exposure: exposure},
 		Leases:    d.leases,
+		Room:      d.room,
 		Now:       time.Now,
 		Log:       d.Log,
 	}
@@ -125,6 +132,37 @@
 	}
 }
 
+func (d *Daemon) buildOrders() {
+	d.orders = &orders.Orders{
+		Catalogue: d.holder,
+		Hosts:     d.listed,
+		Leases:    d.leases,
+		Engines:   d.engine,
+		Assign:    assign.Assign{MaxLoading: maxStarting},
+		Flight:    orderFlight,
+		Now:       time.Now,
+		Log:       d.Log,
+	}
+}
+
+// listed returns the platform's list, as last read.
+func (d *Daemon) listed() []roster.Row {
+	if rows := d.rows.Load(); rows != nil {
+		return *rows
+	}
+	return nil
+}
+
+// room returns the part of an entry's traffic that a version's endpoints can carry, all when they are not ours to order.
+func (d *Daemon) room(name, version label.Name) float64 {
+	c := d.holder.Current()
+	e := c.Entry(name)
+	if e == nil || e.EngineOrders == guard.None {
+		return 1
+	}
+	return assign.Room(c, d.listed(), e, version)
+}
+
 // tries reports whether this process is one of the few that try to take a lease, so that the table's reads for it do
 // not grow with the fleet.
 func (d *Daemon) tries(key string) bool { return d.fleet.Ranks(key, leaseTries, time.Now()) }
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,6 +17,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
+	"github.com/dragonflyroute/dragonflyroute/coordination/orders"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
 	"github.com/dragonflyroute/dragonflyroute/coordination/weight"
@@ -23,6 +25,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/state/fleet"
 	"github.com/dragonflyroute/dragonflyroute/state/holder"
 	"github.com/dragonflyroute/dragonflyroute/state/pool"
@@ -58,6 +61,8 @@
 	busyPart    = 0.7
 	spareHosts  = 1
 	maxStarting = 4
+	// orderFlight bounds one order to an engine.
+	orderFlight = time.Second
 	idleTime    = 5 * time.Minute
 	// loanTerm is how long a part of an account's limits is lent.
 	loanTerm = 2 * time.Second
@@ -96,10 +101,13 @@
 	leases      *leases.Leases
 	mover       *mover.Mover
 	buyer       *buyer.Buyer
-	meter       *meter.Meter
-	spans       *spans.Spans
-	heart       heart
-	weight      weight.Weight
+	orders      *orders.Orders
+	// rows is the platform's list.
+	rows   atomic.Pointer[[]roster.Row]
+	meter  *meter.Meter
+	spans  *spans.Spans
+	heart  heart
+	weight weight.Weight
 	// loadTurn is the endpoint whose load is read next; only readLoads uses it.
 	loadTurn int
 	asked    askedFor
@@ -147,6 +155,7 @@
 	add(d.rounds)
 	add(d.every(d.Settings.Intervals.MoveStep.Of(), d.mover.Step))
 	add(d.every(d.Settings.Intervals.LeaseTerm.Of()/leaseSteps, d.buyer.Step))
+	add(d.every(d.Settings.Intervals.LeaseTerm.Of()/leaseSteps, d.orders.Step))
 	add(d.every(d.Settings.Intervals.Heartbeat.Of(), d.reconcile))
 	add(d.readTable)
 	add(d.askAhead)
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -86,6 +86,7 @@
 	if !changed {
 		return
 	}
+	d.rows.Store(&rows)
 	d.fleet.List(rows)
 	d.pool.Update(rows, time.Now())
 }
