Give unused loans back with the requests saved up under them

A loan of 2 s ran out between two requests, and the tokens that had come with it, beyond the burst of the borrower's own part, were lost; the lenders then refilled from nought. Change: coordination/loans holds both sides of a loan, for the process and for the model, which each had their own: the borrower sends a loan back in its last quarter with what will not fit; the lender ends it at once, by the grant's number. Gate's Give, Take and the new Spare share their beginning. Mutations: a late return that ends a newer loan fails coordination/loans, a returned loan that the borrower keeps fails the machine in coordination/quota.

--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -52,11 +52,11 @@
 //
 // The caller calls leave once when the request has ended.
 func (g *Gate) Enter(account acct.ID, scale float64, e *entry.Entry, now time.Time) (leave func(), err error) {
-	share := scale * g.Share(account, e.Name, now)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l := g.line(key{account: account, entry: e.Name}, e, share)
-	l.adapt(e, share, now)
+	g.change(account, scale, e, now, func(l *line, share float64) { leave, err = g.enter(l, account, e, share, now) })
+	return leave, err
+}
+
+func (g *Gate) enter(l *line, account acct.ID, e *entry.Entry, share float64, now time.Time) (leave func(), err error) {
 	if float64(l.running+1) > float64(e.Limits.Concurrent)*share {
 		return nil, fault.New(kind.OverLimit, "account", "account %s has %d requests of %s running here", account, l.running, e.Name).After(busyWait)
 	}
@@ -105,26 +105,39 @@
 }
 
 // Give takes the given part of the tokens saved up here and returns how many; a lender hands them over with a loan.
-func (g *Gate) Give(account acct.ID, scale float64, e *entry.Entry, part float64, now time.Time) float64 {
-	share := scale * g.Share(account, e.Name, now)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l := g.line(key{account: account, entry: e.Name}, e, share)
-	l.adapt(e, share, now)
-	given := max(0, l.bucket.tokens) * min(1, max(0, part))
-	l.bucket.tokens -= given
+func (g *Gate) Give(account acct.ID, scale float64, e *entry.Entry, part float64, now time.Time) (given float64) {
+	g.change(account, scale, e, now, func(l *line, _ float64) {
+		given = max(0, l.bucket.tokens) * min(1, max(0, part))
+		l.bucket.tokens -= given
+	})
 	return given
 }
 
-// Take adds tokens that a lender handed over, within the burst of the part held here.
+// Spare takes the tokens that will not fit when the part held here falls to share, and returns how many.
+func (g *Gate) Spare(account acct.ID, scale float64, e *entry.Entry, share float64, now time.Time) (spare float64) {
+	g.change(account, scale, e, now, func(l *line, _ float64) {
+		spare = max(0, l.bucket.tokens-float64(e.Limits.Burst)*scale*share)
+		l.bucket.tokens -= spare
+	})
+	return spare
+}
+
+// Take adds tokens that another host handed over, within the burst of the part held here.
 func (g *Gate) Take(account acct.ID, scale float64, e *entry.Entry, tokens float64, now time.Time) {
+	g.change(account, scale, e, now, func(l *line, _ float64) {
+		l.bucket.tokens += max(0, tokens)
+		l.bucket.refill(now)
+	})
+}
+
+// change adapts the account's line to the part held here and lets do change it.
+func (g *Gate) change(account acct.ID, scale float64, e *entry.Entry, now time.Time, do func(l *line, share float64)) {
 	share := scale * g.Share(account, e.Name, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.line(key{account: account, entry: e.Name}, e, share)
 	l.adapt(e, share, now)
-	l.bucket.tokens += max(0, tokens)
-	l.bucket.refill(now)
+	do(l, share)
 }
 
 func (l *line) decayed(now time.Time) float64 {
--- a/coordination/quota/machine_test.go
+++ b/coordination/quota/machine_test.go
@@ -1,12 +1,14 @@
 package quota_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
+	"github.com/dragonflyroute/dragonflyroute/coordination/loans"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
 	"github.com/dragonflyroute/dragonflyroute/protocol/limit"
@@ -19,7 +21,9 @@
 	entry      *entry.Entry
 	quotas     []*quota.Quota
 	gates      []*gate.Gate
+	loans      []*loans.Loans
 	leaves     []func()
+	late       []func()
 	admitted   int
 }
 
@@ -29,6 +33,7 @@
 	for i := range hosts {
 		m.quotas = append(m.quotas, &quota.Quota{Self: name(i), Hosts: hosts, Term: term, Started: m.now, Fresh: true})
 		m.gates = append(m.gates, &gate.Gate{Share: m.quotas[i].Share, Started: m.now})
+		m.loans = append(m.loans, &loans.Loans{Quota: m.quotas[i], Gate: m.gates[i]})
 	}
 	return m
 }
@@ -57,20 +62,51 @@
 	asked := m.now
 	m.pass(t)
 	ask := loan.Loan{Account: "a", Entry: "e", By: name(to), Share: rapid.Float64Range(0, 1).Draw(t, "share")}
-	tokens := m.gates[from].Give("a", 1, m.entry, m.quotas[from].Part(ask.Share), m.now)
-	grant := m.quotas[from].Lend(ask, m.gates[from].Used("a", 1, m.entry, m.now), m.now)
+	grant := m.loans[from].Lend(ask, 1, m.entry, m.now)
 	if rapid.Bool().Draw(t, "lost") {
 		return
 	}
-	m.quotas[to].Borrow(grant, asked)
-	m.gates[to].Take("a", 1, m.entry, tokens, m.now)
+	m.loans[to].Take(grant, 1, m.entry, asked, m.now)
+}
+
+// giveBack ends a borrower's loans that run out soon; what it sends back may come at once, late or never.
+func (m *machine) giveBack(t *rapid.T) {
+	to := draw(t, "borrower")
+	for range 20 {
+		if len(m.quotas[to].Ending(m.now)) > 0 {
+			break
+		}
+		m.now = m.now.Add(term / 20)
+	}
+	for _, due := range m.quotas[to].Ending(m.now) {
+		for _, back := range m.loans[to].Ending(due, 1, m.entry, m.now) {
+			lender := slices.IndexFunc(m.quotas, func(q *quota.Quota) bool { return q.Self == back.By })
+			back.By = name(to)
+			switch rapid.IntRange(0, 2).Draw(t, "way") {
+			case 0:
+				m.loans[lender].Return(back, 1, m.entry, m.now)
+			case 1:
+				m.late = append(m.late, func() { m.loans[lender].Return(back, 1, m.entry, m.now) })
+			}
+		}
+	}
+}
+
+// arrive lets a loan that was given back arrive late.
+func (m *machine) arrive(*rapid.T) {
+	if len(m.late) > 0 {
+		m.late[0]()
+		m.late = m.late[1:]
+	}
 }
 
 // restart replaces a process; it starts with no tokens and, for a term, with no part.
 func (m *machine) restart(t *rapid.T) {
 	i := draw(t, "host")
+	m.now = m.now.Add(time.Millisecond)
 	m.quotas[i] = &quota.Quota{Self: name(i), Hosts: hosts, Term: term, Started: m.now}
 	m.gates[i] = &gate.Gate{Share: m.quotas[i].Share, Started: m.now}
+	m.loans[i] = &loans.Loans{Quota: m.quotas[i], Gate: m.gates[i]}
 }
 
 func (m *machine) pass(t *rapid.T) {
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -26,6 +26,7 @@
 type term struct {
 	share float64
 	until time.Time
+	id    int64
 }
 
 type ledger struct {
@@ -53,6 +54,7 @@
 
 	mu      sync.Mutex
 	ledgers map[key]*ledger
+	granted int64
 }
 
 // Share returns the part of the limits, 0 to 1, that this process may use at now.
@@ -109,11 +111,51 @@
 	held := l.lent[ask.By].share
 	grant := max(held, min(ask.Share, held+free))
 	if free < 0 || grant <= 0 || ask.Share <= 0 {
-		grant = 0
-	} else {
-		l.lent[ask.By] = term{share: grant, until: now.Add(q.Term)}
+		return loan.Loan{Account: ask.Account, Entry: ask.Entry, By: q.Self}
+	}
+	q.granted++
+	id := q.Started.UnixNano() + q.granted
+	l.lent[ask.By] = term{share: grant, until: now.Add(q.Term), id: id}
+	return loan.Loan{Account: ask.Account, Entry: ask.Entry, By: q.Self, Share: grant, ID: id}
+}
+
+// Ending returns the loans held here that run out within a quarter of the term and were not renewed; By is the lender.
+func (q *Quota) Ending(now time.Time) map[loan.Loan][]loan.Loan {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := map[loan.Loan][]loan.Loan{}
+	for k, l := range q.ledgers {
+		for by, t := range l.borrowed {
+			if left := t.until.Sub(now); left <= 0 || left > q.Term/4 {
+				continue
+			}
+			of := loan.Loan{Account: k.account, Entry: k.entry}
+			out[of] = append(out[of], loan.Loan{Account: k.account, Entry: k.entry, By: by, Share: t.share, ID: t.id})
+		}
+	}
+	return out
+}
+
+// End ends a loan held here, and reports whether it still stood.
+func (q *Quota) End(l loan.Loan, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	borrowed := q.ledger(l.Account, l.Entry, now).borrowed
+	if t, ok := borrowed[l.By]; !ok || t.id != l.ID {
+		return false
+	}
+	delete(borrowed, l.By)
+	return true
+}
+
+// Return ends a loan given from here that its borrower, named by By, has ended.
+func (q *Quota) Return(l loan.Loan, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	lent := q.ledger(l.Account, l.Entry, now).lent
+	if t, ok := lent[l.By]; ok && t.id == l.ID {
+		delete(lent, l.By)
 	}
-	return loan.Loan{Account: ask.Account, Entry: ask.Entry, By: q.Self, Share: grant}
 }
 
 // Part returns what part of the own limits a share is.
@@ -127,7 +169,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l := q.ledger(grant.Account, grant.Entry, asked)
-	l.borrowed[grant.By] = term{share: grant.Share, until: asked.Add(q.Term)}
+	l.borrowed[grant.By] = term{share: grant.Share, until: asked.Add(q.Term), id: grant.ID}
 }
 
 // Wants reports whether it is time to ask for more: the use nears the part held, or the loans in use run out soon.
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -106,6 +106,8 @@
 				"enter":   m.enter,
 				"leave":   m.leave,
 				"lend":    m.lend,
+				"give":    m.giveBack,
+				"arrive":  m.arrive,
 				"restart": m.restart,
 				"pass":    m.pass,
 				"":        m.check,
--- a/model/serve/limits.go
+++ b/model/serve/limits.go
@@ -6,6 +6,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/place"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 )
 
@@ -69,9 +70,34 @@
 	ask := loan.Loan{Account: id, Entry: e.Name, By: h.quota.Self, Share: 0.9 / float64(len(s.hosts)*place.Homes(scale(id)))}
 	for _, other := range s.hosts {
 		if other != h {
-			tokens := other.gate.Give(id, scale(id), e, other.quota.Part(ask.Share), s.now)
-			h.quota.Borrow(other.quota.Lend(ask, other.gate.Used(id, scale(id), e, s.now), s.now), s.now)
-			h.gate.Take(id, scale(id), e, tokens, s.now)
+			h.loans.Take(other.loans.Lend(ask, scale(id), e, s.now), scale(id), e, s.now, s.now)
 		}
 	}
 }
+
+// giveBack returns the loans that are not in use to their lenders, which get them a moment later.
+func (s *Serve) giveBack() {
+	for _, h := range s.hosts {
+		for of, due := range h.quota.Ending(s.now) {
+			e := s.user.quick
+			if of.Entry == s.user.long.Name {
+				e = s.user.long
+			}
+			for _, back := range h.loans.Ending(due, scale(of.Account), e, s.now) {
+				lender := s.lender(back.By)
+				back.By = h.quota.Self
+				s.after(returnTime, func() { lender.loans.Return(back, scale(of.Account), e, s.now) })
+			}
+		}
+	}
+	s.after(loanTerm/8, s.giveBack)
+}
+
+func (s *Serve) lender(id host.ID) *entryHost {
+	for _, h := range s.hosts {
+		if h.quota.Self == id {
+			return h
+		}
+	}
+	return nil
+}
--- a/model/serve/serve.go
+++ b/model/serve/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
+	"github.com/dragonflyroute/dragonflyroute/coordination/loans"
 	"github.com/dragonflyroute/dragonflyroute/coordination/quota"
 	"github.com/dragonflyroute/dragonflyroute/coordination/route"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
@@ -39,6 +40,7 @@
 	reclaimable  = 600_000
 	playTime     = 30 * time.Minute
 	loanTerm     = 2 * time.Second
+	returnTime   = 5 * time.Millisecond
 )
 
 // user is one user's sizes.
@@ -137,6 +139,7 @@
 	pool   *pool.Pool
 	gate   *gate.Gate
 	quota  *quota.Quota
+	loans  *loans.Loans
 	picker route.Picker
 	sent   map[*engine]int
 	known  map[*engine]bool
@@ -154,6 +157,7 @@
 	s.build()
 	s.arrive()
 	s.after(0, s.report)
+	s.after(0, s.giveBack)
 	s.script()
 	for len(s.queue) > 0 {
 		e := heap.Pop(&s.queue).(event)
@@ -196,6 +200,7 @@
 			known:  map[*engine]bool{},
 		}
 		h.gate = &gate.Gate{Share: h.quota.Share, Started: s.start.Add(-time.Minute)}
+		h.loans = &loans.Loans{Quota: h.quota, Gate: h.gate}
 		s.hosts = append(s.hosts, h)
 	}
 	s.list()
--- a/protocol/loan/loan.go
+++ b/protocol/loan/loan.go
@@ -13,8 +13,10 @@
 	Account acct.ID `json:"account"`
 	// Entry is the catalogue entry that they are for.
 	Entry label.Name `json:"entry"`
-	// By is the entry host that asks, or the one that grants.
+	// By is the entry host that asks or gives back, or the one that grants.
 	By host.ID `json:"by"`
+	// ID is the lender's number of the grant; it tells a loan from a later one to the same host.
+	ID int64 `json:"id,omitempty"`
 	// Share is the part, 0 to 1, that is wanted from one host in all, or granted.
 	Share float64 `json:"share"`
 	// Tokens is the number of requests that the lender's unused rate has saved up and hands over.
--- a/transport/daemon/build.go
+++ b/transport/daemon/build.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
 	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
+	"github.com/dragonflyroute/dragonflyroute/coordination/loans"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
 	"github.com/dragonflyroute/dragonflyroute/coordination/orders"
@@ -85,6 +86,7 @@
 	d.wants = make(chan loan.Loan, maxWanted)
 	d.quota = &quota.Quota{Self: s.Host, Hosts: s.EntryHosts, Term: loanTerm, Started: d.start}
 	d.gate = &gate.Gate{Share: d.quota.Share, Started: d.start}
+	d.loans = &loans.Loans{Quota: d.quota, Gate: d.gate}
 }
 
 func (d *Daemon) buildCoordination() {
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/edits"
 	"github.com/dragonflyroute/dragonflyroute/coordination/gate"
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
+	"github.com/dragonflyroute/dragonflyroute/coordination/loans"
 	"github.com/dragonflyroute/dragonflyroute/coordination/mover"
 	"github.com/dragonflyroute/dragonflyroute/coordination/once"
 	"github.com/dragonflyroute/dragonflyroute/coordination/orders"
@@ -66,6 +67,8 @@
 	idleTime    = 5 * time.Minute
 	// loanTerm is how long a part of an account's limits is lent.
 	loanTerm = 2 * time.Second
+	// loanLooks is how often within its term a loan is looked at.
+	loanLooks = 8
 	// idBytes is the length of ids, before hexadecimal.
 	idBytes = 16
 	// connectionsPerHost bounds the idle connections kept to one endpoint.
@@ -99,6 +102,7 @@
 	ledger      *once.Ledger
 	edits       *edits.Edits
 	leases      *leases.Leases
+	loans       *loans.Loans
 	mover       *mover.Mover
 	buyer       *buyer.Buyer
 	orders      *orders.Orders
@@ -159,6 +163,7 @@
 	add(d.every(d.Settings.Intervals.Heartbeat.Of(), d.reconcile))
 	add(d.readTable)
 	add(d.askAhead)
+	add(d.every(loanTerm/loanLooks, d.giveBack))
 	add(d.tellChanges)
 	add(func(c context.Context) error {
 		select {
--- a/transport/daemon/limits.go
+++ b/transport/daemon/limits.go
@@ -8,6 +8,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 )
 
@@ -56,8 +58,7 @@
 			if err != nil || grant.Share <= 0 {
 				return nil
 			}
-			d.quota.Borrow(grant, asked)
-			d.take(grant)
+			d.take(grant, asked)
 			mu.Lock()
 			defer mu.Unlock()
 			got = true
@@ -91,32 +92,62 @@
 	}
 }
 
-// Lend grants a part of an account's limits that is not used here.
-func (p *peerService) Lend(ask loan.Loan) loan.Loan {
-	now := time.Now()
-	cat := p.d.holder.Current()
-	refused := loan.Loan{Account: ask.Account, Entry: ask.Entry, By: p.d.Settings.Host}
-	if cat == nil {
-		return refused
+// giveBack returns the loans that are not in use to their lenders, with what was saved up under them.
+func (d *Daemon) giveBack(ctx context.Context) {
+	due := d.quota.Ending(time.Now())
+	if len(due) == 0 {
+		return
 	}
-	e, scale := cat.Entry(ask.Entry), cat.Scale(ask.Account)
-	if e == nil || scale == 0 {
-		return refused
+	peers := map[host.ID]string{}
+	for _, p := range d.fleet.Alive(time.Now()) {
+		peers[p.Host] = p.Peers
+	}
+	for of, loans := range due {
+		e, scale := d.limited(of)
+		if e == nil {
+			continue
+		}
+		for _, back := range d.loans.Ending(loans, scale, e, time.Now()) {
+			address := peers[back.By]
+			if address == "" {
+				continue
+			}
+			back.By = d.Settings.Host
+			if err := d.peers.Return(ctx, address, back); err != nil {
+				d.Log.Debug("loan not given back; it runs out by itself", "account", back.Account, "entry", back.Entry, "error", err)
+			}
+		}
 	}
-	tokens := p.d.gate.Give(ask.Account, scale, e, p.d.quota.Part(ask.Share), now)
-	grant := p.d.quota.Lend(ask, p.d.gate.Used(ask.Account, scale, e, now), now)
-	grant.Tokens = tokens
-	return grant
 }
 
-// take adds the tokens that came with a grant.
-func (d *Daemon) take(grant loan.Loan) {
+// limited returns the entry and the account's scale that a loan is for; the entry is nil when either is unknown.
+func (d *Daemon) limited(of loan.Loan) (*entry.Entry, float64) {
 	cat := d.holder.Current()
-	if cat == nil {
-		return
+	if cat == nil || cat.Scale(of.Account) == 0 {
+		return nil, 0
 	}
-	e, scale := cat.Entry(grant.Entry), cat.Scale(grant.Account)
-	if e != nil && scale > 0 {
-		d.gate.Take(grant.Account, scale, e, grant.Tokens, time.Now())
+	return cat.Entry(of.Entry), cat.Scale(of.Account)
+}
+
+// Lend grants a part of an account's limits that is not used here.
+func (p *peerService) Lend(ask loan.Loan) loan.Loan {
+	e, scale := p.d.limited(ask)
+	if e == nil {
+		return loan.Loan{Account: ask.Account, Entry: ask.Entry, By: p.d.Settings.Host}
+	}
+	return p.d.loans.Lend(ask, scale, e, time.Now())
+}
+
+// Return takes back a part of an account's limits that its borrower has ended.
+func (p *peerService) Return(back loan.Loan) {
+	if e, scale := p.d.limited(back); e != nil {
+		p.d.loans.Return(back, scale, e, time.Now())
+	}
+}
+
+// take takes a grant that was asked for at asked.
+func (d *Daemon) take(grant loan.Loan, asked time.Time) {
+	if e, scale := d.limited(grant); e != nil {
+		d.loans.Take(grant, scale, e, asked, time.Now())
 	}
 }
--- a/transport/peers/client.go
+++ b/transport/peers/client.go
@@ -81,6 +81,11 @@
 	return got, err
 }
 
+// Return gives a peer back what it had lent; it is sent once, because a repeated one would count twice.
+func (p *Peers) Return(ctx context.Context, address string, back loan.Loan) error {
+	return p.call(ctx, address, methodReturn, back, &accepted{})
+}
+
 func (p *Peers) call(ctx context.Context, address, method string, params, result any) (err error) {
 	if trace.SpanContextFromContext(ctx).IsValid() {
 		var end func(error)
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -36,6 +36,7 @@
 	methodEvidence  = "move-evidence"
 	methodHandOver  = "ticket-hand-over"
 	methodBorrow    = "limit-borrow"
+	methodReturn    = "limit-return"
 )
 
 const (
@@ -60,6 +61,8 @@
 	Accept(t ticket.Ticket) bool
 	// Lend grants a part of an account's limits.
 	Lend(ask loan.Loan) loan.Loan
+	// Return takes back a part of an account's limits that its borrower has ended.
+	Return(back loan.Loan)
 }
 
 // Peers is both sides of the entry hosts' protocol. All methods may be called concurrently.
@@ -241,6 +244,11 @@
 		return answer(r, func(t ticket.Ticket) accepted { return accepted{OK: service.Accept(t)} })
 	case methodBorrow:
 		return answer(r, service.Lend)
+	case methodReturn:
+		return answer(r, func(back loan.Loan) accepted {
+			service.Return(back)
+			return accepted{OK: true}
+		})
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	}
