Reckon a back end's demand on all its endpoints

Cause: the buyer's demand summed the busy slots of the endpoints in one process's subset (32 of each back end and version), so that beyond 32 endpoints it bought for a part of the load only; at 5,500 servers for less than a hundredth. Ruled out: summing over peers' heartbeats (bytes grow with back ends; a mean over 32 is near enough to buy by). Change: the subset's busy slots count for all listed endpoints of their back end and version.

--- a/state/pool/pool.go
+++ b/state/pool/pool.go
@@ -24,6 +24,8 @@
 type index struct {
 	byID    map[endpt.ID]*server.Server
 	byGroup map[group][]*server.Server
+	// sizes counts the listed endpoints of each group, in the subset or not.
+	sizes map[group]int
 }
 
 // Pool keeps a stable subset of each back end's endpoints, for each version.
@@ -46,8 +48,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.current.Load()
-	next := &index{byID: map[endpt.ID]*server.Server{}, byGroup: map[group][]*server.Server{}}
+	next := &index{byID: map[endpt.ID]*server.Server{}, byGroup: map[group][]*server.Server{}, sizes: map[group]int{}}
 	for g, members := range groups(rows) {
+		next.sizes[g] = len(members)
 		for _, r := range p.choose(members) {
 			s := old.keep(r, now)
 			next.byID[r.ID] = s
@@ -115,13 +118,22 @@
 
 // Demand returns the busy slots of a back end's endpoints, in endpoints' worth of slots, over all versions.
 //
-// It counts what reports and this process know; an endpoint outside every subset of this process is not seen.
+// It counts what reports and this process know of the subset, and takes the other endpoints to be as busy.
 func (p *Pool) Demand(backend label.Name) float64 {
+	x := p.current.Load()
+	if x == nil {
+		return 0
+	}
 	sum := 0.0
-	for _, s := range p.All() {
-		if s.Row().Backend == backend {
-			sum += s.Busy()
+	for g, servers := range x.byGroup {
+		if g.backend != backend {
+			continue
+		}
+		busy := 0.0
+		for _, s := range servers {
+			busy += s.Busy()
 		}
+		sum += busy * float64(x.sizes[g]) / float64(len(servers))
 	}
 	return sum
 }
--- a/state/pool/pool_test.go
+++ b/state/pool/pool_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/class"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
@@ -69,6 +70,18 @@
 		Expect(uses).To(HaveLen(200))
 	})
 
+	It("reckons the demand on all endpoints from those in its subset", func() {
+		p := &pool.Pool{Self: "a", Subset: 20}
+		p.Update(rows(500), now)
+		for i, s := range p.Candidates("b", "v1") {
+			var running [class.Call + 1]int
+			running[class.Quick] = 4 * (i % 2)
+			s.SetLoad(running, [class.Call + 1]int{}, 8, 0, 1)
+		}
+		Expect(p.Demand("b")).To(BeNumerically("~", 500*0.25))
+		Expect(p.Demand("other")).To(BeZero())
+	})
+
 	It("keeps what it knows of an endpoint that stays, and forgets a new one on the same name", func() {
 		p := &pool.Pool{Self: "a", Subset: 4}
 		all := rows(1)
