Send the status of a stream once

Cause: each streamed answer logged 'superfluous response.WriteHeader' (at 100 streams a second, as many lines): the stream writes past iris, which then sent a status of its own. Ruled out: writing streams through iris (it buffers the status, not the body; the deadlines need the plain writer). Change: the stream tells iris that the status is sent.

--- a/test/scene/world_test.go
+++ b/test/scene/world_test.go
@@ -97,6 +97,7 @@
 	Expect(p.cmd.Start()).To(Succeed())
 	DeferCleanup(func() {
 		Expect(p.logged()).NotTo(ContainSubstring("DATA RACE"))
+		Expect(p.logged()).NotTo(ContainSubstring("superfluous"))
 		if p.ended {
 			return
 		}
--- a/transport/front/stream.go
+++ b/transport/front/stream.go
@@ -16,6 +16,9 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 )
 
+// statusWritten tells iris that the status is sent, so that it sends none after a stream.
+const statusWritten = 0
+
 // events writes server-sent events; the id of each is its token's offset.
 type events struct {
 	w       http.ResponseWriter
@@ -59,6 +62,7 @@
 
 // stream answers token by token, starting at offset skip.
 func (f *Front) stream(ctx context.Context, c iris.Context, t ticket.Ticket, skip int, e *entry.Entry) error {
+	c.ResponseWriter().SetWritten(statusWritten)
 	w := c.ResponseWriter().Naive()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
