Bound the catalogue's history in the table

Ruled out: a sweeper of its own (one more writer and a range read); nothing of a revision but the last few is needed to find a change whose answer was lost. Change: the commit that writes a revision deletes the one 10,000 before it, in the same transaction.

--- a/coordination/edits/edits.go
+++ b/coordination/edits/edits.go
@@ -45,6 +45,9 @@
 	NewID func() string
 	// Now returns the time.
 	Now func() time.Time
+	// Keep is the number of revisions that stay in the history; zero keeps all. It is above commitTries, because a change
+	// whose answer was lost is looked for there.
+	Keep int64
 }
 
 // Head returns the newest revision, or a revision 0 when none was accepted yet.
@@ -275,6 +278,9 @@
 	}
 	history := fmt.Sprintf(historyKey, next.Revision)
 	txn := table.Txn{}.IfVersion(headKey, over).Put(headKey, value).Put(history, value)
+	if old := next.Revision - e.Keep; e.Keep > 0 && old > 0 {
+		txn = txn.Delete(fmt.Sprintf(historyKey, old))
+	}
 	version, err := e.Store.Commit(ctx, txn)
 	return version > 0, err
 }
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -65,6 +65,8 @@
 	// orderFlight bounds one order to an engine.
 	orderFlight = time.Second
 	idleTime    = 5 * time.Minute
+	// keptRevisions is the number of revisions in the catalogue's history, three days of 3,200 changes.
+	keptRevisions = 10_000
 	// loanTerm is how long a part of an account's limits is lent.
 	loanTerm = 2 * time.Second
 	// loanLooks is how often within its term a loan is looked at.
