Keep at most 64 connections to peers open

Cause: a connection to each peer ever called stayed open, and a process serves 256: the design broke at 257 hosts. The bytes between peers grew by 11 a second and host from 10 to 60 hosts, for a cause that was not checked. Ruled out: a higher bound (1,099 connections each way for a call every three minutes), a fixed set of partners (a cut data centre would be heard of late). Change: beyond 64 the least recently used idle connection is closed; the gauge peer_connections shows the number.

--- a/transport/daemon/build.go
+++ b/transport/daemon/build.go
@@ -91,7 +91,7 @@
 
 func (d *Daemon) buildCoordination() {
 	s := d.Settings
-	d.peers = &peers.Peers{Secret: s.PeerSecret, Service: &peerService{d}, Contacts: d.fleet.Contacts}
+	d.peers = &peers.Peers{Secret: s.PeerSecret, Service: &peerService{d}, Contacts: d.fleet.Contacts, Keep: keptPeers}
 	d.edits = &edits.Edits{Store: d.batch, NewID: newID, Now: time.Now, Keep: keptRevisions}
 	d.ledger = &once.Ledger{Store: d.batch, Self: s.Host, Incarnation: d.incarnation, NewID: newID, Dead: d.fleet.Dead}
 	d.spread = &spread.Spread{
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -65,6 +65,8 @@
 	// orderFlight bounds one order to an engine.
 	orderFlight = time.Second
 	idleTime    = 5 * time.Minute
+	// keptPeers bounds the connections to peers that stay open, a quarter of what a peer serves.
+	keptPeers = 64
 	// keptRevisions is the number of revisions in the catalogue's history, three days of 3,200 changes.
 	keptRevisions = 10_000
 	// loanTerm is how long a part of an account's limits is lent.
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -150,6 +150,7 @@
 	}
 	d.meter.Gauge("pending_records", float64(d.ledger.Pending()))
 	d.meter.Gauge("catalogue_revision", float64(d.holder.Revision()))
+	d.meter.Gauge("peer_connections", float64(d.peers.Open()))
 	d.meter.Gauge("peer_bytes", float64(d.peers.Bytes()))
 	d.meter.Gauge("cache_events", float64(d.cacheEvents()))
 	d.meter.Gauge("running_requests", float64(d.runs.Running()))
--- a/transport/peers/client.go
+++ b/transport/peers/client.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 
-	"github.com/sourcegraph/jsonrpc2"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
@@ -98,75 +96,10 @@
 	if err != nil {
 		return fault.Wrap(kind.Unavailable, err, "peer %s", address)
 	}
-	if err := c.Call(ctx, method, params, result); err != nil {
+	defer p.done(c)
+	if err := c.conn.Call(ctx, method, params, result); err != nil {
 		p.drop(address, c)
 		return fault.Wrap(kind.Unavailable, err, "peer %s: %s", address, method)
 	}
 	return nil
 }
-
-func (p *Peers) client(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	p.mu.Lock()
-	c := p.clients[address]
-	p.mu.Unlock()
-	if c != nil {
-		return c, nil
-	}
-	c, err := p.open(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if old := p.clients[address]; old != nil {
-		_ = c.Close()
-		return old, nil
-	}
-	if p.clients == nil {
-		p.clients = map[string]*jsonrpc2.Conn{}
-	}
-	p.clients[address] = c
-	return c, nil
-}
-
-func (p *Peers) open(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	c := jsonrpc2.NewConn(context.WithoutCancel(ctx), p.stream(conn), jsonrpc2.HandlerWithError(refuse))
-	var n nonce
-	if err := c.Call(ctx, methodChallenge, struct{}{}, &n); err != nil {
-		_ = c.Close()
-		return nil, err
-	}
-	if err := c.Call(ctx, methodHello, proof{MAC: mac(p.Secret, n.Nonce)}, &accepted{}); err != nil {
-		_ = c.Close()
-		return nil, err
-	}
-	return c, nil
-}
-
-func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: kind.NotFound.String()}
-}
-
-func (p *Peers) drop(address string, c *jsonrpc2.Conn) {
-	p.mu.Lock()
-	if p.clients[address] == c {
-		delete(p.clients, address)
-	}
-	p.mu.Unlock()
-	_ = c.Close()
-}
-
-// Close closes all connections to peers.
-func (p *Peers) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.clients {
-		_ = c.Close()
-	}
-	p.clients = nil
-}
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -73,10 +73,13 @@
 	Service service
 	// Contacts returns the addresses of the other entry hosts.
 	Contacts func() []string
+	// Keep bounds the connections to peers that stay open, well below what a peer serves.
+	Keep int
 
 	bytes   atomic.Int64
 	mu      sync.Mutex
-	clients map[string]*jsonrpc2.Conn
+	clients map[string]*client
+	turn    int64
 	served  int
 }
 
--- /dev/null
+++ b/transport/peers/peers_test.go
@@ -0,0 +1,68 @@
+package peers_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
+	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
+	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
+	"github.com/dragonflyroute/dragonflyroute/transport/peers"
+)
+
+func TestPeers(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peers")
+}
+
+// echo answers a heartbeat with itself.
+type echo struct{}
+
+func (echo) Pulse(p pulse.Pulse) pulse.Pulse { return p }
+func (echo) Catalogue() *catlog.Catalogue    { return &catlog.Catalogue{} }
+func (echo) Offer(*catlog.Catalogue)         {}
+func (echo) Evidence(string) []trial.Trial   { return nil }
+func (echo) Accept(ticket.Ticket) bool       { return true }
+func (echo) Lend(ask loan.Loan) loan.Loan    { return ask }
+func (echo) Return(loan.Loan)                {}
+
+var _ = Describe("Peers", func() {
+	It("keep few connections however many peers there are, and end no call by closing one", func() {
+		const all, keep, rounds = 40, 8, 5
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		var servers errgroup.Group
+		var addresses []string
+		for range all {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			addresses = append(addresses, l.Addr().String())
+			s := &peers.Peers{Secret: "secret", Service: echo{}}
+			servers.Go(func() error { return s.Serve(ctx, l) })
+		}
+		p := &peers.Peers{Secret: "secret", Keep: keep}
+		DeferCleanup(p.Close)
+		for range rounds {
+			var calls errgroup.Group
+			for i, address := range addresses {
+				calls.Go(func() error {
+					_, err := p.Pulse(ctx, address, pulse.Pulse{Seq: int64(i)})
+					return err
+				})
+			}
+			Expect(calls.Wait()).To(Succeed())
+		}
+		for _, address := range addresses {
+			_, err := p.Pulse(ctx, address, pulse.Pulse{})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(p.Open()).To(BeNumerically("<=", keep))
+	})
+})
