--- a/transport/daemon/build.go
+++ b/transport/daemon/build.go
@@ -182,22 +182,10 @@
 }
 
 func (d *Daemon) buildFront() {
-	s := d.Settings
 	picker := route.Picker{Rand: mathrand.Float64}
 	st := &steer.Steer{Moves: d.score, Rand: mathrand.Float64}
-	r := &relay.Relay{
-		Engine:    d.engine,
-		Pool:      d.pool,
-		Steer:     st,
-		Scores:    d.mover,
-		Retries:   &budget.Budget{Ratio: retryRatio, Max: retryMax},
-		Catalogue: d.holder,
-		Picker:    picker,
-		Now:       time.Now,
-		Trace:     traceAttempt,
-	}
 	d.front = &front.Front{
-		Settings: s,
+		Settings: d.Settings,
 		Log:      d.Log,
 		Meter:    d.meter,
 		Holder:   d.holder,
@@ -210,7 +198,7 @@
 		Quota:    d.quota,
 		Borrow:   d.borrow,
 		Want:     d.wanted,
-		Relay:    r,
+		Relay:    d.relay(st, picker),
 		Ledger:   d.ledger,
 		Spread:   d.spread,
 		Edits:    d.edits,
@@ -224,6 +212,20 @@
 	}
 }
 
+func (d *Daemon) relay(st *steer.Steer, picker route.Picker) *relay.Relay {
+	return &relay.Relay{
+		Engine:    d.engine,
+		Pool:      d.pool,
+		Steer:     st,
+		Scores:    d.mover,
+		Retries:   &budget.Budget{Ratio: retryRatio, Max: retryMax},
+		Catalogue: d.holder,
+		Picker:    picker,
+		Now:       time.Now,
+		Trace:     traceAttempt,
+	}
+}
+
 func traceAttempt(ctx context.Context, name string, attempt int, s *server.Server) (context.Context, func(err error)) {
 	return spans.Start(ctx, name, attribute.Int("attempt", attempt), attribute.String("endpoint", string(s.Row().ID)))
 }
