Keep what each host told last of a move's evidence

Cause: the leader of a move summed the hosts that answered in each look. One that missed a look made the sum fall, which was taken for a restart, and all evidence was observed anew; the alarm counted bad answers again and again. Ruled out: waiting for every host (a frozen one would stop the move), dropping looks that lack a host (the same). Change: a leader keeps each host's last counts, and adds those from before a restart, so that the sum only grows.

--- a/bench/moves.go
+++ b/bench/moves.go
@@ -10,6 +10,8 @@
 	output
 	Moves int  `default:"400" help:"Moves of each kind."`
 	Twins bool `default:"true" negatable:"" help:"Measure the naive ways too."`
+
+	LoseAnswers float64 `default:"0" help:"Part of the hosts' answers to the mover that are lost."`
 }
 
 type kindFigures struct {
@@ -46,7 +48,7 @@
 func (c *movesCmd) measure(kind, way string) kindFigures {
 	moves := make([]*shift.Shift, c.Moves)
 	parallel(c.Moves, func(i int) {
-		s := &shift.Shift{Seed: c.Seed*1_000_003 + uint64(i), Kind: kind, Way: way, Rate: rates[i%len(rates)], KillMover: i%4 == 3}
+		s := &shift.Shift{Seed: c.Seed*1_000_003 + uint64(i), Kind: kind, Way: way, Rate: rates[i%len(rates)], KillMover: i%4 == 3, LoseAnswers: c.LoseAnswers}
 		s.Run()
 		moves[i] = s
 	})
--- a/coordination/mover/evidence.go
+++ b/coordination/mover/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/alarm"
 	"github.com/dragonflyroute/dragonflyroute/protocol/move"
@@ -18,16 +17,18 @@
 	alarm alarm.Alarm
 }
 
+// lead is what the leader of a move knows.
+type lead struct {
+	heard  heard
+	stages map[string]*stage
+}
+
 // watched is one route of one move.
 type watched struct{ move, route string }
 
 // look brings the stages up to date; it returns the trials of each route's stage, and a route whose alarm is raised.
 func (m *Mover) look(mv move.Move, total []trial.Trial) (out []trial.Trial, raised string) {
-	stages := m.stages[mv.ID]
-	if stages == nil {
-		stages = map[string]*stage{}
-		m.stages[mv.ID] = stages
-	}
+	stages := m.led[mv.ID].stages
 	for _, t := range total {
 		st := stages[t.Route]
 		if st == nil {
@@ -87,34 +88,7 @@
 	}
 }
 
-// sum adds the hosts' trials by route, sorted.
-func sum(evidence map[string][]trial.Trial) []trial.Trial {
-	var out []trial.Trial
-	for _, trials := range evidence {
-		for _, t := range trials {
-			out = add(out, t)
-		}
-	}
-	slices.SortFunc(out, func(a, b trial.Trial) int { return strings.Compare(a.Route, b.Route) })
-	return out
-}
-
 // less returns what came since an earlier look.
-//
-// A host that restarted counts from nought; a sum that fell for that reason is taken whole.
 func less(t, earlier trial.Trial) trial.Trial {
-	if earlier.Old > t.Old || earlier.New > t.New || earlier.OldBad > t.OldBad || earlier.NewBad > t.NewBad {
-		return t
-	}
 	return trial.Trial{Route: t.Route, Old: t.Old - earlier.Old, OldBad: t.OldBad - earlier.OldBad, New: t.New - earlier.New, NewBad: t.NewBad - earlier.NewBad}
 }
-
-func add(out []trial.Trial, t trial.Trial) []trial.Trial {
-	for i := range out {
-		if out[i].Route == t.Route {
-			out[i] = out[i].Add(t)
-			return out
-		}
-	}
-	return append(out, t)
-}
--- a/coordination/mover/mover.go
+++ b/coordination/mover/mover.go
@@ -44,7 +44,7 @@
 }
 
 type peers interface {
-	// Evidence returns the trials of a move on all other entry hosts, by host.
+	// Evidence returns the trials of a move on other entry hosts that answer, by host.
 	Evidence(ctx context.Context, move string) map[string][]trial.Trial
 }
 
@@ -71,7 +71,7 @@
 	// Log takes one line for each step.
 	Log hclog.Logger
 
-	stages map[string]map[string]*stage
+	led map[string]*lead
 
 	mu     sync.Mutex
 	alarms map[watched]*alarm.Alarm
@@ -85,8 +85,8 @@
 	if c == nil {
 		return
 	}
-	if m.stages == nil {
-		m.stages = map[string]map[string]*stage{}
+	if m.led == nil {
+		m.led = map[string]*lead{}
 	}
 	var known []string
 	for _, mv := range c.Moves {
@@ -95,9 +95,9 @@
 	}
 	m.Scores.Keep(known)
 	m.forget(known)
-	for id := range m.stages {
+	for id := range m.led {
 		if !slices.Contains(known, id) {
-			delete(m.stages, id)
+			delete(m.led, id)
 		}
 	}
 }
@@ -108,12 +108,12 @@
 	}
 	if mv.Ended() {
 		m.Leases.Release(ctx, leaseOf(mv))
-		delete(m.stages, mv.ID)
+		delete(m.led, mv.ID)
 		return
 	}
 	m.stopLocally(mv)
 	if _, held := m.Leases.Step(ctx, leaseOf(mv)); !held {
-		delete(m.stages, mv.ID)
+		delete(m.led, mv.ID)
 		return
 	}
 	m.lead(ctx, mv)
@@ -134,12 +134,7 @@
 }
 
 func (m *Mover) lead(ctx context.Context, mv move.Move) {
-	evidence := m.Peers.Evidence(ctx, mv.ID)
-	if evidence == nil {
-		evidence = map[string][]trial.Trial{}
-	}
-	evidence[self] = m.Scores.Trials(mv.ID)
-	next := m.next(mv, sum(evidence))
+	next := m.next(mv, m.gather(ctx, mv))
 	if reflect.DeepEqual(next, mv) {
 		return
 	}
@@ -149,6 +144,20 @@
 	m.commit(ctx, next)
 }
 
+// gather asks the other hosts for their trials, and returns all that was heard since this process leads the move.
+func (m *Mover) gather(ctx context.Context, mv move.Move) []trial.Trial {
+	l := m.led[mv.ID]
+	if l == nil {
+		l = &lead{heard: heard{}, stages: map[string]*stage{}}
+		m.led[mv.ID] = l
+	}
+	for host, trials := range m.Peers.Evidence(ctx, mv.ID) {
+		l.heard.take(host, trials)
+	}
+	l.heard.take(self, m.Scores.Trials(mv.ID))
+	return l.heard.total()
+}
+
 func (m *Mover) next(mv move.Move, total []trial.Trial) move.Move {
 	if m.Scores.Withdrawn(mv.ID) {
 		reason, bad := m.Ramp.Judge.Bad(total)
--- a/model/shift/shift.go
+++ b/model/shift/shift.go
@@ -81,6 +81,9 @@
 	// KillMover kills the process that leads the move, once.
 	KillMover bool
 
+	// LoseAnswers is the part of the hosts' answers to the mover that are lost.
+	LoseAnswers float64
+
 	// Done tells that the move was done by its time.
 	Done bool
 	// TakenBack tells that the move was taken back by its time.
@@ -260,7 +263,7 @@
 	e.self.leads = true
 	out := map[string][]trial.Trial{}
 	for _, p := range e.shift.processes {
-		if p != e.self {
+		if p != e.self && (e.shift.LoseAnswers == 0 || !e.shift.sched.Chance(e.shift.LoseAnswers)) {
 			out[string(p.id)] = p.score.Trials(id)
 		}
 	}
--- a/model/shift/shift_test.go
+++ b/model/shift/shift_test.go
@@ -16,8 +16,10 @@
 
 const moves = 6
 
-func play(kind string, seed uint64) *shift.Shift {
-	s := &shift.Shift{Seed: seed, Kind: kind, Way: shift.Product, Rate: 100, KillMover: seed%2 == 1}
+func play(kind string, seed uint64) *shift.Shift { return playLossy(kind, seed, 0) }
+
+func playLossy(kind string, seed uint64, lost float64) *shift.Shift {
+	s := &shift.Shift{Seed: seed, Kind: kind, Way: shift.Product, Rate: 100, KillMover: seed%2 == 1, LoseAnswers: lost}
 	s.Run()
 	return s
 }
@@ -30,6 +32,13 @@
 				Expect(s.Done).To(BeTrue(), "seed %d: %s", seed, s.Reason)
 			}
 		})
+
+		It("of a "+kind+" version are done although hosts' answers to the mover are lost", func() {
+			for seed := range uint64(moves) {
+				s := playLossy(kind, seed, 0.05)
+				Expect(s.Done).To(BeTrue(), "seed %d: %s", seed, s.Reason)
+			}
+		})
 	}
 
 	for _, kind := range []string{shift.Failing, shift.Slow, shift.Later, shift.Load, shift.Route} {
