Ask once whether a lease concerns a process, and which back ends take orders

Cause: reading the change again: Leases.due repeated what Concerns decides, and orders walked all entries for each row of the platform's list, though assign has the back ends that take orders as a map. Ruled out: Assign.Room by way of the engines' pool (a row that is live and loads would be counted otherwise). Change: due calls Concerns; assign.Backends serves both. Behaviour stays. Checked: vet, lint and format on all; race tests of leases, orders, assign, buyer, model/market, model/shift, test/style; four scenarios (orders to fenced engines, a mover's graceful stop, both of the buyer), all green.

--- a/coordination/assign/assign.go
+++ b/coordination/assign/assign.go
@@ -34,7 +34,7 @@
 // An engine that leaves gets no order, and the last live engine of a version that has traffic keeps it.
 func (a *Assign) Duties(c *catlog.Catalogue, rows []roster.Row) []duty.Duty {
 	var out []duty.Duty
-	for backend, g := range backends(c) {
+	for backend, g := range Backends(c) {
 		p := newPool(backend, rows)
 		p.split = newSplit(c, backend)
 		p.want = p.split.apportion(p.size())
@@ -70,7 +70,8 @@
 	return min(1, fullUse*float64(own*entries(c, e.Backend))/float64(max(1, all)))
 }
 
-func backends(c *catlog.Catalogue) map[label.Name]guard.Guard {
+// Backends returns the back ends whose engines take orders, and how they treat them.
+func Backends(c *catlog.Catalogue) map[label.Name]guard.Guard {
 	out := map[label.Name]guard.Guard{}
 	for i := range c.Entries {
 		if g := c.Entries[i].EngineOrders; g != guard.None {
--- a/coordination/leases/leases.go
+++ b/coordination/leases/leases.go
@@ -91,24 +91,18 @@
 
 // due returns the keeper to step, or nil for a process that neither holds the lease nor shall try to take it.
 func (l *Leases) due(key string) *keeper.Keeper {
+	if !l.Concerns(key) {
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		return nil
 	}
-	k := l.keepers[key]
-	if k != nil {
-		if _, held := k.Held(); held {
-			return k
-		}
+	if k := l.keepers[key]; k != nil {
+		return k
 	}
-	if l.Tries != nil && !l.Tries(key) {
-		return nil
-	}
-	if k == nil {
-		k = l.add(key)
-	}
-	return k
+	return l.add(key)
 }
 
 func (l *Leases) add(key string) *keeper.Keeper {
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -80,9 +80,9 @@
 
 // renew steps the lease of each data centre that has engines which take orders, and reports whether any is held.
 func (o *Orders) renew(ctx context.Context, c *catlog.Catalogue, rows []roster.Row) (any bool) {
-	stepped := map[centre.ID]bool{}
+	stepped, ordered := map[centre.ID]bool{}, assign.Backends(c)
 	for _, r := range rows {
-		if stepped[r.DataCentre] || !takesOrders(c, r) {
+		if _, takes := ordered[r.Backend]; stepped[r.DataCentre] || !takes {
 			continue
 		}
 		stepped[r.DataCentre] = true
@@ -95,15 +95,6 @@
 	return any
 }
 
-func takesOrders(c *catlog.Catalogue, r roster.Row) bool {
-	for i := range c.Entries {
-		if c.Entries[i].Backend == r.Backend && c.Entries[i].EngineOrders != guard.None {
-			return true
-		}
-	}
-	return false
-}
-
 // leaseOf returns the key of the lease under which engines of a data centre are ordered.
 func leaseOf(at centre.ID) string { return "lease/orders/" + string(at) }
 
