--- a/commands.go
+++ b/commands.go
@@ -32,6 +32,7 @@
 
 var commands = []command{
 	serveCommand,
+	hostCommand,
 	checkCommand,
 	catalogueCommand,
 	moveCommand,
--- /dev/null
+++ b/coordination/rates/rates.go
@@ -0,0 +1,125 @@
+// Package rates admits requests within the accounts' rates, which hold over all entry hosts together.
+package rates
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/client"
+)
+
+const (
+	// demandTime is the time over which demand is averaged.
+	demandTime = 2 * time.Second
+	// floorPart is the part of an even share that a host keeps without demand, so that it can begin at once.
+	floorPart = 0.3
+	// trust is the part of the limits that is given out; shares of hosts with different views may overlap.
+	trust = 0.97
+	// silentAfter is the time after which a silent peer's demand is no longer believed; its floor stays reserved.
+	silentAfter = 10 * time.Second
+)
+
+// Rates holds one process's part of every account's rate.
+//
+// The part follows the demand that the hosts tell each other. A process starts without saved-up units, so that a host
+// that starts again does not give out a burst twice. All methods may be called concurrently.
+type Rates struct {
+	// Hosts returns the number of entry hosts, this one included.
+	Hosts func() int
+
+	mu    sync.Mutex
+	lines map[acct.ID]*line
+	peers map[string]told
+}
+
+type line struct {
+	balance float64
+	filled  time.Time
+	demand  float64
+	at      time.Time
+}
+
+type told struct {
+	demand map[acct.ID]float64
+	at     time.Time
+}
+
+// Admit takes cost units of an account's rate, or returns the time until the account may come back.
+func (r *Rates) Admit(c *client.Client, cost float64, now time.Time) (wait time.Duration, ok bool) {
+	if c.Rate <= 0 {
+		return 0, true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.line(c.Name, now)
+	l.want(cost, now)
+	part := r.part(c, l, now)
+	rate := c.Rate * part
+	l.balance = min(c.Burst*part, l.balance+rate*now.Sub(l.filled).Seconds())
+	l.filled = now
+	if l.balance <= 0 {
+		return time.Duration((1 - l.balance) / rate * float64(time.Second)), false
+	}
+	l.balance -= cost
+	return 0, true
+}
+
+func (r *Rates) line(account acct.ID, now time.Time) *line {
+	if r.lines == nil {
+		r.lines = map[acct.ID]*line{}
+	}
+	l := r.lines[account]
+	if l == nil {
+		l = &line{filled: now.Add(-time.Second), at: now}
+		r.lines[account] = l
+	}
+	return l
+}
+
+// want averages the demand, admitted or not.
+func (l *line) want(cost float64, now time.Time) {
+	l.demand = l.decayed(now) + cost/demandTime.Seconds()
+	l.at = now
+}
+
+func (l *line) decayed(now time.Time) float64 {
+	age := max(0, now.Sub(l.at))
+	return l.demand * float64(demandTime) / float64(demandTime+age)
+}
+
+// part returns the process's part of an account's rate, above 0 and at most 1.
+func (r *Rates) part(c *client.Client, l *line, now time.Time) float64 {
+	n := float64(max(1, r.Hosts()))
+	floor := floorPart * c.Rate / n
+	sum := l.demand + n*floor
+	for _, p := range r.peers {
+		if now.Sub(p.at) < silentAfter {
+			sum += p.demand[c.Name]
+		}
+	}
+	return trust * (l.demand + floor) / sum
+}
+
+// Demand returns the units per second that each account asked for here, admitted or not.
+func (r *Rates) Demand(now time.Time) map[acct.ID]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[acct.ID]float64{}
+	for account, l := range r.lines {
+		if d := l.decayed(now); d >= 1 {
+			out[account] = float64(int64(d))
+		}
+	}
+	return out
+}
+
+// Hear takes the demand that a peer told.
+func (r *Rates) Hear(peer string, demand map[acct.ID]float64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.peers == nil {
+		r.peers = map[string]told{}
+	}
+	r.peers[peer] = told{demand: demand, at: now}
+}
--- /dev/null
+++ b/coordination/report/report.go
@@ -0,0 +1,137 @@
+// Package report sends the usage of each window once, the same from whichever host sends it.
+package report
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/record"
+	"github.com/dragonflyroute/dragonflyroute/protocol/table"
+)
+
+const (
+	// settleTime is the time after a window's end in which the last counts arrive from the other hosts.
+	settleTime = 1500 * time.Millisecond
+	// keptReports is the number of fixed reports that stay in the table.
+	keptReports = 4
+	// keyPrefix begins the rows of fixed reports.
+	keyPrefix = "usage/"
+)
+
+type store interface {
+	Commit(ctx context.Context, t table.Txn) (int64, error)
+	Read(ctx context.Context, key string) (record.Record, error)
+}
+
+type usage interface {
+	// Number returns the number of the window at a time of day.
+	Number(at time.Time) int64
+	// End returns the end of a window.
+	End(number int64) time.Time
+	// Sum returns the counts of a window over all processes known here.
+	Sum(number int64) map[acct.ID]int64
+}
+
+type platform interface {
+	// Usage reports the requests of each account that began in a window.
+	Usage(ctx context.Context, fence, window int64, counts map[acct.ID]int64) error
+}
+
+// Report sends each window's usage while the process holds the duty's lease.
+//
+// The counts are fixed in the table before they are sent, so that a successor repeats them exactly.
+type Report struct {
+	// Store fixes the counts.
+	Store store
+	// Usage holds them.
+	Usage usage
+	// Platform takes the reports.
+	Platform platform
+	// Held returns the fencing number while the process holds the lease; it is asked before each effect.
+	Held func() (fence int64, held bool)
+	// Refused is told when the platform has seen a higher fencing number.
+	Refused func()
+	// Late is the time after a window's end when its report is due.
+	Late time.Duration
+	// Log takes a line for each report.
+	Log hclog.Logger
+
+	sent map[int64]bool
+}
+
+// Step sends the reports that are due at now.
+func (r *Report) Step(ctx context.Context, now time.Time) {
+	if r.sent == nil {
+		r.sent = map[int64]bool{}
+	}
+	for number := r.Usage.Number(now.Add(-r.Late)); ; number++ {
+		end := r.Usage.End(number)
+		if now.Before(end.Add(settleTime)) {
+			return
+		}
+		if r.sent[number] || now.After(end.Add(r.Late)) {
+			continue
+		}
+		if _, held := r.Held(); !held {
+			return
+		}
+		r.send(ctx, number)
+	}
+}
+
+func (r *Report) send(ctx context.Context, number int64) {
+	counts, err := r.fix(ctx, number)
+	if err != nil {
+		r.Log.Warn("usage report not fixed", "window", number, "error", err)
+		return
+	}
+	fence, held := r.Held()
+	if !held {
+		return
+	}
+	err = r.Platform.Usage(ctx, fence, number, counts)
+	if err != nil {
+		r.Log.Warn("usage report not taken", "window", number, "fence", fence, "error", err)
+		if fault.KindOf(err) == kind.Conflict {
+			r.Refused()
+		}
+		return
+	}
+	r.sent[number] = true
+	delete(r.sent, number-2*keptReports)
+	r.Log.Info("usage reported", "window", number, "fence", fence, "counts", counts)
+}
+
+// fix returns the counts that the table holds for a window, after writing the own ones if it holds none.
+func (r *Report) fix(ctx context.Context, number int64) (map[acct.ID]int64, error) {
+	own := r.Usage.Sum(number)
+	value, err := json.Marshal(own)
+	if err != nil {
+		return nil, fault.Wrap(kind.Internal, err, "usage report")
+	}
+	version, err := r.Store.Commit(ctx, table.Txn{}.IfAbsent(key(number)).Put(key(number), value).Delete(key(number-keptReports)))
+	if err == nil && version > 0 {
+		return own, nil
+	}
+	row, err := r.Store.Read(ctx, key(number))
+	if err != nil {
+		return nil, err
+	}
+	if row.Version == 0 {
+		return nil, fault.New(kind.Unavailable, "", "the report of window %d is not in the table yet", number)
+	}
+	fixed := map[acct.ID]int64{}
+	if err := json.Unmarshal(row.Value, &fixed); err != nil {
+		return nil, fault.Wrap(kind.Internal, err, "the fixed report of window %d is not readable", number)
+	}
+	return fixed, nil
+}
+
+func key(number int64) string { return keyPrefix + strconv.FormatInt(number, 10) }
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -58,6 +58,8 @@
 	Score *score.Score
 	// Self returns the process's own heartbeat.
 	Self func() pulse.Pulse
+	// Heard takes each heartbeat after the view was updated; nil takes none.
+	Heard func(p pulse.Pulse)
 	// Now returns the time.
 	Now func() time.Time
 	// Rand draws peers.
@@ -127,6 +129,9 @@
 	for _, id := range p.Withdrawn {
 		s.Score.Withdraw(id)
 	}
+	if s.Heard != nil {
+		s.Heard(p)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.heard == nil {
--- a/protocol/pulse/pulse.go
+++ b/protocol/pulse/pulse.go
@@ -2,8 +2,10 @@
 package pulse
 
 import (
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/window"
 )
 
 // The states of an entry host.
@@ -46,4 +48,10 @@
 	Withdrawn []string `json:"withdrawn,omitempty"`
 	// Sent counts requests in flight from the sender by endpoint.
 	Sent map[string]int `json:"sent,omitempty"`
+	// Unread counts the prompt tokens in flight from the sender that an endpoint has not begun to answer, by endpoint.
+	Unread map[string]int64 `json:"unread,omitempty"`
+	// Demand is what accounts ask of the sender, in units of their rates per second.
+	Demand map[acct.ID]float64 `json:"demand,omitempty"`
+	// Usage counts the sender's requests that began to run, for each of the newest windows.
+	Usage []window.Window `json:"usage,omitempty"`
 }
--- a/protocol/record/record.go
+++ b/protocol/record/record.go
@@ -9,4 +9,6 @@
 	Value []byte
 	// Version changes with each write of the row; zero means that the row does not exist.
 	Version int64
+	// Dropped tells that a change removed the row.
+	Dropped bool
 }
--- a/protocol/roster/roster.go
+++ b/protocol/roster/roster.go
@@ -37,6 +37,10 @@
 	NoticeMillis int64 `json:"notice-ms,omitempty"`
 	// Loading is the version that an engine loads in place of Version, empty for none.
 	Loading label.Name `json:"loading,omitempty"`
+	// Slots is the number of requests that the server runs at one time, nought when it does not say.
+	Slots int `json:"slots,omitempty"`
+	// Born is the Unix millisecond of the server's start, nought when it does not say.
+	Born int64 `json:"born-ms,omitempty"`
 	// Peers is the address for entry hosts' own protocol, empty for endpoints.
 	Peers string `json:"peers,omitempty"`
 }
--- /dev/null
+++ b/state/policy/policy.go
@@ -0,0 +1,100 @@
+// Package policy keeps the operator's configuration in force, ready for look-ups.
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/back"
+	"github.com/dragonflyroute/dragonflyroute/protocol/client"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/path"
+	"github.com/dragonflyroute/dragonflyroute/protocol/rules"
+)
+
+// Policy holds the highest revision that the process has seen; it never takes a lower one.
+//
+// All methods may be called concurrently.
+type Policy struct {
+	mu      sync.Mutex
+	current atomic.Pointer[index]
+}
+
+type index struct {
+	rules  *rules.Rules
+	hosts  map[string][]*path.Path
+	keys   map[string]*client.Client
+	byName map[label.Name]*back.Back
+}
+
+// Offer takes a revision if it is higher than the one in force, and reports whether it did.
+func (p *Policy) Offer(r *rules.Rules) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.current.Load(); old != nil && old.rules.Revision >= r.Revision {
+		return false
+	}
+	p.current.Store(newIndex(r))
+	return true
+}
+
+func newIndex(r *rules.Rules) *index {
+	x := &index{rules: r, hosts: map[string][]*path.Path{}, keys: map[string]*client.Client{}, byName: map[label.Name]*back.Back{}}
+	for i := range r.Paths {
+		t := &r.Paths[i]
+		x.hosts[t.Host] = append(x.hosts[t.Host], t)
+	}
+	for _, all := range x.hosts {
+		slices.SortStableFunc(all, func(a, b *path.Path) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range r.Clients {
+		for _, key := range r.Clients[i].Keys {
+			x.keys[key] = &r.Clients[i]
+		}
+	}
+	for i := range r.Backs {
+		x.byName[r.Backs[i].Name] = &r.Backs[i]
+	}
+	return x
+}
+
+// Rules returns the revision in force, nil while none is known.
+func (p *Policy) Rules() *rules.Rules {
+	if x := p.current.Load(); x != nil {
+		return x.rules
+	}
+	return nil
+}
+
+// Match returns the route with the longest prefix that begins the URL path, nil when there is none.
+func (p *Policy) Match(host, urlPath string) *path.Path {
+	x := p.current.Load()
+	if x == nil {
+		return nil
+	}
+	for _, t := range x.hosts[host] {
+		if strings.HasPrefix(urlPath, t.Prefix) {
+			return t
+		}
+	}
+	return nil
+}
+
+// Client returns the account that holds a key, nil when there is none.
+func (p *Policy) Client(key string) *client.Client {
+	if x := p.current.Load(); x != nil {
+		return x.keys[key]
+	}
+	return nil
+}
+
+// Back returns a back end, nil when it is not known.
+func (p *Policy) Back(name label.Name) *back.Back {
+	if x := p.current.Load(); x != nil {
+		return x.byName[name]
+	}
+	return nil
+}
--- /dev/null
+++ b/state/usage/usage.go
@@ -0,0 +1,127 @@
+// Package usage counts requests by account and window of time, here and at the peers.
+package usage
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/window"
+	"github.com/dragonflyroute/dragonflyroute/protocol/work"
+)
+
+// kept is the number of windows that are kept and told.
+const kept = 4
+
+// Usage holds what this process counted and what its peers told of themselves.
+//
+// All methods may be called concurrently.
+type Usage struct {
+	// Length is the length of a window.
+	Length time.Duration
+
+	mu    sync.Mutex
+	own   map[int64]map[acct.ID]int64
+	peers map[origin]map[int64]map[acct.ID]int64
+}
+
+// origin is one start of a peer; a peer that starts again counts anew.
+type origin struct {
+	host        host.ID
+	incarnation int64
+}
+
+// Number returns the number of the window at a time of day.
+func (u *Usage) Number(at time.Time) int64 { return at.UnixNano() / int64(u.Length) }
+
+// End returns the end of a window.
+func (u *Usage) End(number int64) time.Time { return time.Unix(0, (number+1)*int64(u.Length)) }
+
+// Began counts a request that an endpoint began to run.
+func (u *Usage) Began(w *work.Work, now time.Time) {
+	if w.Account == "" {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	number := u.Number(now)
+	if u.own == nil {
+		u.own = map[int64]map[acct.ID]int64{}
+	}
+	if u.own[number] == nil {
+		u.own[number] = map[acct.ID]int64{}
+		maps.DeleteFunc(u.own, func(k int64, _ map[acct.ID]int64) bool { return k <= number-kept })
+	}
+	u.own[number][w.Account]++
+}
+
+// Own returns this process's newest windows.
+func (u *Usage) Own() []window.Window {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var out []window.Window
+	for number, counts := range u.own {
+		out = append(out, window.Window{Number: number, Counts: maps.Clone(counts)})
+	}
+	return out
+}
+
+// Hear takes a peer's newest windows.
+func (u *Usage) Hear(from host.ID, incarnation int64, windows []window.Window, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.peers == nil {
+		u.peers = map[origin]map[int64]map[acct.ID]int64{}
+	}
+	o := origin{host: from, incarnation: incarnation}
+	told := u.peers[o]
+	if told == nil {
+		told = map[int64]map[acct.ID]int64{}
+		u.peers[o] = told
+	}
+	for _, w := range windows {
+		told[w.Number] = larger(told[w.Number], w.Counts)
+	}
+	u.forget(u.Number(now) - 2*kept)
+}
+
+// larger returns the larger counts: heartbeats may overtake each other, and counts only grow.
+func larger(a, b map[acct.ID]int64) map[acct.ID]int64 {
+	out := maps.Clone(b)
+	for account, n := range a {
+		if n > out[account] {
+			if out == nil {
+				out = map[acct.ID]int64{}
+			}
+			out[account] = n
+		}
+	}
+	return out
+}
+
+func (u *Usage) forget(before int64) {
+	for o, told := range u.peers {
+		maps.DeleteFunc(told, func(k int64, _ map[acct.ID]int64) bool { return k < before })
+		if len(told) == 0 {
+			delete(u.peers, o)
+		}
+	}
+}
+
+// Sum returns the counts of a window over all processes known here.
+func (u *Usage) Sum(number int64) map[acct.ID]int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := map[acct.ID]int64{}
+	for account, n := range u.own[number] {
+		out[account] += n
+	}
+	for _, told := range u.peers {
+		for account, n := range told[number] {
+			out[account] += n
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/transport/site/duties.go
@@ -0,0 +1,84 @@
+package site
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
+	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
+	"github.com/dragonflyroute/dragonflyroute/coordination/report"
+	"github.com/dragonflyroute/dragonflyroute/transport/clock"
+)
+
+const (
+	// dutyLease is the key of the lease of all duties.
+	dutyLease = "duties"
+	// leaseSteps is how often the lease is renewed within its term.
+	leaseSteps = 3
+	// leaseTries is the number of processes that try to take the lease.
+	leaseTries = 2
+	// idBytes is the length of write ids, before hexadecimal.
+	idBytes = 8
+)
+
+func newID() string {
+	id := make([]byte, idBytes)
+	_, _ = rand.Read(id)
+	return hex.EncodeToString(id)
+}
+
+func (s *Site) buildDuties() {
+	s.leases = &leases.Leases{New: s.lease, Tries: s.tries, Log: s.Log}
+	s.report = &report.Report{
+		Store:    s.Leases,
+		Usage:    s.usage,
+		Platform: s.Duties,
+		Held:     func() (int64, bool) { return s.leases.Held(dutyLease) },
+		Refused:  s.refused,
+		Late:     s.UsageLate,
+		Log:      s.Log,
+	}
+}
+
+func (s *Site) tries(key string) bool { return s.fleet.Ranks(key, leaseTries, time.Now()) }
+
+// lease counts the lease's term on a clock that a suspension does not stop.
+func (s *Site) lease(key string) *keeper.Keeper {
+	return &keeper.Keeper{
+		Store:       s.Leases,
+		Key:         key,
+		Self:        s.Host,
+		Incarnation: s.incarnation,
+		Term:        s.LeaseTerm,
+		Now:         clock.Boot,
+		NewID:       newID,
+	}
+}
+
+// refused gives the lease up after the platform has seen a higher fencing number.
+func (s *Site) refused() {
+	ctx, cancel := context.WithTimeout(context.Background(), s.LeaseTerm)
+	defer cancel()
+	s.leases.Release(ctx, dutyLease)
+}
+
+// duty renews or tries to take the duties' lease, and does what is due under it.
+func (s *Site) duty(ctx context.Context) error {
+	if s.Duties == nil {
+		<-ctx.Done()
+		return nil
+	}
+	return every(s.LeaseTerm/leaseSteps, func(ctx context.Context) {
+		if s.Policy.Rules() == nil {
+			return
+		}
+		if _, held := s.leases.Step(ctx, dutyLease); !held {
+			return
+		}
+		if s.ReportsUsage {
+			s.report.Step(ctx, time.Now())
+		}
+	})(ctx)
+}
--- /dev/null
+++ b/transport/site/members.go
@@ -0,0 +1,272 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/follow"
+	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
+	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
+	"github.com/dragonflyroute/dragonflyroute/protocol/record"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/protocol/table"
+	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
+	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
+	"github.com/dragonflyroute/dragonflyroute/state/holder"
+	"github.com/dragonflyroute/dragonflyroute/state/score"
+	"github.com/dragonflyroute/dragonflyroute/transport/peers"
+)
+
+const (
+	// roundTime is the time between rounds of heartbeats.
+	roundTime = 400 * time.Millisecond
+	// silenceTime is the silence after which a host that did not answer is left out of address answers.
+	silenceTime = 1500 * time.Millisecond
+	// keptPeers bounds the connections to peers that stay open.
+	keptPeers = 64
+	// censusStep is the time between looks at endpoints that are missing.
+	censusStep = 200 * time.Millisecond
+	// operatorWait, serverPause, hostWait and hostPause pace the reads of the tables: the operator's changes count at
+	// once, endpoints' rows change all the time, and hosts come and go rarely.
+	operatorWait = 2 * time.Second
+	serverPause  = 800 * time.Millisecond
+	hostWait     = 4 * time.Second
+	hostPause    = 300 * time.Millisecond
+	// joinAgain is the time between tries to write the own row.
+	joinAgain = 300 * time.Millisecond
+)
+
+func (s *Site) buildPeers() {
+	s.peers = &peers.Peers{Secret: peerSecret, Service: &service{s}, Contacts: s.fleet.Contacts, Keep: keptPeers}
+	s.spread = &spread.Spread{
+		Peers:     s.peers,
+		Fleet:     s.fleet,
+		Holder:    &holder.Holder{},
+		Score:     &score.Score{},
+		Self:      s.pulse,
+		Heard:     s.heard,
+		Now:       time.Now,
+		Rand:      rand.New(rand.NewPCG(uint64(s.incarnation), 0)),
+		RoundTime: roundTime,
+		Started:   time.Now(),
+	}
+}
+
+// peerSecret stands where the settings name no secret: the platform's network is the entry hosts' own.
+const peerSecret = "entry-hosts"
+
+// follows returns the readers of the tables.
+func (s *Site) follows() []*follow.Follow {
+	return []*follow.Follow{
+		{
+			Name: "operator", Source: s.Operator, Wait: operatorWait,
+			Whole: s.operator, Changed: s.operator, Now: time.Now, Log: s.Log,
+		},
+		{
+			Name: "servers", Source: s.Servers, Pause: serverPause,
+			Whole: s.census.Whole, Changed: s.census.Changed, Regained: s.census.Regained, Now: time.Now, Log: s.Log,
+		},
+		{
+			Name: "hosts", Source: s.Hosts, Wait: hostWait, Pause: hostPause,
+			Whole: s.allHosts, Changed: s.someHosts, Now: time.Now, Log: s.Log,
+		},
+	}
+}
+
+// operator takes rows of the operator's table.
+func (s *Site) operator(all []record.Record) {
+	for _, r := range all {
+		if r.Key != s.ConfigKey || r.Dropped {
+			continue
+		}
+		next, err := s.Rules(r.Value)
+		if err != nil {
+			s.Log.Error("configuration not taken; the one before stays in force", "version", r.Version, "error", err)
+			continue
+		}
+		if s.Policy.Offer(next) {
+			s.Log.Info("configuration in force", "revision", next.Revision, "version", r.Version, "routes", len(next.Paths), "accounts", len(next.Clients))
+		}
+	}
+}
+
+// allHosts takes the whole table of entry hosts.
+func (s *Site) allHosts(all []record.Record) {
+	s.members = map[string]roster.Row{}
+	s.someHosts(all)
+}
+
+// someHosts takes changed rows of entry hosts.
+func (s *Site) someHosts(all []record.Record) {
+	for _, r := range all {
+		if r.Dropped {
+			delete(s.members, r.Key)
+			continue
+		}
+		var row roster.Row
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			s.Log.Warn("row names no entry host", "key", r.Key, "version", r.Version, "error", err)
+			continue
+		}
+		s.members[r.Key] = row
+	}
+	var list []roster.Row
+	for _, row := range s.members {
+		list = append(list, row)
+	}
+	s.fleet.List(list)
+	s.Log.Info("entry hosts listed", "hosts", len(list))
+}
+
+// join writes the process's own row until that succeeds.
+func (s *Site) join(ctx context.Context) {
+	row := roster.Row{ID: endpt.ID(s.Host), Address: s.Callers, DataCentre: s.DataCentre, State: roster.Live, Peers: s.peerAddress(), Born: s.incarnation}
+	if leaving, _ := s.Leaving(); leaving {
+		row.State = roster.Leaving
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		s.Log.Error("own row not encoded", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		_, err := s.Hosts.Commit(ctx, table.Txn{}.Put(string(s.Host), value))
+		if err == nil {
+			s.Log.Info("listed", "state", row.State)
+			return
+		}
+		s.Log.Warn("own row not written", "state", row.State, "error", err)
+		pause(ctx, joinAgain)
+	}
+}
+
+// rounds joins the entry hosts and then exchanges heartbeats.
+func (s *Site) rounds(ctx context.Context) error {
+	s.join(ctx)
+	for ctx.Err() == nil {
+		timer := time.NewTimer(s.spread.RoundWait(roundTime))
+		s.spread.Round(ctx)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+	return nil
+}
+
+// tellAll sends a heartbeat to every entry host at once.
+func (s *Site) tellAll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, roundTime)
+	defer cancel()
+	var g errgroup.Group
+	g.SetLimit(keptPeers)
+	for _, address := range s.fleet.Contacts() {
+		g.Go(func() error {
+			s.spread.Exchange(ctx, address)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// pulse returns the process's next heartbeat.
+func (s *Site) pulse() pulse.Pulse {
+	now := time.Now()
+	state := pulse.Live
+	if leaving, _ := s.Leaving(); leaving {
+		state = pulse.Leaving
+	} else if s.Policy.Rules() == nil {
+		state = pulse.Starting
+	}
+	p := pulse.Pulse{
+		Host:        s.Host,
+		Incarnation: s.incarnation,
+		Seq:         s.sequence.Add(1),
+		Callers:     s.Callers,
+		Peers:       s.peerAddress(),
+		DataCentre:  s.DataCentre,
+		State:       state,
+		Load:        int(s.waiting.Load()),
+		Sent:        map[string]int{},
+		Unread:      map[string]int64{},
+		Demand:      s.Rates.Demand(now),
+		Usage:       s.usage.Own(),
+	}
+	for _, t := range s.Depot.All() {
+		running, unread := t.Own()
+		id := string(t.Row().ID)
+		if running > 0 {
+			p.Sent[id] = running
+		}
+		if unread > 0 {
+			p.Unread[id] = unread
+		}
+	}
+	return p
+}
+
+// heard takes a peer's heartbeat.
+func (s *Site) heard(p pulse.Pulse) {
+	now := time.Now()
+	s.Rates.Hear(string(p.Host), p.Demand, now)
+	s.usage.Hear(p.Host, p.Incarnation, p.Usage, now)
+	for _, t := range s.Depot.All() {
+		id := string(t.Row().ID)
+		t.Hear(string(p.Host), p.Sent[id], p.Unread[id], now)
+	}
+}
+
+// EntryAddresses returns the callers' addresses of the entry hosts that take requests.
+func (s *Site) EntryAddresses(_ centre.ID) []string {
+	var out []string
+	if leaving, _ := s.Leaving(); !leaving {
+		out = append(out, s.Callers)
+	}
+	for _, p := range s.fleet.Alive(time.Now()) {
+		if p.State == pulse.Live {
+			out = append(out, p.Callers)
+		}
+	}
+	if len(out) == 0 {
+		out = append(out, s.Callers)
+	}
+	return out
+}
+
+// service answers the other entry hosts.
+type service struct{ s *Site }
+
+// Pulse takes a peer's heartbeat and returns the process's own.
+func (p *service) Pulse(got pulse.Pulse) pulse.Pulse {
+	p.s.spread.Hear(got)
+	return p.s.pulse()
+}
+
+// Catalogue returns nil: the operator's configuration comes from the store.
+func (p *service) Catalogue() *catlog.Catalogue { return nil }
+
+// Offer takes nothing.
+func (p *service) Offer(*catlog.Catalogue) {}
+
+// Evidence returns nothing.
+func (p *service) Evidence(string) []trial.Trial { return nil }
+
+// Accept takes no requests: callers come back by themselves.
+func (p *service) Accept(ticket.Ticket) bool { return false }
+
+// Lend grants nothing: parts of limits follow the demand in heartbeats.
+func (p *service) Lend(ask loan.Loan) loan.Loan {
+	return loan.Loan{Account: ask.Account, Entry: ask.Entry, By: p.s.Host}
+}
+
+// Return takes nothing back.
+func (p *service) Return(loan.Loan) {}
--- /dev/null
+++ b/transport/site/site.go
@@ -0,0 +1,220 @@
+// Package site assembles the process of an entry host that finds everything through the platform's store.
+package site
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/again"
+	"github.com/dragonflyroute/dragonflyroute/coordination/census"
+	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
+	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
+	"github.com/dragonflyroute/dragonflyroute/coordination/pass"
+	"github.com/dragonflyroute/dragonflyroute/coordination/rates"
+	"github.com/dragonflyroute/dragonflyroute/coordination/report"
+	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/record"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/protocol/rules"
+	"github.com/dragonflyroute/dragonflyroute/protocol/table"
+	"github.com/dragonflyroute/dragonflyroute/state/depot"
+	"github.com/dragonflyroute/dragonflyroute/state/fleet"
+	"github.com/dragonflyroute/dragonflyroute/state/policy"
+	"github.com/dragonflyroute/dragonflyroute/state/usage"
+	"github.com/dragonflyroute/dragonflyroute/transport/meter"
+	"github.com/dragonflyroute/dragonflyroute/transport/peers"
+)
+
+// rows is one table of the platform's store.
+type rows interface {
+	Commit(ctx context.Context, t table.Txn) (int64, error)
+	Read(ctx context.Context, key string) (record.Record, error)
+	Snapshot(ctx context.Context) (rows []record.Record, version int64, err error)
+	Changes(ctx context.Context, after int64, wait time.Duration) (rows []record.Record, version int64, err error)
+}
+
+// duties are the platform calls that are one host's at a time.
+type duties interface {
+	Usage(ctx context.Context, fence, window int64, counts map[acct.ID]int64) error
+	Order(ctx context.Context, fence int64, backend label.Name, in centre.ID, n int, reclaimable bool) error
+}
+
+// Site is the process of one entry host.
+//
+// Prepare builds the parts that the adapters need; the exported fields up to there are set before it, the handlers
+// after it and before Run.
+type Site struct {
+	// Host names the process's host, IP is its address and DataCentre where it stands.
+	Host       host.ID
+	IP         string
+	DataCentre centre.ID
+	// Callers, Ready and Addresses are the listen addresses for requests, the platform's check and address answers.
+	Callers, Ready, Addresses string
+	// PeerPort and MetricsPort are ports for other entry hosts and for metrics.
+	PeerPort, MetricsPort int
+	// Grace is the time from the order to stop to the kill.
+	Grace time.Duration
+	// RetryRatio and RetryExtra bound further arrivals at back ends.
+	RetryRatio, RetryExtra float64
+	// LeaseTerm is the term of the duties' lease.
+	LeaseTerm time.Duration
+	// UsageWindow is the length of a window of the usage report, UsageLate when it is due after its end.
+	UsageWindow, UsageLate time.Duration
+	// Operator, Servers, Hosts and Leases are the tables of the operator, the endpoints, the entry hosts and the leases.
+	Operator, Servers, Hosts, Leases rows
+	// ConfigKey is the operator's row that holds the configuration.
+	ConfigKey string
+	// Rules and Endpoint decode rows of the operator and of the endpoints.
+	Rules    func(data []byte) (*rules.Rules, error)
+	Endpoint func(id string, data []byte) (roster.Row, error)
+	// Duties makes the platform calls; nil when there are none.
+	Duties duties
+	// ReportsUsage and OrdersEndpoints tell which duties there are.
+	ReportsUsage, OrdersEndpoints bool
+	// Log takes JSON lines.
+	Log hclog.Logger
+
+	// Front answers callers' requests, and Desk address questions and the platform's check.
+	Front, Desk http.Handler
+
+	// Policy, Depot, Pass, Rates, Choice and Meter are built by Prepare.
+	Policy *policy.Policy
+	Depot  *depot.Depot
+	Pass   *pass.Pass
+	Rates  *rates.Rates
+	Choice *choose.Choice
+	Meter  *meter.Meter
+
+	incarnation int64
+	fleet       *fleet.Fleet
+	spread      *spread.Spread
+	peers       *peers.Peers
+	census      *census.Census
+	usage       *usage.Usage
+	leases      *leases.Leases
+	report      *report.Report
+	// members holds the rows of the entry hosts; only the reader of their table uses it.
+	members  map[string]roster.Row
+	sequence atomic.Int64
+	waiting     atomic.Int64
+	// stopAt is the time of the kill in Unix nanoseconds, nought before the order to stop.
+	stopAt atomic.Int64
+}
+
+// Prepare builds the parts that do not depend on the adapters' handlers.
+func (s *Site) Prepare() {
+	s.incarnation = time.Now().UnixNano()
+	s.Meter = meter.New()
+	s.Policy = &policy.Policy{}
+	s.Depot = &depot.Depot{}
+	s.usage = &usage.Usage{Length: s.UsageWindow}
+	s.fleet = &fleet.Fleet{Self: s.Host, Timeout: silenceTime}
+	s.Rates = &rates.Rates{Hosts: s.hosts}
+	s.Choice = &choose.Choice{Rand: rand.Float64, Home: s.DataCentre}
+	s.Pass = &pass.Pass{
+		Endpoints: s.Depot,
+		Picker:    s.Choice,
+		Retries:   &again.Again{Ratio: s.RetryRatio, Extra: s.RetryExtra, Hosts: s.hosts},
+		Usage:     s.usage,
+		Now:       time.Now,
+		Log:       s.Log,
+	}
+	s.census = &census.Census{Depot: s.Depot, Decode: s.Endpoint, Now: time.Now, Log: s.Log}
+	s.buildPeers()
+	s.buildDuties()
+}
+
+// hosts returns the number of entry hosts known, this one included.
+func (s *Site) hosts() int { return 1 + len(s.fleet.Contacts()) }
+
+// Leaving reports whether the process is stopping, and the time left until it is killed.
+func (s *Site) Leaving() (leaving bool, left time.Duration) {
+	at := s.stopAt.Load()
+	if at == 0 {
+		return false, 0
+	}
+	return true, time.Until(time.Unix(0, at))
+}
+
+// IsReady reports whether the process takes requests.
+func (s *Site) IsReady() bool {
+	return s.stopAt.Load() == 0 && s.Policy.Rules() != nil && len(s.Depot.All()) > 0
+}
+
+// Run serves until ctx ends, then stops within the grace time.
+func (s *Site) Run(ctx context.Context) error {
+	listeners, err := s.listen()
+	if err != nil {
+		return err
+	}
+	s.Log.Info("started", "host", s.Host, "incarnation", s.incarnation, "callers", s.Callers, "data-centre", s.DataCentre)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g run.Group
+	add := func(part func(ctx context.Context) error) {
+		g.Add(func() error { return part(background) }, func(error) { stop() })
+	}
+	front := s.server(s.counted(s.Front))
+	add(func(c context.Context) error { return serve(c, front, listeners.front) })
+	add(func(c context.Context) error { return serve(c, s.server(s.Desk), listeners.ready) })
+	add(func(c context.Context) error { return serve(c, s.server(s.Desk), listeners.addresses) })
+	add(func(c context.Context) error { return serve(c, s.server(s.Meter.Handler()), listeners.metrics) })
+	add(func(c context.Context) error { return s.peers.Serve(c, listeners.peers) })
+	for _, f := range s.follows() {
+		add(f.Run)
+	}
+	add(s.rounds)
+	add(s.duty)
+	add(every(censusStep, func(context.Context) { s.census.Step() }))
+	add(func(c context.Context) error {
+		select {
+		case <-ctx.Done():
+			s.drain(c, front)
+		case <-c.Done():
+		}
+		return nil
+	})
+	err = g.Run()
+	s.peers.Close()
+	s.Log.Info("stopped", "host", s.Host)
+	return err
+}
+
+type listening struct{ front, ready, addresses, peers, metrics net.Listener }
+
+func (s *Site) listen() (*listening, error) {
+	var l listening
+	for _, part := range []struct {
+		name, address string
+		to            *net.Listener
+	}{
+		{"callers", s.Callers, &l.front},
+		{"ready", s.Ready, &l.ready},
+		{"addresses", s.Addresses, &l.addresses},
+		{"peers", s.peerAddress(), &l.peers},
+		{"metrics", net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)), &l.metrics},
+	} {
+		listener, err := net.Listen("tcp", part.address)
+		if err != nil {
+			return nil, fault.Wrap(kind.Unavailable, err, "listen on %s for %s", part.address, part.name)
+		}
+		*part.to = listener
+	}
+	return &l, nil
+}
+
+func (s *Site) peerAddress() string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
