Refuse at a stopping host what would not end before it does

Ruled out: the drain itself, which waited as long as it could. Change: requests are refused as not run once the time left is below the longest recent request of their route.

--- a/coordination/pass/pass.go
+++ b/coordination/pass/pass.go
@@ -22,6 +22,8 @@
 	noEndpointWait = 500 * time.Millisecond
 	// fullWait is the time to come back when endpoints refused the request.
 	fullWait = 150 * time.Millisecond
+	// leaveWait is the time to come back to another host when this one stops.
+	leaveWait = 50 * time.Millisecond
 	// patiencePart is the part of the time left that an endpoint may take before a repeatable request goes elsewhere.
 	patiencePart = 0.4
 )
@@ -49,6 +51,13 @@
 	Take(backend label.Name) bool
 }
 
+type pace interface {
+	// Observe takes the time that an answered request of a route took.
+	Observe(route label.Name, took time.Duration)
+	// Longest returns about the longest time that a request of the route took lately.
+	Longest(route label.Name) time.Duration
+}
+
 type starts interface {
 	// Began counts a request that an endpoint began to run.
 	Began(w *work.Work, now time.Time)
@@ -66,6 +75,10 @@
 	Retries retries
 	// Usage counts requests that ran.
 	Usage starts
+	// Pace knows how long requests take.
+	Pace pace
+	// Leaving reports whether the process is stopping, and the time left to it.
+	Leaving func() (leaving bool, left time.Duration)
 	// Now returns the time.
 	Now func() time.Time
 	// Log takes one line for each request.
@@ -89,6 +102,9 @@
 
 // Run makes attempts until the caller has an answer, and returns the failure to tell the caller, nil when it has one.
 func (p *Pass) Run(ctx context.Context, w *work.Work, x exchange) error {
+	if err := p.stays(w); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, w.Until)
 	defer cancel()
 	p.Retries.Pay(w.Backend)
@@ -102,6 +118,16 @@
 	}
 }
 
+// stays refuses a request that is not expected to end before the process does.
+func (p *Pass) stays(w *work.Work) error {
+	leaving, left := p.Leaving()
+	if !leaving || left > max(w.Path.Target, p.Pace.Longest(w.Path.Name)) {
+		return nil
+	}
+	p.Log.Info("request refused", "id", w.ID, "route", w.Path.Name, "left-ms", left.Milliseconds(), "reason", "the host stops before the request is expected to end")
+	return fault.New(kind.Draining, "", "the host stops before the request is expected to end").After(leaveWait)
+}
+
 // step makes one attempt and reports whether there shall be another.
 func (p *Pass) step(ctx context.Context, j *trip, x exchange) (again bool, err error) {
 	now := p.Now()
@@ -193,6 +219,7 @@
 func (p *Pass) next(ctx context.Context, j *trip, x exchange) (again bool, err error) {
 	switch j.last.Ending {
 	case ending.Delivered:
+		p.Pace.Observe(j.work.Path.Name, p.Now().Sub(j.work.Came))
 		return false, nil
 	case ending.Gone:
 		return false, fault.New(kind.OutcomeUnknown, "", "the caller left")
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -33,6 +33,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/table"
 	"github.com/dragonflyroute/dragonflyroute/state/depot"
 	"github.com/dragonflyroute/dragonflyroute/state/fleet"
+	"github.com/dragonflyroute/dragonflyroute/state/pace"
 	"github.com/dragonflyroute/dragonflyroute/state/policy"
 	"github.com/dragonflyroute/dragonflyroute/state/usage"
 	"github.com/dragonflyroute/dragonflyroute/transport/meter"
@@ -130,6 +131,8 @@
 		Picker:    s.Choice,
 		Retries:   &again.Again{Ratio: s.RetryRatio, Extra: s.RetryExtra, Hosts: s.hosts},
 		Usage:     s.usage,
+		Pace:      &pace.Pace{},
+		Leaving:   s.Leaving,
 		Now:       time.Now,
 		Log:       s.Log,
 	}
@@ -141,13 +144,13 @@
 // hosts returns the number of entry hosts known, this one included.
 func (s *Site) hosts() int { return 1 + len(s.fleet.Contacts()) }
 
-// Leaving reports whether the process is stopping, and the time left until it is killed.
+// Leaving reports whether the process is stopping, and the time left until it ends.
 func (s *Site) Leaving() (leaving bool, left time.Duration) {
 	at := s.stopAt.Load()
 	if at == 0 {
 		return false, 0
 	}
-	return true, time.Until(time.Unix(0, at))
+	return true, time.Until(time.Unix(0, at)) - lastMoment
 }
 
 // IsReady reports whether the process takes requests.
