Order endpoints by demand, reclaimable ones spread over the data centres

Ruled out: acting before the list has settled, which lowered the on-demand endpoints to the minimum at the start. Change: sizing and crew under the duties' lease, speed (tokens per second learned from first tokens) and flow (tokens per second from all hosts).

--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -31,10 +31,17 @@
 	jitter = 2 * time.Millisecond
 )
 
+type speed interface {
+	// First returns the expected time to the first token when the given number of tokens must be read before it.
+	First(backend label.Name, tokens int64) time.Duration
+}
+
 // Choice compares endpoints by the time until the first part of an answer is expected.
 type Choice struct {
 	// Rand returns a number in [0, 1).
 	Rand func() float64
+	// Speed knows how fast engines read prompts.
+	Speed speed
 	// Home is the process's own data centre.
 	Home centre.ID
 }
@@ -124,13 +131,16 @@
 		slots = defaultSlots
 	}
 	unread := t.Uncached(w, now)
-	first = seconds(float64(prefill+unread) / t.Rate())
+	if w.PromptTokens > 0 {
+		first = times(t.Slow(), c.Speed.First(w.Backend, prefill+unread))
+	}
 	if over := running - slots + 1; over > 0 {
 		first += time.Duration(over) * queueTime
 	}
 	cost = first + time.Duration(running)*runTime + time.Duration(c.Rand()*float64(jitter))
 	if preferred {
-		cost -= seconds(hashPart * float64(unread) / t.Rate())
+		spared := c.Speed.First(w.Backend, unread) - c.Speed.First(w.Backend, 0)
+		cost -= times(hashPart, spared)
 	}
 	if t.Row().DataCentre != c.Home {
 		cost += awayTime
@@ -138,4 +148,4 @@
 	return first, cost
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+func times(x float64, d time.Duration) time.Duration { return time.Duration(x * float64(d)) }
--- /dev/null
+++ b/coordination/crew/crew.go
@@ -0,0 +1,245 @@
+// Package crew orders endpoints from the platform.
+package crew
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/sizing"
+	"github.com/dragonflyroute/dragonflyroute/protocol/back"
+	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/offer"
+	"github.com/dragonflyroute/dragonflyroute/protocol/wish"
+	"github.com/dragonflyroute/dragonflyroute/state/target"
+)
+
+const (
+	// startSlack is what a start may take beyond the stated boot time before the order is repeated.
+	startSlack = 3 * time.Second
+	// refusedTime is how long a refusal of reclaimable endpoints is believed.
+	refusedTime = 3 * time.Second
+	// lowerReclaimable and lowerOnDemand are how long fewer must be wanted before fewer are ordered.
+	lowerReclaimable = 10 * time.Second
+	lowerOnDemand    = 3 * time.Second
+	// firstBusy is the part of the endpoints found at the start that is taken for busy until the demand is known.
+	firstBusy = 0.3
+)
+
+type platform interface {
+	// Order orders the number of a back end's endpoints of one sort in a data centre; a Conflict error tells that a
+	// higher fencing number was seen or that none are to be had.
+	Order(ctx context.Context, fence int64, backend label.Name, in centre.ID, n int, reclaimable bool) error
+}
+
+type endpoints interface {
+	Of(backend label.Name) []*target.Target
+}
+
+// Crew keeps the number of endpoints at what the demand needs, while the process holds the duty's lease.
+//
+// Orders are absolute, so one that got no answer is repeated. Step must not be called concurrently.
+type Crew struct {
+	// Endpoints holds the endpoints.
+	Endpoints endpoints
+	// Demand returns a back end's demand in endpoints' worth of busy time; known is false while that can't be told.
+	Demand func(backend label.Name, now time.Time) (demand float64, known bool)
+	// Platform takes orders.
+	Platform platform
+	// Held returns the fencing number while the process holds the lease; it is asked before each effect.
+	Held func() (fence int64, held bool)
+	// Refused is told when the platform has seen a higher fencing number.
+	Refused func()
+	// Settle is how long endpoints must have been known before their number is believed.
+	Settle time.Duration
+	// Now returns the time.
+	Now func() time.Time
+	// Log takes a line for each order.
+	Log hclog.Logger
+
+	orders  map[subject]*order
+	refused map[subject]time.Time
+	// seen is since when endpoints of a back end are known.
+	seen map[label.Name]time.Time
+}
+
+// subject is one sort of a back end's endpoints in a data centre.
+type subject struct {
+	backend     label.Name
+	in          centre.ID
+	reclaimable bool
+}
+
+type order struct {
+	n     int
+	taken bool
+	sent  time.Time
+	// fewer is since when fewer are wanted.
+	fewer time.Time
+}
+
+// Reset forgets what was ordered; another holder may have ordered since.
+func (c *Crew) Reset() { c.orders = nil }
+
+// Step orders what each back end lacks or has too much.
+func (c *Crew) Step(ctx context.Context, backs []back.Back) {
+	if c.orders == nil {
+		c.orders = map[subject]*order{}
+		c.refused = map[subject]time.Time{}
+	}
+	for i := range backs {
+		b := &backs[i]
+		if !b.Ordered || len(b.Prices) == 0 || !c.settled(b.Name) {
+			continue
+		}
+		// A refusal changes what the other orders shall be, so the wishes are made once more after one.
+		if c.wishes(ctx, b) {
+			c.wishes(ctx, b)
+		}
+	}
+}
+
+// settled reports whether the endpoints of a back end have been known long enough: a process that has just started
+// learns of them one by one.
+func (c *Crew) settled(backend label.Name) bool {
+	now := c.Now()
+	if len(c.Endpoints.Of(backend)) == 0 {
+		return false
+	}
+	if c.seen == nil {
+		c.seen = map[label.Name]time.Time{}
+	}
+	if c.seen[backend].IsZero() {
+		c.seen[backend] = now
+	}
+	return now.Sub(c.seen[backend]) >= c.Settle
+}
+
+// wishes sends the orders of one back end and reports whether one was refused.
+func (c *Crew) wishes(ctx context.Context, b *back.Back) (refused bool) {
+	now := c.Now()
+	offers := c.offers(b, now)
+	demand, known := c.Demand(b.Name, now)
+	if !known {
+		demand = firstBusy * float64(held(offers))
+	}
+	all := sizing.Sizing{}.Wishes(b, demand, offers)
+	keep(b, all, offers)
+	for i, w := range all {
+		o := offers[i]
+		refused = c.order(ctx, b, w, true, o.Live, demand) || refused
+		refused = c.order(ctx, b, w, false, o.Fallback, demand) || refused
+	}
+	return refused
+}
+
+func held(offers []offer.Offer) int {
+	n := 0
+	for _, o := range offers {
+		n += o.Live + o.Fallback
+	}
+	return n
+}
+
+// keep holds on to on-demand endpoints until the reclaimable ones that replace them serve.
+func keep(b *back.Back, all []wish.Wish, offers []offer.Offer) {
+	short := 0
+	for i, w := range all {
+		if !offers[i].Refused {
+			short += max(0, w.Reclaimable-offers[i].Live)
+		}
+	}
+	for i := range all {
+		more := min(short, max(0, offers[i].Fallback-all[i].OnDemand))
+		all[i].OnDemand += more
+		all[i].Reclaimable = min(all[i].Reclaimable, max(0, b.Most-all[i].OnDemand))
+		short -= more
+	}
+}
+
+// offers returns what each data centre has of a back end.
+func (c *Crew) offers(b *back.Back, now time.Time) []offer.Offer {
+	var out []offer.Offer
+	for _, in := range slices.Sorted(maps.Keys(b.Prices)) {
+		o := offer.Offer{DataCentre: in, Backend: b.Name}
+		for _, t := range c.Endpoints.Of(b.Name) {
+			row := t.Row()
+			switch {
+			case row.DataCentre != in || t.Leaving():
+			case row.Reclaimable:
+				o.Live++
+			default:
+				o.Fallback++
+			}
+		}
+		s := subject{backend: b.Name, in: in, reclaimable: true}
+		o.Refused = now.Before(c.refused[s])
+		if placed := c.orders[s]; placed != nil && placed.taken && now.Sub(placed.sent) < b.Boot+startSlack {
+			o.Starting = max(0, placed.n-o.Live)
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// order sends the order of one subject if it is due, and reports whether it was refused.
+func (c *Crew) order(ctx context.Context, b *back.Back, w wish.Wish, reclaimable bool, live int, demand float64) (refused bool) {
+	now := c.Now()
+	s := subject{backend: b.Name, in: w.DataCentre, reclaimable: reclaimable}
+	n, pause := w.OnDemand, lowerOnDemand
+	if reclaimable {
+		n, pause = w.Reclaimable, lowerReclaimable
+		if b.ReclaimablePrice <= 0 || now.Before(c.refused[s]) {
+			return false
+		}
+	}
+	o := c.orders[s]
+	if o == nil {
+		o = &order{n: live, taken: true, sent: now.Add(-b.Boot - startSlack)}
+		c.orders[s] = o
+	}
+	if !o.due(n, live, pause, b.Boot+startSlack, now) {
+		return false
+	}
+	fence, ok := c.Held()
+	if !ok {
+		return false
+	}
+	err := c.Platform.Order(ctx, fence, b.Name, w.DataCentre, n, reclaimable)
+	o.n, o.sent, o.taken = n, now, err == nil
+	c.Log.Info("endpoints ordered", "backend", b.Name, "data-centre", w.DataCentre, "reclaimable", reclaimable, "wanted", n, "live", live, "demand", demand, "fence", fence, "error", err)
+	if fault.KindOf(err) != kind.Conflict {
+		return false
+	}
+	if !reclaimable {
+		c.Refused()
+		return false
+	}
+	c.refused[s] = now.Add(refusedTime)
+	return true
+}
+
+// due reports whether an order of n is to be sent: more at once, fewer after a while, and the same again when what
+// was ordered is not there.
+func (o *order) due(n, live int, pause, start time.Duration, now time.Time) bool {
+	if n >= o.n {
+		o.fewer = time.Time{}
+	}
+	switch {
+	case n > o.n || !o.taken:
+		return true
+	case n < o.n:
+		if o.fewer.IsZero() {
+			o.fewer = now
+		}
+		return now.Sub(o.fewer) >= pause
+	default:
+		return live != n && now.Sub(o.sent) >= start
+	}
+}
--- a/coordination/pass/pass.go
+++ b/coordination/pass/pass.go
@@ -51,6 +51,18 @@
 	Take(backend label.Name) bool
 }
 
+type speed interface {
+	// Add takes the time to the first token of a request that had to wait for no other.
+	Add(backend label.Name, tokens int64, first time.Duration)
+	// First returns the expected time to the first token when the given number of tokens must be read before it.
+	First(backend label.Name, tokens int64) time.Duration
+}
+
+type flow interface {
+	// Add counts tokens that go to a back end.
+	Add(backend label.Name, tokens int64, now time.Time)
+}
+
 type pace interface {
 	// Observe takes the time that an answered request of a route took.
 	Observe(route label.Name, took time.Duration)
@@ -75,6 +87,10 @@
 	Retries retries
 	// Usage counts requests that ran.
 	Usage starts
+	// Speed knows how fast engines read prompts.
+	Speed speed
+	// Flow counts the prompt tokens that go to back ends.
+	Flow flow
 	// Pace knows how long requests take.
 	Pace pace
 	// Leaving reports whether the process is stopping, and the time left to it.
@@ -156,8 +172,9 @@
 // attempt sends the request to one endpoint.
 func (p *Pass) attempt(ctx context.Context, j *trip, t *target.Target, x exchange) tried.Tried {
 	now := p.Now()
-	_, queued := t.Busy(now)
-	queued += t.Uncached(j.work, now)
+	_, ahead := t.Busy(now)
+	unread := t.Uncached(j.work, now)
+	p.Flow.Add(j.work.Backend, unread, now)
 	begun, done := t.Begin(j.work, now)
 	defer done()
 	if limit, ok := p.patience(j, now); ok {
@@ -171,7 +188,10 @@
 		p.began(j)
 	})
 	now = p.Now()
-	t.Observe(r, j.work, queued, now)
+	t.Observe(r, p.expected(j.work, ahead+unread), now)
+	if ahead == 0 && r.First > 0 && unread > 0 {
+		p.Speed.Add(j.work.Backend, unread, r.First)
+	}
 	if j.last.Last != "" && r.Last == "" {
 		r.Last = j.last.Last
 	}
@@ -179,6 +199,14 @@
 	return r
 }
 
+// expected returns the time to the first token of a prompt, nought for other requests.
+func (p *Pass) expected(w *work.Work, tokens int64) time.Duration {
+	if w.PromptTokens == 0 {
+		return 0
+	}
+	return p.Speed.First(w.Backend, tokens)
+}
+
 // errPatience ends an attempt at an endpoint that takes too long.
 var errPatience = fault.New(kind.Unavailable, "", "the endpoint took too long")
 
--- a/protocol/pulse/pulse.go
+++ b/protocol/pulse/pulse.go
@@ -5,6 +5,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/window"
 )
 
@@ -52,6 +53,8 @@
 	Unread map[string]int64 `json:"unread,omitempty"`
 	// Demand is what accounts ask of the sender, in units of their rates per second.
 	Demand map[acct.ID]float64 `json:"demand,omitempty"`
+	// Prefill is the prompt tokens per second that go from the sender to each back end.
+	Prefill map[label.Name]float64 `json:"prefill,omitempty"`
 	// Usage counts the sender's requests that began to run, for each of the newest windows.
 	Usage []window.Window `json:"usage,omitempty"`
 }
--- /dev/null
+++ b/state/flow/flow.go
@@ -0,0 +1,98 @@
+// Package flow keeps how much work per second goes to each back end, here and at the peers.
+package flow
+
+import (
+	"sync"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+)
+
+const (
+	// meanTime is the time over which work is averaged.
+	meanTime = 4 * time.Second
+	// believed is the age up to which a peer's figure counts.
+	believed = 5 * time.Second
+	// peakTime is the time in which the memory of a peak falls to a third.
+	peakTime = 20 * time.Second
+)
+
+type mean struct {
+	value float64
+	at    time.Time
+}
+
+type told struct {
+	values map[label.Name]float64
+	at     time.Time
+}
+
+// Flow averages the prompt tokens that endpoints must read.
+//
+// All methods may be called concurrently.
+type Flow struct {
+	mu    sync.Mutex
+	own   map[label.Name]mean
+	peers map[string]told
+	peaks map[label.Name]mean
+}
+
+func (m mean) decayed(now time.Time) float64 {
+	age := max(0, now.Sub(m.at))
+	return m.value * float64(meanTime) / float64(meanTime+age)
+}
+
+// Add counts tokens that go to a back end.
+func (f *Flow) Add(backend label.Name, tokens int64, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.own == nil {
+		f.own = map[label.Name]mean{}
+	}
+	f.own[backend] = mean{value: f.own[backend].decayed(now) + float64(tokens)/meanTime.Seconds(), at: now}
+}
+
+// Own returns this process's tokens per second by back end.
+func (f *Flow) Own(now time.Time) map[label.Name]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[label.Name]float64{}
+	for backend, m := range f.own {
+		if v := m.decayed(now); v >= 1 {
+			out[backend] = float64(int64(v))
+		}
+	}
+	return out
+}
+
+// Hear takes a peer's tokens per second.
+func (f *Flow) Hear(peer string, values map[label.Name]float64, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.peers == nil {
+		f.peers = map[string]told{}
+	}
+	f.peers[peer] = told{values: values, at: now}
+}
+
+// Sum returns the tokens per second that go to a back end from all processes, with a fading memory of peaks.
+func (f *Flow) Sum(backend label.Name, now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := f.own[backend].decayed(now)
+	for _, p := range f.peers {
+		if now.Sub(p.at) < believed {
+			sum += p.values[backend]
+		}
+	}
+	if f.peaks == nil {
+		f.peaks = map[label.Name]mean{}
+	}
+	peak := f.peaks[backend]
+	faded := peak.value * float64(peakTime) / float64(peakTime+max(0, now.Sub(peak.at)))
+	if sum >= faded {
+		f.peaks[backend] = mean{value: sum, at: now}
+		return sum
+	}
+	return faded
+}
--- a/transport/site/duties.go
+++ b/transport/site/duties.go
@@ -6,9 +6,11 @@
 	"encoding/hex"
 	"time"
 
+	"github.com/dragonflyroute/dragonflyroute/coordination/crew"
 	"github.com/dragonflyroute/dragonflyroute/coordination/keeper"
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/report"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/transport/clock"
 )
 
@@ -19,6 +21,8 @@
 	leaseSteps = 3
 	// leaseTries is the number of processes that try to take the lease.
 	leaseTries = 2
+	// settleBeats is the number of endpoints' heartbeats after which all of them are taken for known.
+	settleBeats = 2
 	// idBytes is the length of write ids, before hexadecimal.
 	idBytes = 8
 )
@@ -40,6 +44,7 @@
 		Late:     s.UsageLate,
 		Log:      s.Log,
 	}
+	s.buildCrew()
 }
 
 func (s *Site) tries(key string) bool { return s.fleet.Ranks(key, leaseTries, time.Now()) }
@@ -57,6 +62,25 @@
 	}
 }
 
+func (s *Site) buildCrew() {
+	s.crew = &crew.Crew{
+		Endpoints: s.Depot,
+		Demand:    s.demand,
+		Platform:  s.Duties,
+		Held:      func() (int64, bool) { return s.leases.Held(dutyLease) },
+		Refused:   s.refused,
+		Settle:    settleBeats * s.EndpointHeartbeat,
+		Now:       time.Now,
+		Log:       s.Log,
+	}
+}
+
+// demand returns a back end's demand in endpoints' worth of time spent on reading prompts.
+func (s *Site) demand(backend label.Name, now time.Time) (demand float64, known bool) {
+	rate, known := s.speed.Rate(backend)
+	return s.flow.Sum(backend, now) / rate, known
+}
+
 // refused gives the lease up after the platform has seen a higher fencing number.
 func (s *Site) refused() {
 	ctx, cancel := context.WithTimeout(context.Background(), s.LeaseTerm)
@@ -75,10 +99,14 @@
 			return
 		}
 		if _, held := s.leases.Step(ctx, dutyLease); !held {
+			s.crew.Reset()
 			return
 		}
 		if s.ReportsUsage {
 			s.report.Step(ctx, time.Now())
 		}
+		if s.OrdersEndpoints {
+			s.crew.Step(ctx, s.Policy.Rules().Backs)
+		}
 	})(ctx)
 }
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -199,6 +199,7 @@
 		Sent:        map[string]int{},
 		Unread:      map[string]int64{},
 		Demand:      s.Rates.Demand(now),
+		Prefill:     s.flow.Own(now),
 		Usage:       s.usage.Own(),
 	}
 	for _, t := range s.Depot.All() {
@@ -218,6 +219,7 @@
 func (s *Site) heard(p pulse.Pulse) {
 	now := time.Now()
 	s.Rates.Hear(string(p.Host), p.Demand, now)
+	s.flow.Hear(string(p.Host), p.Prefill, now)
 	s.usage.Hear(p.Host, p.Incarnation, p.Usage, now)
 	for _, t := range s.Depot.All() {
 		id := string(t.Row().ID)
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -16,6 +16,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/again"
 	"github.com/dragonflyroute/dragonflyroute/coordination/census"
 	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
+	"github.com/dragonflyroute/dragonflyroute/coordination/crew"
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/pass"
 	"github.com/dragonflyroute/dragonflyroute/coordination/rates"
@@ -33,8 +34,10 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/table"
 	"github.com/dragonflyroute/dragonflyroute/state/depot"
 	"github.com/dragonflyroute/dragonflyroute/state/fleet"
+	"github.com/dragonflyroute/dragonflyroute/state/flow"
 	"github.com/dragonflyroute/dragonflyroute/state/pace"
 	"github.com/dragonflyroute/dragonflyroute/state/policy"
+	"github.com/dragonflyroute/dragonflyroute/state/speed"
 	"github.com/dragonflyroute/dragonflyroute/state/usage"
 	"github.com/dragonflyroute/dragonflyroute/transport/meter"
 	"github.com/dragonflyroute/dragonflyroute/transport/peers"
@@ -73,6 +76,8 @@
 	RetryRatio, RetryExtra float64
 	// LeaseTerm is the term of the duties' lease.
 	LeaseTerm time.Duration
+	// EndpointHeartbeat is the time between an endpoint's reports.
+	EndpointHeartbeat time.Duration
 	// UsageWindow is the length of a window of the usage report, UsageLate when it is due after its end.
 	UsageWindow, UsageLate time.Duration
 	// Operator, Servers, Hosts and Leases are the tables of the operator, the endpoints, the entry hosts and the leases.
@@ -106,12 +111,15 @@
 	peers       *peers.Peers
 	census      *census.Census
 	usage       *usage.Usage
+	flow        *flow.Flow
+	speed       *speed.Speed
+	crew        *crew.Crew
 	leases      *leases.Leases
 	report      *report.Report
 	// members holds the rows of the entry hosts; only the reader of their table uses it.
 	members  map[string]roster.Row
 	sequence atomic.Int64
-	waiting     atomic.Int64
+	waiting  atomic.Int64
 	// stopAt is the time of the kill in Unix nanoseconds, nought before the order to stop.
 	stopAt atomic.Int64
 }
@@ -123,14 +131,18 @@
 	s.Policy = &policy.Policy{}
 	s.Depot = &depot.Depot{}
 	s.usage = &usage.Usage{Length: s.UsageWindow}
+	s.flow = &flow.Flow{}
+	s.speed = &speed.Speed{}
 	s.fleet = &fleet.Fleet{Self: s.Host, Timeout: silenceTime}
 	s.Rates = &rates.Rates{Hosts: s.hosts}
-	s.Choice = &choose.Choice{Rand: rand.Float64, Home: s.DataCentre}
+	s.Choice = &choose.Choice{Rand: rand.Float64, Speed: s.speed, Home: s.DataCentre}
 	s.Pass = &pass.Pass{
 		Endpoints: s.Depot,
 		Picker:    s.Choice,
 		Retries:   &again.Again{Ratio: s.RetryRatio, Extra: s.RetryExtra, Hosts: s.hosts},
 		Usage:     s.usage,
+		Speed:     s.speed,
+		Flow:      s.flow,
 		Pace:      &pace.Pace{},
 		Leaving:   s.Leaving,
 		Now:       time.Now,
