Place on-demand endpoints where they fit, sample the endpoints compared, renew leases without a read

Ruled out: too few endpoints by the bill (18 were live at second 14, yet quick answers were late). Change: room counts reclaimable endpoints that are there; three random endpoints are compared beside those that know the prompt; a held lease is renewed over its own version.

--- a/coordination/census/census.go
+++ b/coordination/census/census.go
@@ -27,6 +27,8 @@
 	Decode func(id string, data []byte) (roster.Row, error)
 	// Now returns the time.
 	Now func() time.Time
+	// Reclaimed is told when an endpoint is about to be reclaimed; nil is not told.
+	Reclaimed func()
 	// Log takes a line for each change of what is believed.
 	Log hclog.Logger
 
@@ -120,6 +122,9 @@
 	}
 	if c.states[row.ID] != row.State {
 		c.states[row.ID] = row.State
+		if row.Reclaimable && row.State == roster.Leaving && c.Reclaimed != nil {
+			c.Reclaimed()
+		}
 		c.Log.Info("endpoint listed", "endpoint", row.ID, "state", row.State, "backend", row.Backend, "endpoint-version", row.Version,
 			"address", row.Address, "data-centre", row.DataCentre, "reclaimable", row.Reclaimable, "notice-ms", row.NoticeMillis, "version", version)
 	}
@@ -141,6 +146,9 @@
 }
 
 func (c *Census) drop(id endpt.ID, reason string) {
+	if t := c.Depot.Get(id); t != nil && t.Row().Reclaimable && c.Reclaimed != nil {
+		c.Reclaimed()
+	}
 	c.Depot.Drop(id)
 	delete(c.states, id)
 	c.Log.Info("endpoint gone", "endpoint", id, "reason", reason)
--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -27,6 +27,8 @@
 	// firstPause and mostPause bound the time for which an endpoint that failed is left alone; it doubles each time.
 	firstPause = 500 * time.Millisecond
 	mostPause  = 4 * time.Second
+	// compared is the number of random endpoints compared, beside those that have read a part of the prompt.
+	compared = 3
 	// jitter is the largest random addition, so that hosts with the same view do not all choose the same endpoint.
 	jitter = 2 * time.Millisecond
 )
@@ -53,10 +55,14 @@
 	var best, second *target.Target
 	var bestCost, bestTime, secondCost, secondTime time.Duration
 	preferred := prefer(all, w.Session())
+	sample := c.sample(all)
 	for _, t := range all {
 		if t.Leaving() || used(t) {
 			continue
 		}
+		if sample != nil && t != preferred && !sample[t] && t.Uncached(w, now) == w.PromptTokens {
+			continue
+		}
 		first, cost := c.estimate(t, w, t == preferred, now)
 		if paused(t, now) {
 			if second == nil || cost < secondCost {
@@ -68,12 +74,39 @@
 			best, bestCost, bestTime = t, cost, first
 		}
 	}
+	if best == nil && second == nil && sample != nil {
+		return c.first(all, w, used, now)
+	}
 	if best == nil {
 		return second, secondTime
 	}
 	return best, bestTime
 }
 
+// first returns any endpoint that may be used, when the sample held none.
+func (c *Choice) first(all []*target.Target, w *work.Work, used func(*target.Target) bool, now time.Time) (*target.Target, time.Duration) {
+	for _, t := range all {
+		if !t.Leaving() && !used(t) {
+			first, _ := c.estimate(t, w, false, now)
+			return t, first
+		}
+	}
+	return nil, 0
+}
+
+// sample draws a few endpoints to compare, nil for all: with counts that are a moment old, hosts that all take the
+// least busy of many would take the same one.
+func (c *Choice) sample(all []*target.Target) map[*target.Target]bool {
+	if len(all) <= compared {
+		return nil
+	}
+	out := map[*target.Target]bool{}
+	for range compared {
+		out[all[int(c.Rand()*float64(len(all)))]] = true
+	}
+	return out
+}
+
 // Backend chooses one of a route's back ends by their parts of the traffic; a route without any has an empty name.
 func (c *Choice) Backend(p *path.Path) label.Name {
 	left := c.Rand()
--- a/coordination/crew/crew.go
+++ b/coordination/crew/crew.go
@@ -27,9 +27,9 @@
 	refusedTime = 3 * time.Second
 	// lowerReclaimable and lowerOnDemand are how long fewer must be wanted before fewer are ordered.
 	lowerReclaimable = 10 * time.Second
-	lowerOnDemand    = 3 * time.Second
+	lowerOnDemand    = 1500 * time.Millisecond
 	// firstBusy is the part of the endpoints found at the start that is taken for busy until the demand is known.
-	firstBusy = 0.3
+	firstBusy = 0.6
 )
 
 type platform interface {
@@ -84,8 +84,13 @@
 	fewer time.Time
 }
 
-// Reset forgets what was ordered; another holder may have ordered since.
-func (c *Crew) Reset() { c.orders = nil }
+// Watch keeps ready to take over while another process holds the lease, which may have ordered since.
+func (c *Crew) Watch(backs []back.Back) {
+	c.orders = nil
+	for i := range backs {
+		c.settled(backs[i].Name)
+	}
+}
 
 // Step orders what each back end lacks or has too much.
 func (c *Crew) Step(ctx context.Context, backs []back.Back) {
@@ -130,7 +135,6 @@
 		demand = firstBusy * float64(held(offers))
 	}
 	all := sizing.Sizing{}.Wishes(b, demand, offers)
-	keep(b, all, offers)
 	for i, w := range all {
 		o := offers[i]
 		refused = c.order(ctx, b, w, true, o.Live, demand) || refused
@@ -147,22 +151,6 @@
 	return n
 }
 
-// keep holds on to on-demand endpoints until the reclaimable ones that replace them serve.
-func keep(b *back.Back, all []wish.Wish, offers []offer.Offer) {
-	short := 0
-	for i, w := range all {
-		if !offers[i].Refused {
-			short += max(0, w.Reclaimable-offers[i].Live)
-		}
-	}
-	for i := range all {
-		more := min(short, max(0, offers[i].Fallback-all[i].OnDemand))
-		all[i].OnDemand += more
-		all[i].Reclaimable = min(all[i].Reclaimable, max(0, b.Most-all[i].OnDemand))
-		short -= more
-	}
-}
-
 // offers returns what each data centre has of a back end.
 func (c *Crew) offers(b *back.Back, now time.Time) []offer.Offer {
 	var out []offer.Offer
@@ -180,14 +168,23 @@
 		}
 		s := subject{backend: b.Name, in: in, reclaimable: true}
 		o.Refused = now.Before(c.refused[s])
-		if placed := c.orders[s]; placed != nil && placed.taken && now.Sub(placed.sent) < b.Boot+startSlack {
-			o.Starting = max(0, placed.n-o.Live)
-		}
+		o.Starting = c.starting(s, o.Live, b.Boot, now)
+		s.reclaimable = false
+		o.FallbackStarting = c.starting(s, o.Fallback, b.Boot, now)
 		out = append(out, o)
 	}
 	return out
 }
 
+// starting returns the endpoints that were ordered a short time ago and are not there yet.
+func (c *Crew) starting(s subject, live int, boot time.Duration, now time.Time) int {
+	placed := c.orders[s]
+	if placed == nil || !placed.taken || now.Sub(placed.sent) >= boot+startSlack {
+		return 0
+	}
+	return max(0, placed.n-live)
+}
+
 // order sends the order of one subject if it is due, and reports whether it was refused.
 func (c *Crew) order(ctx context.Context, b *back.Back, w wish.Wish, reclaimable bool, live int, demand float64) (refused bool) {
 	now := c.Now()
--- a/coordination/keeper/keeper.go
+++ b/coordination/keeper/keeper.go
@@ -52,6 +52,8 @@
 	seenID string
 	seenAt time.Time
 	tried  map[string]time.Time
+	// mine is the own row as last written, whose version is 0 when it is not known to be the table's.
+	mine record.Record
 }
 
 // Held returns the fencing number if the process holds the lease now; call it again before each effect.
@@ -62,7 +64,12 @@
 }
 
 // Step renews the lease, or takes it when it is free or its term is over.
+//
+// A renewal of a lease that is held needs no read: it is committed over the version that the one before has made.
 func (k *Keeper) Step(ctx context.Context) error {
+	if _, held := k.Held(); held && k.mine.Version > 0 {
+		return k.take(ctx, k.mine, lease.Lease{Holder: k.Self, Incarnation: k.Incarnation, Fence: k.fence})
+	}
 	row, err := k.Store.Read(ctx, k.Key)
 	if err != nil {
 		return err
@@ -122,6 +129,7 @@
 	sent := k.Now()
 	k.tried = map[string]time.Time{next.WriteID: sent}
 	version, err := k.Store.Commit(ctx, table.Txn{}.IfVersion(k.Key, row.Version).Put(k.Key, value))
+	k.mine = record.Record{Key: k.Key, Value: value, Version: version}
 	if err != nil {
 		return err
 	}
--- a/coordination/pass/pass.go
+++ b/coordination/pass/pass.go
@@ -285,7 +285,7 @@
 	line := []any{
 		"id", j.work.ID, "route", j.work.Path.Name, "backend", j.work.Backend, "account", j.work.Account,
 		"took-ms", now.Sub(j.work.Came).Milliseconds(), "first-ms", j.first.Milliseconds(),
-		"attempts", len(j.used), "arrivals", j.arrivals, "ending", j.last.Ending, "status", j.last.Status,
+		"attempts", len(j.used), "arrivals", j.arrivals, "ending", j.last.Ending.String(), "status", j.last.Status,
 	}
 	if j.at != nil {
 		running, prefill := j.at.Busy(now)
--- a/coordination/sizing/sizing.go
+++ b/coordination/sizing/sizing.go
@@ -13,10 +13,15 @@
 )
 
 const (
-	// calmBusy is the part of its time that an endpoint shall be busy on a calm day.
+	// calmBusy is the part of their time that the reclaimable endpoints shall be busy on a calm day.
 	calmBusy = 0.5
+	// coverBusy is the part of their time that endpoints may be busy where dearer ones stand in.
+	coverBusy = 0.7
 	// lossBusy is the part of its time that an endpoint may be busy just after a data centre's reclaimable ones are gone.
 	lossBusy = 0.8
+	// dryBusy is the part of its time that an on-demand endpoint may be busy if all reclaimable ones go while no others
+	// are to be had: reclaims of several data centres follow each other within a boot time.
+	dryBusy = 1.0
 )
 
 // Sizing covers a back end's demand at the lowest price.
@@ -34,21 +39,19 @@
 	for i, o := range offers {
 		out[i] = wish.Wish{DataCentre: o.DataCentre, Backend: b.Name}
 	}
-	calm := demand / calmBusy
-	lost := demand / lossBusy
 	if b.ReclaimablePrice > 0 {
-		spread(b, calm, lost, offers, out)
+		spread(b, demand, offers, out)
 	}
-	cover(b, calm, lost, offers, out)
+	cover(b, demand, offers, out)
 	least(b, out)
 	return out
 }
 
 // spread wishes for the same number of reclaimable endpoints in each data centre.
-func spread(b *back.Back, calm, lost float64, offers []offer.Offer, out []wish.Wish) {
-	n := int(math.Ceil(calm))
-	if len(offers) > 1 {
-		n = int(math.Ceil(max(calm, lost*float64(len(offers)-1)) / float64(len(offers)-1)))
+func spread(b *back.Back, demand float64, offers []offer.Offer, out []wish.Wish) {
+	n := int(math.Ceil(demand / calmBusy))
+	if others := float64(len(offers) - 1); others > 0 {
+		n = int(math.Ceil(max(demand/calmBusy/others, demand/lossBusy)))
 	}
 	for i := range out {
 		out[i].Reclaimable = min(n, b.Most)
@@ -64,21 +67,42 @@
 }
 
 // cover wishes for on-demand endpoints where the reclaimable ones would not do, now or after the next loss.
-func cover(b *back.Back, calm, lost float64, offers []offer.Offer, out []wish.Wish) {
-	sum, most := 0, 0
+//
+// Those that are there stay until reclaimable ones serve in their place; new ones are started only for what is
+// neither there nor starting.
+func cover(b *back.Back, demand float64, offers []offer.Offer, out []wish.Wish) {
+	order := cheapest(b, offers)
+	place := func(need int, most func(o offer.Offer) int) int {
+		for _, i := range order {
+			n := max(0, min(need, most(offers[i])-out[i].OnDemand))
+			out[i].OnDemand += n
+			need -= n
+		}
+		return need
+	}
+	stay := short(demand, offers, func(i int) int { return offers[i].Live })
+	start := short(demand, offers, func(i int) int { return had(offers[i], out[i]) })
+	left := place(stay, func(o offer.Offer) int { return o.Fallback + o.FallbackStarting })
+	place(start-(stay-left), func(o offer.Offer) int { return b.Most - o.Live - o.Starting })
+	for i := range out {
+		out[i].Reclaimable = min(out[i].Reclaimable, max(0, b.Most-out[i].OnDemand))
+	}
+}
+
+// short returns the on-demand endpoints needed beside the reclaimable ones of each data centre.
+func short(demand float64, offers []offer.Offer, reclaimable func(i int) int) int {
+	sum, most, dry := 0, 0, false
 	for i, o := range offers {
-		n := had(o, out[i])
+		n := reclaimable(i)
 		sum += n
 		most = max(most, n)
+		dry = dry || o.Refused
 	}
-	need := int(math.Ceil(max(calm-float64(sum), lost-float64(sum-most))))
-	for _, i := range cheapest(b, offers) {
-		room := b.Most - had(offers[i], out[i])
-		n := max(0, min(need, room))
-		out[i].OnDemand = n
-		out[i].Reclaimable = min(out[i].Reclaimable, b.Most-n)
-		need -= n
+	need := max(demand/coverBusy-float64(sum), demand/lossBusy-float64(sum-most))
+	if dry {
+		need = max(need, demand/dryBusy)
 	}
+	return max(0, int(math.Ceil(need)))
 }
 
 // cheapest returns the indices of the offers, the lowest on-demand price first.
--- a/transport/site/duties.go
+++ b/transport/site/duties.go
@@ -94,19 +94,46 @@
 		<-ctx.Done()
 		return nil
 	}
-	return every(s.LeaseTerm/leaseSteps, func(ctx context.Context) {
-		if s.Policy.Rules() == nil {
-			return
+	ticker := time.NewTicker(s.LeaseTerm / leaseSteps)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.dutyStep(ctx)
+		case <-s.reclaims:
+			s.order(ctx)
 		}
-		if _, held := s.leases.Step(ctx, dutyLease); !held {
-			s.crew.Reset()
-			return
-		}
-		if s.ReportsUsage {
-			s.report.Step(ctx, time.Now())
-		}
-		if s.OrdersEndpoints {
-			s.crew.Step(ctx, s.Policy.Rules().Backs)
-		}
-	})(ctx)
+	}
+}
+
+func (s *Site) dutyStep(ctx context.Context) {
+	now := s.Policy.Rules()
+	if now == nil {
+		return
+	}
+	if _, held := s.leases.Step(ctx, dutyLease); !held {
+		s.crew.Watch(now.Backs)
+		return
+	}
+	if s.ReportsUsage {
+		s.report.Step(ctx, time.Now())
+	}
+	s.order(ctx)
+}
+
+// order orders endpoints while the process holds the lease.
+func (s *Site) order(ctx context.Context) {
+	if _, held := s.leases.Held(dutyLease); held && s.OrdersEndpoints {
+		s.crew.Step(ctx, s.Policy.Rules().Backs)
+	}
+}
+
+// reclaimed wakes the duties, so that what a reclaim takes is ordered elsewhere at once.
+func (s *Site) reclaimed() {
+	select {
+	case s.reclaims <- struct{}{}:
+	default:
+	}
 }
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -120,6 +120,8 @@
 	members  map[string]roster.Row
 	sequence atomic.Int64
 	waiting  atomic.Int64
+	// reclaims wakes the duties.
+	reclaims chan struct{}
 	// stopAt is the time of the kill in Unix nanoseconds, nought before the order to stop.
 	stopAt atomic.Int64
 }
@@ -148,7 +150,8 @@
 		Now:       time.Now,
 		Log:       s.Log,
 	}
-	s.census = &census.Census{Depot: s.Depot, Decode: s.Endpoint, Now: time.Now, Log: s.Log}
+	s.reclaims = make(chan struct{}, 1)
+	s.census = &census.Census{Depot: s.Depot, Decode: s.Endpoint, Reclaimed: s.reclaimed, Now: time.Now, Log: s.Log}
 	s.buildPeers()
 	s.buildDuties()
 }
