Fetch known prompt parts from other engines' memory, and tell peers who knows them

Change: heartbeats list the parts that endpoints have lately read; an endpoint that lacks some fetches them from one that knows; reading shared parts again counts beside its time.

--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -20,13 +20,20 @@
 	queueTime = 60 * time.Millisecond
 	// awayTime is what another data centre counts for, beside the time on the wire: bytes between them are priced.
 	awayTime = 8 * time.Millisecond
-	// hashPart is the part of the unread prompt that the endpoint which a session's hash prefers is spared.
+	// hashPart is the part of a prompt's shared tokens that the endpoint which a session's hash prefers is taken to know.
 	hashPart = 0.6
+	// againPart is what reading shared tokens once more counts for beside the time that it takes, as a part of that time:
+	// the work is paid for.
+	againPart = 2.0
 	// defaultSlots stands in until an endpoint has said how many requests it runs at one time.
 	defaultSlots = 4
 	// firstPause and mostPause bound the time for which an endpoint that failed is left alone; it doubles each time.
 	firstPause = 500 * time.Millisecond
 	mostPause  = 4 * time.Second
+	// fetchTokens is the least part of a prompt that is fetched from another endpoint's memory, and fetchTime what a
+	// fetch counts for, beside the time that it takes: it is cheaper than reading, but not free.
+	fetchTokens = 64
+	fetchTime   = 5 * time.Millisecond
 	// compared is the number of random endpoints compared, beside those that have read a part of the prompt.
 	compared = 3
 	// jitter is the largest random addition, so that hosts with the same view do not all choose the same endpoint.
@@ -48,50 +55,81 @@
 	Home centre.ID
 }
 
-// Pick returns the best endpoint that may be used and the expected time to its first answer, or nil.
+// pick is the choice for one attempt.
+type pick struct {
+	// Target is the endpoint, nil when none may be used.
+	Target *target.Target
+	// Donor is an endpoint that knows more of the prompt, nil when none is known.
+	Donor *target.Target
+	// Unread is the prompt tokens that the endpoint is expected to read.
+	Unread int64
+	// First is the expected time to the first part of the answer.
+	First time.Duration
+
+	cost time.Duration
+}
+
+// Pick returns the best endpoint that may be used.
 //
 // Endpoints that leave are never chosen, those that failed a moment ago only when there is no other.
-func (c *Choice) Pick(all []*target.Target, w *work.Work, used func(*target.Target) bool, now time.Time) (*target.Target, time.Duration) {
-	var best, second *target.Target
-	var bestCost, bestTime, secondCost, secondTime time.Duration
+func (c *Choice) Pick(all []*target.Target, w *work.Work, used func(*target.Target) bool, now time.Time) pick {
+	var best, second pick
 	preferred := prefer(all, w.Session())
 	sample := c.sample(all)
+	donor, known := richest(all, w, now)
 	for _, t := range all {
 		if t.Leaving() || used(t) {
 			continue
 		}
-		if sample != nil && t != preferred && !sample[t] && t.Uncached(w, now) == w.PromptTokens {
+		if sample != nil && t != preferred && t != donor && !sample[t] {
 			continue
 		}
-		first, cost := c.estimate(t, w, t == preferred, now)
-		if paused(t, now) {
-			if second == nil || cost < secondCost {
-				second, secondCost, secondTime = t, cost, first
-			}
-			continue
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost, bestTime = t, cost, first
+		p := c.estimate(t, w, preferred, donor, known, now)
+		switch {
+		case paused(t, now):
+			second = better(second, p)
+		default:
+			best = better(best, p)
 		}
 	}
-	if best == nil && second == nil && sample != nil {
-		return c.first(all, w, used, now)
+	if best.Target == nil {
+		best = second
+	}
+	if best.Target == nil && sample != nil {
+		return c.any(all, w, used, now)
 	}
-	if best == nil {
-		return second, secondTime
+	return best
+}
+
+func better(a, b pick) pick {
+	if a.Target == nil || b.cost < a.cost {
+		return b
 	}
-	return best, bestTime
+	return a
 }
 
-// first returns any endpoint that may be used, when the sample held none.
-func (c *Choice) first(all []*target.Target, w *work.Work, used func(*target.Target) bool, now time.Time) (*target.Target, time.Duration) {
+// any returns an endpoint that may be used when the sample held none.
+func (c *Choice) any(all []*target.Target, w *work.Work, used func(*target.Target) bool, now time.Time) pick {
 	for _, t := range all {
 		if !t.Leaving() && !used(t) {
-			first, _ := c.estimate(t, w, false, now)
-			return t, first
+			return c.estimate(t, w, nil, nil, 0, now)
+		}
+	}
+	return pick{}
+}
+
+// richest returns the endpoint that is known to have read most of the prompt, and the tokens that it would read.
+func richest(all []*target.Target, w *work.Work, now time.Time) (donor *target.Target, unread int64) {
+	unread = w.PromptTokens
+	for _, t := range all {
+		if t.Leaving() {
+			continue
+		}
+		if n := t.Uncached(w, now); n < unread {
+			donor, unread = t, n
 		}
 	}
-	return nil, 0
+	return donor, unread
 }
 
 // sample draws a few endpoints to compare, nil for all: with counts that are a moment old, hosts that all take the
@@ -156,29 +194,54 @@
 	return since < min(mostPause, firstPause<<min(n-1, 4))
 }
 
-// estimate returns the expected time to the first answer and the cost to compare.
-func (c *Choice) estimate(t *target.Target, w *work.Work, preferred bool, now time.Time) (first, cost time.Duration) {
+// estimate returns the choice of one endpoint and its cost; donor is known to have all but known tokens of the prompt.
+func (c *Choice) estimate(t *target.Target, w *work.Work, preferred, donor *target.Target, known int64, now time.Time) pick {
 	running, prefill := t.Busy(now)
 	slots := t.Slots()
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	unread := t.Uncached(w, now)
+	p := pick{Target: t, Unread: t.Uncached(w, now)}
 	if w.PromptTokens > 0 {
-		first = times(t.Slow(), c.Speed.First(w.Backend, prefill+unread))
+		again := c.share(&p, w, preferred, donor, known)
+		p.First = times(t.Slow(), c.Speed.First(w.Backend, prefill+p.Unread))
+		p.cost = times(againPart, c.Speed.First(w.Backend, again)-c.Speed.First(w.Backend, 0))
 	}
 	if over := running - slots + 1; over > 0 {
-		first += time.Duration(over) * queueTime
+		p.First += time.Duration(over) * queueTime
 	}
-	cost = first + time.Duration(running)*runTime + time.Duration(c.Rand()*float64(jitter))
-	if preferred {
-		spared := c.Speed.First(w.Backend, unread) - c.Speed.First(w.Backend, 0)
-		cost -= times(hashPart, spared)
+	p.cost += p.First + time.Duration(running)*runTime + time.Duration(c.Rand()*float64(jitter))
+	if p.Donor != nil {
+		p.cost += fetchTime
 	}
 	if t.Row().DataCentre != c.Home {
-		cost += awayTime
+		p.cost += awayTime
+	}
+	return p
+}
+
+// share decides what the endpoint fetches, corrects what it must read, and returns the shared tokens that it is likely
+// to read though another endpoint has.
+//
+// Without knowledge, the endpoint that a session's hash prefers is taken for one that knows the session.
+func (c *Choice) share(p *pick, w *work.Work, preferred, donor *target.Target, known int64) (again int64) {
+	shared := w.Shared()
+	if p.Unread <= w.PromptTokens-shared {
+		return 0
+	}
+	if donor != nil && donor != p.Target && p.Unread-known >= fetchTokens {
+		p.Donor, p.Unread = donor, known
+		return 0
+	}
+	if donor != nil || preferred == nil || shared < fetchTokens {
+		return 0
+	}
+	guess := int64(hashPart * float64(shared))
+	p.Unread -= guess
+	if p.Target != preferred {
+		p.Donor = preferred
 	}
-	return first, cost
+	return shared - guess
 }
 
 func times(x float64, d time.Duration) time.Duration { return time.Duration(x * float64(d)) }
--- a/coordination/pass/pass.go
+++ b/coordination/pass/pass.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ending"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -29,9 +30,10 @@
 )
 
 type exchange interface {
-	// Attempt sends the request to one endpoint and passes its answer on; resume is the event to go on after, empty
-	// for a first attempt. begun is called at the first part of an answer.
-	Attempt(ctx context.Context, t *target.Target, resume string, begun func()) tried.Tried
+	// Attempt sends the request to one endpoint and passes its answer on. The endpoint fetches what donor knows of the
+	// prompt, unless donor is nil; resume is the event to go on after, empty for a first attempt. begun is called at the
+	// first part of an answer.
+	Attempt(ctx context.Context, t, donor *target.Target, resume string, begun func()) tried.Tried
 	// Deliver passes on the failure answer that an attempt held back; it reports whether there was one.
 	Deliver() bool
 }
@@ -40,10 +42,6 @@
 	Of(backend label.Name) []*target.Target
 }
 
-type picker interface {
-	Pick(all []*target.Target, w *work.Work, used func(*target.Target) bool, now time.Time) (*target.Target, time.Duration)
-}
-
 type retries interface {
 	// Pay pays in for one request to a back end.
 	Pay(backend label.Name)
@@ -81,8 +79,8 @@
 type Pass struct {
 	// Endpoints holds the endpoints.
 	Endpoints endpoints
-	// Picker chooses among them.
-	Picker picker
+	// Choice chooses among them.
+	Choice *choose.Choice
 	// Retries bounds further arrivals.
 	Retries retries
 	// Usage counts requests that ran.
@@ -147,11 +145,12 @@
 // step makes one attempt and reports whether there shall be another.
 func (p *Pass) step(ctx context.Context, j *trip, x exchange) (again bool, err error) {
 	now := p.Now()
-	t, wait := p.Picker.Pick(p.Endpoints.Of(j.work.Backend), j.work, func(t *target.Target) bool { return j.used[t] }, now)
+	to := p.Choice.Pick(p.Endpoints.Of(j.work.Backend), j.work, func(t *target.Target) bool { return j.used[t] }, now)
+	t := to.Target
 	if t == nil {
 		return false, p.final(ctx, j, x, "no endpoint of the back end may be used", noEndpointWait)
 	}
-	if !j.ran && now.Add(wait).After(j.work.Until) {
+	if !j.ran && now.Add(to.First).After(j.work.Until) {
 		return false, p.final(ctx, j, x, "no endpoint is expected to begin in time", fullWait)
 	}
 	if j.arrivals > 0 && !p.Retries.Take(j.work.Backend) {
@@ -159,7 +158,7 @@
 	}
 	j.used[t] = true
 	j.at = t
-	j.last = p.attempt(ctx, j, t, x)
+	j.last = p.attempt(ctx, j, t, to.Donor, to.Unread, x)
 	if j.last.Sent {
 		j.arrivals++
 	}
@@ -170,26 +169,25 @@
 }
 
 // attempt sends the request to one endpoint.
-func (p *Pass) attempt(ctx context.Context, j *trip, t *target.Target, x exchange) tried.Tried {
+func (p *Pass) attempt(ctx context.Context, j *trip, t, donor *target.Target, unread int64, x exchange) tried.Tried {
 	now := p.Now()
 	_, ahead := t.Busy(now)
-	unread := t.Uncached(j.work, now)
 	p.Flow.Add(j.work.Backend, unread, now)
-	begun, done := t.Begin(j.work, now)
+	begun, done := t.Begin(j.work, unread, now)
 	defer done()
 	if limit, ok := p.patience(j, now); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeoutCause(ctx, limit, errPatience)
 		defer cancel()
 	}
-	r := x.Attempt(ctx, t, j.last.Last, func() {
+	r := x.Attempt(ctx, t, donor, j.last.Last, func() {
 		begun()
 		t.Progress(p.Now())
 		p.began(j)
 	})
 	now = p.Now()
 	t.Observe(r, p.expected(j.work, ahead+unread), now)
-	if ahead == 0 && r.First > 0 && unread > 0 {
+	if ahead == 0 && donor == nil && r.First > 0 && unread > 0 {
 		p.Speed.Add(j.work.Backend, unread, r.First)
 	}
 	if j.last.Last != "" && r.Last == "" {
--- a/protocol/pulse/pulse.go
+++ b/protocol/pulse/pulse.go
@@ -51,6 +51,8 @@
 	Sent map[string]int `json:"sent,omitempty"`
 	// Unread counts the prompt tokens in flight from the sender that an endpoint has not begun to answer, by endpoint.
 	Unread map[string]int64 `json:"unread,omitempty"`
+	// Read lists parts of prompts that an endpoint has lately read for the sender, by endpoint.
+	Read map[string][]uint64 `json:"read,omitempty"`
 	// Demand is what accounts ask of the sender, in units of their rates per second.
 	Demand map[acct.ID]float64 `json:"demand,omitempty"`
 	// Prefill is the prompt tokens per second that go from the sender to each back end.
--- a/protocol/work/work.go
+++ b/protocol/work/work.go
@@ -45,6 +45,15 @@
 	w.Parts = append(w.Parts, part{Hash: hash, Tokens: tokens})
 }
 
+// Shared returns the tokens of the parts that other requests may share: all but the last.
+func (w *Work) Shared() int64 {
+	sum := int64(0)
+	for i := 0; i < len(w.Parts)-1; i++ {
+		sum += w.Parts[i].Tokens
+	}
+	return sum
+}
+
 // Session returns the hash of the last part that other requests share, 0 when there is none.
 //
 // The last part of a prompt is the request's own, or its session's.
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -198,6 +198,7 @@
 		Load:        int(s.waiting.Load()),
 		Sent:        map[string]int{},
 		Unread:      map[string]int64{},
+		Read:        map[string][]uint64{},
 		Demand:      s.Rates.Demand(now),
 		Prefill:     s.flow.Own(now),
 		Usage:       s.usage.Own(),
@@ -211,6 +212,9 @@
 		if unread > 0 {
 			p.Unread[id] = unread
 		}
+		if read := t.News(now); len(read) > 0 {
+			p.Read[id] = read
+		}
 	}
 	return p
 }
@@ -224,6 +228,7 @@
 	for _, t := range s.Depot.All() {
 		id := string(t.Row().ID)
 		t.Hear(string(p.Host), p.Sent[id], p.Unread[id], now)
+		t.Learn(p.Read[id], now)
 	}
 }
 
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -140,7 +140,7 @@
 	s.Choice = &choose.Choice{Rand: rand.Float64, Speed: s.speed, Home: s.DataCentre}
 	s.Pass = &pass.Pass{
 		Endpoints: s.Depot,
-		Picker:    s.Choice,
+		Choice:    s.Choice,
 		Retries:   &again.Again{Ratio: s.RetryRatio, Extra: s.RetryExtra, Hosts: s.hosts},
 		Usage:     s.usage,
 		Speed:     s.speed,
