--- a/coordination/crew/crew.go
+++ b/coordination/crew/crew.go
@@ -65,6 +65,8 @@
 
 	orders  map[subject]*order
 	refused map[subject]time.Time
+	// first is the number of endpoints found before any order.
+	first map[label.Name]int
 	// seen is since when endpoints of a back end are known.
 	seen map[label.Name]time.Time
 }
@@ -132,7 +134,7 @@
 	offers := c.offers(b, now)
 	demand, known := c.Demand(b.Name, now)
 	if !known {
-		demand = firstBusy * float64(held(offers))
+		demand = firstBusy * float64(c.found(b.Name, offers))
 	}
 	all := sizing.Sizing{}.Wishes(b, demand, offers)
 	for i, w := range all {
@@ -143,11 +145,19 @@
 	return refused
 }
 
-func held(offers []offer.Offer) int {
+// found returns the number of a back end's endpoints when it was first asked for, before any order changed it.
+func (c *Crew) found(backend label.Name, offers []offer.Offer) int {
+	if n, ok := c.first[backend]; ok {
+		return n
+	}
 	n := 0
 	for _, o := range offers {
 		n += o.Live + o.Fallback
 	}
+	if c.first == nil {
+		c.first = map[label.Name]int{}
+	}
+	c.first[backend] = n
 	return n
 }
 
@@ -222,21 +232,24 @@
 	return true
 }
 
-// due reports whether an order of n is to be sent: more at once, fewer after a while, and the same again when what
-// was ordered is not there.
+// due reports whether an order of n is to be sent: more at once, also of what was ordered and is not there, and fewer
+// after a while.
 func (o *order) due(n, live int, pause, start time.Duration, now time.Time) bool {
 	if n >= o.n {
 		o.fewer = time.Time{}
 	}
+	started := now.Sub(o.sent) >= start
 	switch {
 	case n > o.n || !o.taken:
 		return true
+	case live < n && started:
+		return true
 	case n < o.n:
 		if o.fewer.IsZero() {
 			o.fewer = now
 		}
 		return now.Sub(o.fewer) >= pause
 	default:
-		return live != n && now.Sub(o.sent) >= start
+		return live != n && started
 	}
 }
--- a/state/flow/flow.go
+++ b/state/flow/flow.go
@@ -75,7 +75,7 @@
 	f.peers[peer] = told{values: values, at: now}
 }
 
-// Sum returns the tokens per second that go to a back end from all processes, with a fading memory of peaks.
+// Sum returns the tokens per second that go to a back end from all processes.
 func (f *Flow) Sum(backend label.Name, now time.Time) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -85,14 +85,21 @@
 			sum += p.values[backend]
 		}
 	}
+	return sum
+}
+
+// Peak returns the largest recent value for a back end; the memory of one fades.
+func (f *Flow) Peak(backend label.Name, value float64, now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.peaks == nil {
 		f.peaks = map[label.Name]mean{}
 	}
 	peak := f.peaks[backend]
 	faded := peak.value * float64(peakTime) / float64(peakTime+max(0, now.Sub(peak.at)))
-	if sum >= faded {
-		f.peaks[backend] = mean{value: sum, at: now}
-		return sum
+	if value >= faded {
+		f.peaks[backend] = mean{value: value, at: now}
+		return value
 	}
 	return faded
 }
--- a/transport/site/duties.go
+++ b/transport/site/duties.go
@@ -75,10 +75,22 @@
 	}
 }
 
-// demand returns a back end's demand in endpoints' worth of time spent on reading prompts.
+// demand returns a back end's demand in endpoints' worth: of the time spent on reading prompts or of the requests that
+// run at one time, whichever is larger.
 func (s *Site) demand(backend label.Name, now time.Time) (demand float64, known bool) {
 	rate, known := s.speed.Rate(backend)
-	return s.flow.Sum(backend, now) / rate, known
+	demand = s.flow.Sum(backend, now) / rate
+	running, slots := 0.0, 0.0
+	all := s.Depot.Of(backend)
+	for _, t := range all {
+		n, _ := t.Busy(now)
+		running += float64(n)
+		slots += float64(t.Slots())
+	}
+	if slots > 0 {
+		demand = max(demand, running*float64(len(all))/slots)
+	}
+	return s.flow.Peak(backend, demand, now), known
 }
 
 // refused gives the lease up after the platform has seen a higher fencing number.
