Hold endpoints' rows by pointer and sort them once a change

Cause: heartbeats sorted and copied all endpoints each time, which a grown fleet feels. Ruled out, tried and reverted: two hosts chosen by rank that sum up all heartbeats and pass the endpoints' list on.

--- a/state/depot/depot.go
+++ b/state/depot/depot.go
@@ -19,6 +19,7 @@
 	mu        sync.RWMutex
 	byID      map[endpt.ID]*target.Target
 	byBackend map[label.Name][]*target.Target
+	all       []*target.Target
 }
 
 // Put takes the newest row of an endpoint.
@@ -31,7 +32,7 @@
 		d.byID = map[endpt.ID]*target.Target{}
 	}
 	old := d.byID[r.ID]
-	if old != nil && same(old.Row(), r) {
+	if old != nil && same(old.Row(), &r) {
 		old.SetRow(r)
 		return
 	}
@@ -42,7 +43,7 @@
 	d.index()
 }
 
-func same(a, b roster.Row) bool {
+func same(a, b *roster.Row) bool {
 	return a.Address == b.Address && a.Version == b.Version && a.Backend == b.Backend && a.Born == b.Born
 }
 
@@ -75,13 +76,15 @@
 
 func (d *Depot) index() {
 	d.byBackend = map[label.Name][]*target.Target{}
+	d.all = nil
 	for _, t := range d.byID {
+		d.all = append(d.all, t)
+	}
+	slices.SortFunc(d.all, func(a, b *target.Target) int { return cmp.Compare(a.Row().ID, b.Row().ID) })
+	for _, t := range d.all {
 		name := t.Row().Backend
 		d.byBackend[name] = append(d.byBackend[name], t)
 	}
-	for _, all := range d.byBackend {
-		slices.SortFunc(all, func(a, b *target.Target) int { return cmp.Compare(a.Row().ID, b.Row().ID) })
-	}
 }
 
 // Of returns the endpoints of a back end, sorted by id; the caller must not change the slice.
@@ -98,14 +101,9 @@
 	return d.byID[id]
 }
 
-// All returns every endpoint, sorted by id.
+// All returns every endpoint, sorted by id; the caller must not change the slice.
 func (d *Depot) All() []*target.Target {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	var out []*target.Target
-	for _, t := range d.byID {
-		out = append(out, t)
-	}
-	slices.SortFunc(out, func(a, b *target.Target) int { return cmp.Compare(a.Row().ID, b.Row().ID) })
-	return out
+	return d.all
 }
--- a/state/target/target.go
+++ b/state/target/target.go
@@ -4,12 +4,12 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/tried"
 	"github.com/dragonflyroute/dragonflyroute/protocol/work"
-	"github.com/dragonflyroute/dragonflyroute/state/heard"
 )
 
 const (
@@ -27,22 +27,20 @@
 	mostNews = 32
 	// othersAge is the age from which peers' counts are no longer believed.
 	othersAge = 3 * time.Second
-	// hubAge is the age up to which the sum over all peers stands for them.
-	hubAge = 1500 * time.Millisecond
 )
 
 // Target is one endpoint: its row, the work that was sent to it and what its answers showed.
 //
 // All methods may be called concurrently.
 type Target struct {
+	row     atomic.Pointer[roster.Row]
 	mu      sync.Mutex
-	row     roster.Row
 	left    chan struct{}
 	leaving bool
 
 	running int
 	prefill int64
-	others  heard.Heard[counts]
+	others  map[string]counts
 	load    reported
 	slow    float64
 	parts   map[uint64]time.Time
@@ -56,12 +54,12 @@
 type counts struct {
 	running int
 	prefill int64
+	at      time.Time
 }
 
 type news struct {
-	hash   uint64
-	tokens int64
-	at     time.Time
+	hash uint64
+	at   time.Time
 }
 
 type reported struct {
@@ -71,7 +69,7 @@
 
 // New returns a target for a row.
 func New(r roster.Row) *Target {
-	t := &Target{left: make(chan struct{}), slow: 1, others: heard.Heard[counts]{MaxAge: othersAge, HubAge: hubAge}}
+	t := &Target{left: make(chan struct{}), slow: 1}
 	t.SetRow(r)
 	return t
 }
@@ -80,7 +78,7 @@
 func (t *Target) SetRow(r roster.Row) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.row = r
+	t.row.Store(&r)
 	if r.State == roster.Leaving {
 		t.leave()
 	}
@@ -103,12 +101,8 @@
 // Left is closed when the endpoint is known to leave.
 func (t *Target) Left() <-chan struct{} { return t.left }
 
-// Row returns the endpoint's row.
-func (t *Target) Row() roster.Row {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.row
-}
+// Row returns the endpoint's row; the caller must not change it.
+func (t *Target) Row() *roster.Row { return t.row.Load() }
 
 // Leaving reports whether the endpoint takes no new work.
 func (t *Target) Leaving() bool {
@@ -145,7 +139,7 @@
 func (t *Target) remember(w *work.Work, now time.Time) {
 	for i, p := range w.Parts {
 		if i < len(w.Parts)-1 && now.Sub(t.parts[p.Hash]) > newsAge {
-			t.news = append(t.news, news{hash: p.Hash, tokens: p.Tokens, at: now})
+			t.news = append(t.news, news{hash: p.Hash, at: now})
 		}
 		t.know(p.Hash, now)
 	}
@@ -158,17 +152,14 @@
 	t.parts[hash] = now
 }
 
-// News returns the shared parts of at least the given length that the endpoint has read lately for this process and, as
-// far as it knew, not before.
-func (t *Target) News(least int64, now time.Time) []uint64 {
+// News returns the shared parts that the endpoint has read lately for this process and, as far as it knew, not before.
+func (t *Target) News(now time.Time) []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.news = slices.DeleteFunc(t.news, func(n news) bool { return now.Sub(n.at) > newsTime })
 	var out []uint64
 	for _, n := range t.news[max(0, len(t.news)-mostNews):] {
-		if n.tokens >= least {
-			out = append(out, n.hash)
-		}
+		out = append(out, n.hash)
 	}
 	return out
 }
@@ -240,9 +231,18 @@
 	return t.failures, now.Sub(t.failed)
 }
 
-// Hear takes a peer's counts of what it has sent to the endpoint, or the hub's over all peers.
+// Hear takes a peer's counts of what it has sent to the endpoint.
 func (t *Target) Hear(peer string, running int, prefill int64, now time.Time) {
-	t.others.Put(peer, counts{running: running, prefill: prefill}, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.others == nil {
+		t.others = map[string]counts{}
+	}
+	if running == 0 && prefill == 0 {
+		delete(t.others, peer)
+		return
+	}
+	t.others[peer] = counts{running: running, prefill: prefill, at: now}
 }
 
 // Own returns this process's requests at the endpoint and the prompt tokens of those not begun.
@@ -257,9 +257,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	running, prefill = t.running, t.prefill
-	for c := range t.others.Fresh(now) {
-		running += c.running
-		prefill += c.prefill
+	for _, c := range t.others {
+		if now.Sub(c.at) < othersAge {
+			running += c.running
+			prefill += c.prefill
+		}
 	}
 	return running, prefill
 }
@@ -278,5 +280,5 @@
 	if t.load.slots > 0 {
 		return t.load.slots
 	}
-	return t.row.Slots
+	return t.Row().Slots
 }
