Carry a large fleet's usage through the store and scale the figures of the peers heard

Change: each host of a large fleet writes its windows into the store once a window, the holder reads them before it reports; each peer heard stands for those not heard; feeds wait longer.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -31,6 +31,7 @@
 	serverTable   = "servers"
 	hostTable     = "dragonflyroute-hosts"
 	leaseTable    = "dragonflyroute-leases"
+	usageTable    = "dragonflyroute-usage"
 )
 
 const (
@@ -104,6 +105,7 @@
 		RetryRatio:        cfg.RetryRatio,
 		RetryExtra:        cfg.RetryExtra,
 		LeaseTerm:         cfg.LeaseTerm,
+		EndpointDrain:     cfg.EndpointDrain,
 		EndpointHeartbeat: cfg.EndpointHeartbeat,
 		UsageWindow:       cfg.UsageWindow,
 		UsageLate:         cfg.UsageLate,
@@ -111,6 +113,7 @@
 		Servers:           rows(serverTable),
 		Hosts:             rows(hostTable),
 		Leases:            rows(leaseTable),
+		Counts:            rows(usageTable),
 		ConfigKey:         codec.ConfigKey,
 		Rules:             codec.Rules,
 		Endpoint:          codec.Endpoint,
--- a/coordination/rates/rates.go
+++ b/coordination/rates/rates.go
@@ -17,7 +17,7 @@
 	// trust is the part of the limits that is given out; shares of hosts with different views may overlap.
 	trust = 0.97
 	// silentAfter is the time after which a silent peer's demand is no longer believed; its floor stays reserved.
-	silentAfter = 10 * time.Second
+	silentAfter = 4 * time.Second
 )
 
 // Rates holds one process's part of every account's rate.
--- a/coordination/report/report.go
+++ b/coordination/report/report.go
@@ -54,6 +54,8 @@
 	Usage usage
 	// Platform takes the reports.
 	Platform platform
+	// Gather takes the last counts from the other hosts before a window's are fixed; nil takes none.
+	Gather func(ctx context.Context)
 	// Held returns the fencing number while the process holds the lease; it is asked before each effect.
 	Held func() (fence int64, held bool)
 	// Refused is told when the platform has seen a higher fencing number.
@@ -87,6 +89,9 @@
 }
 
 func (r *Report) send(ctx context.Context, number int64) {
+	if r.Gather != nil {
+		r.Gather(ctx)
+	}
 	counts, err := r.fix(ctx, number)
 	if err != nil {
 		r.Log.Warn("usage report not fixed", "window", number, "error", err)
--- a/state/flow/flow.go
+++ b/state/flow/flow.go
@@ -12,7 +12,7 @@
 	// meanTime is the time over which work is averaged.
 	meanTime = 4 * time.Second
 	// believed is the age up to which a peer's figure counts.
-	believed = 5 * time.Second
+	believed = 4 * time.Second
 	// peakTime is the time in which the memory of a peak falls to a third.
 	peakTime = 20 * time.Second
 )
--- a/state/target/target.go
+++ b/state/target/target.go
@@ -26,7 +26,7 @@
 	// mostNews bounds the parts told in one heartbeat, for each endpoint.
 	mostNews = 32
 	// othersAge is the age from which peers' counts are no longer believed.
-	othersAge = 3 * time.Second
+	othersAge = 4 * time.Second
 )
 
 // Target is one endpoint: its row, the work that was sent to it and what its answers showed.
@@ -52,9 +52,8 @@
 }
 
 type counts struct {
-	running int
-	prefill int64
-	at      time.Time
+	running, prefill float64
+	at               time.Time
 }
 
 type news struct {
@@ -231,8 +230,8 @@
 	return t.failures, now.Sub(t.failed)
 }
 
-// Hear takes a peer's counts of what it has sent to the endpoint.
-func (t *Target) Hear(peer string, running int, prefill int64, now time.Time) {
+// Hear takes a peer's counts of what it has sent to the endpoint, or of what the peers that it stands for have.
+func (t *Target) Hear(peer string, running, prefill float64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.others == nil {
@@ -256,14 +255,14 @@
 func (t *Target) Busy(now time.Time) (running int, prefill int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	running, prefill = t.running, t.prefill
+	others := counts{}
 	for _, c := range t.others {
 		if now.Sub(c.at) < othersAge {
-			running += c.running
-			prefill += c.prefill
+			others.running += c.running
+			others.prefill += c.prefill
 		}
 	}
-	return running, prefill
+	return t.running + int(others.running), t.prefill + int64(others.prefill)
 }
 
 // Slow returns how many times as long as expected the endpoint takes to its first tokens.
--- a/transport/site/duties.go
+++ b/transport/site/duties.go
@@ -39,6 +39,7 @@
 		Store:    s.Leases,
 		Usage:    s.usage,
 		Platform: s.Duties,
+		Gather:   s.readCounts,
 		Held:     func() (int64, bool) { return s.leases.Held(dutyLease) },
 		Refused:  s.refused,
 		Late:     s.UsageLate,
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
@@ -36,10 +38,12 @@
 	censusStep = 200 * time.Millisecond
 	// operatorWait, serverPause, hostWait and hostPause pace the reads of the tables: the operator's changes count at
 	// once, endpoints' rows change all the time, and hosts come and go rarely.
-	operatorWait = 2 * time.Second
-	serverPause  = 800 * time.Millisecond
-	hostWait     = 4 * time.Second
+	operatorWait = 5 * time.Second
+	hostWait     = 15 * time.Second
 	hostPause    = 300 * time.Millisecond
+	// drainPart is the part of the time in which a leaving endpoint's last work must arrive that may pass between reads
+	// of the endpoints' rows.
+	drainPart = 0.4
 	// joinAgain is the time between tries to write the own row.
 	joinAgain = 300 * time.Millisecond
 )
@@ -71,7 +75,7 @@
 			Whole: s.operator, Changed: s.operator, Now: time.Now, Log: s.Log,
 		},
 		{
-			Name: "servers", Source: s.Servers, Pause: serverPause,
+			Name: "servers", Source: s.Servers, Pause: time.Duration(drainPart * float64(s.EndpointDrain)),
 			Whole: s.census.Whole, Changed: s.census.Changed, Regained: s.census.Regained, Now: time.Now, Log: s.Log,
 		},
 		{
@@ -220,18 +224,44 @@
 }
 
 // heard takes a peer's heartbeat.
+//
+// In a large fleet only some of the peers are heard within a few seconds, so each one's figures stand for several.
 func (s *Site) heard(p pulse.Pulse) {
 	now := time.Now()
-	s.Rates.Hear(string(p.Host), p.Demand, now)
-	s.flow.Hear(string(p.Host), p.Prefill, now)
+	scale := s.standsFor(p.Host, now)
+	s.Rates.Hear(string(p.Host), scaled(p.Demand, scale), now)
+	s.flow.Hear(string(p.Host), scaled(p.Prefill, scale), now)
 	s.usage.Hear(p.Host, p.Incarnation, p.Usage, now)
 	for _, t := range s.Depot.All() {
 		id := string(t.Row().ID)
-		t.Hear(string(p.Host), p.Sent[id], p.Unread[id], now)
+		t.Hear(string(p.Host), scale*float64(p.Sent[id]), scale*float64(p.Unread[id]), now)
 		t.Learn(p.Read[id], now)
 	}
 }
 
+// heardTime is the time in which peers' figures count.
+const heardTime = 4 * time.Second
+
+// standsFor returns the number of peers for which a heartbeat heard now stands.
+func (s *Site) standsFor(from host.ID, now time.Time) float64 {
+	s.heardMu.Lock()
+	defer s.heardMu.Unlock()
+	if s.heardAt == nil {
+		s.heardAt = map[host.ID]time.Time{}
+	}
+	s.heardAt[from] = now
+	maps.DeleteFunc(s.heardAt, func(_ host.ID, at time.Time) bool { return now.Sub(at) > heardTime })
+	return max(1, float64(s.hosts()-1)/float64(len(s.heardAt)))
+}
+
+func scaled[K comparable](values map[K]float64, scale float64) map[K]float64 {
+	out := make(map[K]float64, len(values))
+	for k, v := range values {
+		out[k] = scale * v
+	}
+	return out
+}
+
 // EntryAddresses returns the callers' addresses of the entry hosts that take requests.
 func (s *Site) EntryAddresses(_ centre.ID) []string {
 	var out []string
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -76,12 +77,15 @@
 	RetryRatio, RetryExtra float64
 	// LeaseTerm is the term of the duties' lease.
 	LeaseTerm time.Duration
+	// EndpointDrain is the time in which the last work must arrive at an endpoint that leaves.
+	EndpointDrain time.Duration
 	// EndpointHeartbeat is the time between an endpoint's reports.
 	EndpointHeartbeat time.Duration
 	// UsageWindow is the length of a window of the usage report, UsageLate when it is due after its end.
 	UsageWindow, UsageLate time.Duration
-	// Operator, Servers, Hosts and Leases are the tables of the operator, the endpoints, the entry hosts and the leases.
-	Operator, Servers, Hosts, Leases rows
+	// Operator, Servers, Hosts, Leases and Counts are the tables of the operator, the endpoints, the entry hosts, the
+	// leases and the hosts' usage.
+	Operator, Servers, Hosts, Leases, Counts rows
 	// ConfigKey is the operator's row that holds the configuration.
 	ConfigKey string
 	// Rules and Endpoint decode rows of the operator and of the endpoints.
@@ -120,6 +124,9 @@
 	members  map[string]roster.Row
 	sequence atomic.Int64
 	waiting  atomic.Int64
+	// heardAt is when each peer was heard last.
+	heardMu sync.Mutex
+	heardAt map[host.ID]time.Time
 	// reclaims wakes the duties.
 	reclaims chan struct{}
 	// stopAt is the time of the kill in Unix nanoseconds, nought before the order to stop.
@@ -197,6 +204,7 @@
 	}
 	add(s.rounds)
 	add(s.duty)
+	add(s.countAll)
 	add(every(censusStep, func(context.Context) { s.census.Step() }))
 	add(func(c context.Context) error {
 		select {
