--- a/cmd_host.go
+++ b/cmd_host.go
@@ -37,6 +37,8 @@
 const (
 	// storeTimeout bounds a call to the platform that does not wait for changes.
 	storeTimeout = time.Second
+	// idleCalls bounds the idle connections to the platform.
+	idleCalls = 8
 	// memoryPart is the part of the memory limit from which the collector works harder.
 	memoryPart = 0.7
 	// keepAnswer is how long callers shall keep an address answer, where the platform's bound allows it.
@@ -88,11 +90,41 @@
 
 // newSite assembles the process from the settings and the platform's adapters.
 func newSite(cfg *conf.Conf, log hclog.Logger) *site.Site {
-	calls := &http.Transport{DialContext: dial.Context, DisableCompression: true, MaxIdleConnsPerHost: 8}
+	calls := &http.Transport{DialContext: dial.Context, DisableCompression: true, MaxIdleConnsPerHost: idleCalls}
+	s := settledSite(cfg, log)
 	rows := func(table string) *store.Store {
 		return &store.Store{Address: cfg.Store, Table: table, Transport: calls, Timeout: storeTimeout}
 	}
-	s := &site.Site{
+	s.Operator = rows(operatorTable)
+	s.Servers = rows(serverTable)
+	s.Hosts = rows(hostTable)
+	s.Leases = rows(leaseTable)
+	s.Counts = rows(usageTable)
+	s.ConfigKey = codec.ConfigKey
+	s.Rules = codec.Rules
+	s.Endpoint = codec.Endpoint
+	if cfg.Cloud != "" {
+		s.Duties = &duty.Duty{Address: cfg.Cloud, Self: cfg.Host, Transport: calls, Timeout: storeTimeout}
+	}
+	s.Prepare()
+	s.Desk = &desk.Desk{Addresses: s.EntryAddresses, Keep: min(keepAnswer, cfg.KeepAnswer), Ready: s.IsReady, Log: log}
+	s.Front = &door.Door{
+		Policy:  s.Policy,
+		Rates:   s.Rates,
+		Backend: s.Choice.Backend,
+		Pass:    s.Pass,
+		Send:    send.New(),
+		Leaving: s.Leaving,
+		Count:   func(outcome string) { s.Meter.Count("requests_"+outcome, 1) },
+		Now:     time.Now,
+		Log:     log,
+	}
+	return s
+}
+
+// settledSite returns a process with its settings, without what reaches the platform.
+func settledSite(cfg *conf.Conf, log hclog.Logger) *site.Site {
+	return &site.Site{
 		Host:              cfg.Host,
 		IP:                cfg.IP,
 		DataCentre:        cfg.DataCentre,
@@ -105,37 +137,12 @@
 		RetryRatio:        cfg.RetryRatio,
 		RetryExtra:        cfg.RetryExtra,
 		LeaseTerm:         cfg.LeaseTerm,
-		EndpointDrain:     cfg.EndpointDrain,
-		EndpointHeartbeat: cfg.EndpointHeartbeat,
 		UsageWindow:       cfg.UsageWindow,
 		UsageLate:         cfg.UsageLate,
-		Operator:          rows(operatorTable),
-		Servers:           rows(serverTable),
-		Hosts:             rows(hostTable),
-		Leases:            rows(leaseTable),
-		Counts:            rows(usageTable),
-		ConfigKey:         codec.ConfigKey,
-		Rules:             codec.Rules,
-		Endpoint:          codec.Endpoint,
+		EndpointDrain:     cfg.EndpointDrain,
+		EndpointHeartbeat: cfg.EndpointHeartbeat,
 		ReportsUsage:      cfg.ReportsUsage,
 		OrdersEndpoints:   cfg.OrdersEndpoints,
 		Log:               log,
 	}
-	if cfg.Cloud != "" {
-		s.Duties = &duty.Duty{Address: cfg.Cloud, Self: cfg.Host, Transport: calls, Timeout: storeTimeout}
-	}
-	s.Prepare()
-	s.Desk = &desk.Desk{Addresses: s.EntryAddresses, Keep: min(keepAnswer, cfg.KeepAnswer), Ready: s.IsReady, Log: log}
-	s.Front = &door.Door{
-		Policy:  s.Policy,
-		Rates:   s.Rates,
-		Backend: s.Choice.Backend,
-		Pass:    s.Pass,
-		Send:    send.New(),
-		Leaving: s.Leaving,
-		Count:   func(outcome string) { s.Meter.Count("requests_"+outcome, 1) },
-		Now:     time.Now,
-		Log:     log,
-	}
-	return s
 }
--- /dev/null
+++ b/coordination/crew/crew_test.go
@@ -0,0 +1,152 @@
+package crew_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/crew"
+	"github.com/dragonflyroute/dragonflyroute/protocol/back"
+	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/state/depot"
+)
+
+func TestCrew(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "crew")
+}
+
+type placed struct {
+	in          centre.ID
+	n           int
+	reclaimable bool
+}
+
+// cloud takes orders, and refuses reclaimable ones while it is dry.
+type cloud struct {
+	orders []placed
+	dry    bool
+}
+
+func (c *cloud) Order(_ context.Context, _ int64, _ label.Name, in centre.ID, n int, reclaimable bool) error {
+	c.orders = append(c.orders, placed{in, n, reclaimable})
+	if c.dry && reclaimable {
+		return fault.New(kind.Conflict, "", "none are to be had")
+	}
+	return nil
+}
+
+func (c *cloud) onDemand() int {
+	last := map[centre.ID]int{}
+	for _, o := range c.orders {
+		if !o.reclaimable {
+			last[o.in] = o.n
+		}
+	}
+	sum := 0
+	for _, n := range last {
+		sum += n
+	}
+	return sum
+}
+
+type bench struct {
+	crew   *crew.Crew
+	cloud  *cloud
+	depot  *depot.Depot
+	now    time.Time
+	demand float64
+	held   bool
+}
+
+var backs = []back.Back{{
+	Name: "plume", Ordered: true, Least: 1, Most: 6, ReclaimablePrice: 0.2, Boot: 4 * time.Second,
+	Prices: map[centre.ID]float64{"a": 1, "b": 1, "c": 1},
+}}
+
+func newBench() *bench {
+	b := &bench{cloud: &cloud{}, depot: &depot.Depot{}, now: time.Unix(1000, 0), demand: 2, held: true}
+	b.crew = &crew.Crew{
+		Endpoints: b.depot,
+		Demand:    func(label.Name, time.Time) (float64, bool) { return b.demand, true },
+		Platform:  b.cloud,
+		Held:      func() (int64, bool) { return 1, b.held },
+		Refused:   func() { b.held = false },
+		Settle:    2 * time.Second,
+		Now:       func() time.Time { return b.now },
+		Log:       hclog.NewNullLogger(),
+	}
+	return b
+}
+
+func (b *bench) add(in string, n int, reclaimable bool) {
+	for i := range n {
+		id := endpt.ID(in + string(rune('0'+i)) + map[bool]string{true: "r", false: "o"}[reclaimable])
+		b.depot.Put(roster.Row{ID: id, Address: string(id), Backend: "plume", DataCentre: centre.ID(in), State: roster.Live, Reclaimable: reclaimable})
+	}
+}
+
+func (b *bench) step(after time.Duration) {
+	b.now = b.now.Add(after)
+	b.crew.Step(context.Background(), backs)
+}
+
+var _ = Describe("Crew", func() {
+	It("orders nothing before the endpoints' list has settled", func() {
+		b := newBench()
+		b.step(0)
+		b.add("a", 3, false)
+		b.step(time.Second)
+		b.step(time.Second)
+		Expect(b.cloud.orders).To(BeEmpty())
+		b.step(2 * time.Second)
+		Expect(b.cloud.orders).NotTo(BeEmpty())
+	})
+
+	It("is ready at once to order when it takes over from another holder", func() {
+		b := newBench()
+		b.add("a", 3, false)
+		b.crew.Watch(backs)
+		b.now = b.now.Add(5 * time.Second)
+		b.crew.Watch(backs)
+		b.step(0)
+		Expect(b.cloud.orders).NotTo(BeEmpty())
+	})
+
+	It("covers a reclaim on demand although fewer endpoints were about to be wanted", func() {
+		b := newBench()
+		b.demand = 3
+		for _, in := range []string{"a", "b", "c"} {
+			b.add(in, 4, true)
+		}
+		b.step(0)
+		b.step(3 * time.Second)
+		b.step(20 * time.Second)
+		b.demand, b.cloud.dry, b.cloud.orders = 2, true, nil
+		for _, t := range b.depot.Of("plume") {
+			if t.Row().DataCentre == "c" {
+				t.Leave()
+			}
+		}
+		b.step(time.Second)
+		Expect(b.cloud.onDemand()).To(BeNumerically(">=", 3))
+	})
+
+	It("orders nothing without the lease", func() {
+		b := newBench()
+		b.add("a", 3, false)
+		b.step(0)
+		b.held = false
+		b.step(3 * time.Second)
+		Expect(b.cloud.orders).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/coordination/sizing/sizing_test.go
@@ -0,0 +1,84 @@
+package sizing_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/sizing"
+	"github.com/dragonflyroute/dragonflyroute/protocol/back"
+	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/offer"
+)
+
+func TestSizing(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sizing")
+}
+
+var model = &back.Back{
+	Name: "plume", Ordered: true, Least: 1, Most: 6, ReclaimablePrice: 0.2,
+	Prices: map[centre.ID]float64{"a": 1, "b": 1.2, "c": 0.8},
+}
+
+func offers(live ...int) []offer.Offer {
+	var out []offer.Offer
+	for i, n := range live {
+		out = append(out, offer.Offer{DataCentre: centre.ID(rune('a' + i)), Backend: "plume", Live: n})
+	}
+	return out
+}
+
+// totals sums the wishes.
+func totals(demand float64, all []offer.Offer) (reclaimable, onDemand int) {
+	for _, w := range (sizing.Sizing{}).Wishes(model, demand, all) {
+		Expect(w.Reclaimable+w.OnDemand).To(BeNumerically(">=", model.Least))
+		reclaimable += w.Reclaimable
+		onDemand += w.OnDemand
+	}
+	return reclaimable, onDemand
+}
+
+var _ = Describe("Sizing", func() {
+	It("needs no on-demand endpoints while reclaimable ones would survive the loss of a data centre", func() {
+		reclaimable, onDemand := totals(3, offers(4, 4, 4))
+		Expect(reclaimable).To(BeNumerically(">=", 12))
+		Expect(onDemand).To(BeZero())
+	})
+
+	It("keeps on-demand endpoints until reclaimable ones serve in their place", func() {
+		all := offers(0, 0, 0)
+		for i := range all {
+			all[i].Fallback = 3
+		}
+		_, onDemand := totals(3, all)
+		Expect(onDemand).To(BeNumerically(">=", 4))
+	})
+
+	It("covers the whole demand on demand when reclaims have begun and none are to be had", func() {
+		all := offers(4, 4, 0)
+		all[2].Refused = true
+		_, onDemand := totals(3, all)
+		Expect(onDemand).To(BeNumerically(">=", 4))
+	})
+
+	It("starts on-demand endpoints only where the data centre has room", func() {
+		all := offers(6, 0, 6)
+		all[1].Refused = true
+		wishes := sizing.Sizing{}.Wishes(model, 6, all)
+		Expect(wishes[0].OnDemand).To(BeZero())
+		Expect(wishes[2].OnDemand).To(BeZero())
+		Expect(wishes[1].OnDemand).To(BeNumerically(">", 0))
+	})
+
+	It("keeps the on-demand endpoints that are there before it starts cheaper ones elsewhere", func() {
+		all := offers(0, 0, 0)
+		for i := range all {
+			all[i].Refused = true
+		}
+		all[1].Fallback = 4
+		wishes := sizing.Sizing{}.Wishes(model, 2, all)
+		Expect(wishes[1].OnDemand).To(Equal(4))
+	})
+})
--- a/test/style/style.go
+++ b/test/style/style.go
@@ -34,6 +34,18 @@
 	"transport/plat/plat.go",
 }
 
+// adapters is the folder that speaks the users' platform; its field names and headers are not ours.
+const adapters = "platform/"
+
+// speakers lists the folders that may name what crosses the platform's wire: the adapters, their stand-in and tests.
+var speakers = []string{adapters, "standin/", "test/"}
+
+// wireName finds a header, call or field of the platform's wire in a string.
+var wireName = regexp.MustCompile(`Dragonflyroute-[A-Z]|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|expectedRev|Kv-F`)
+
+// mostAdapters is the largest part of the product's lines that the adapters may have.
+const mostAdapters = 0.15
+
 // errorPackage is the only one that may make errors out of strings.
 const errorPackage = "protocol/fault"
 
@@ -48,6 +60,8 @@
 	types   map[string][]string
 	faults  []string
 	current string
+	// lines counts the product's lines without tests, and adapterLines those of the adapters.
+	lines, adapterLines int
 }
 
 // Check reads every Go file below root, apart from testdata, and returns what breaks a rule.
@@ -62,6 +76,9 @@
 			c.faults = append(c.faults, fmt.Sprintf("%s: exported-types: %s", dir, strings.Join(names, ", ")))
 		}
 	}
+	if float64(c.adapterLines) > mostAdapters*float64(c.lines) {
+		c.faults = append(c.faults, fmt.Sprintf("%s: adapter-size: %d of %d lines", adapters, c.adapterLines, c.lines))
+	}
 	slices.Sort(c.faults)
 	return c.faults, nil
 }
@@ -85,12 +102,26 @@
 		return err
 	}
 	c.current = filepath.ToSlash(relative)
+	c.countLines(file)
 	c.checkPackage(file)
 	c.checkImports(file)
 	ast.Inspect(file, c.node)
 	return nil
 }
 
+// countLines counts the product's own lines: no tests, and none of the programs that measure it or stand in for others.
+func (c *checker) countLines(file *ast.File) {
+	first, _, _ := strings.Cut(c.current, "/")
+	if strings.HasSuffix(c.current, "_test.go") || slices.Contains([]string{"bench", "model", "standin", "test"}, first) {
+		return
+	}
+	n := c.files.File(file.Pos()).LineCount()
+	c.lines += n
+	if strings.HasPrefix(c.current, adapters) {
+		c.adapterLines += n
+	}
+}
+
 func (c *checker) fault(rule, format string, args ...any) {
 	c.faults = append(c.faults, c.current+": "+rule+": "+fmt.Sprintf(format, args...))
 }
@@ -140,10 +171,13 @@
 			continue
 		}
 		inner, ours := strings.CutPrefix(path, module+"/")
-		if !ours || own < 0 {
+		if !ours {
 			continue
 		}
-		if other := layer(inner); other < own {
+		if strings.HasPrefix(inner, adapters) && c.dir() != "." && !strings.HasPrefix(c.current, adapters) {
+			c.fault("adapter-import", "%s", inner)
+		}
+		if other := layer(inner); own >= 0 && other < own {
 			c.fault("import-direction", "%s", inner)
 		}
 	}
@@ -157,6 +191,8 @@
 		c.checkCall(n)
 	case *ast.Field:
 		c.checkTag(n)
+	case *ast.BasicLit:
+		c.checkLiteral(n)
 	}
 	return true
 }
@@ -176,8 +212,18 @@
 	}
 }
 
+func (c *checker) checkLiteral(n *ast.BasicLit) {
+	speaks := func(folder string) bool { return strings.HasPrefix(c.current, folder) }
+	if n.Kind != token.STRING || strings.HasSuffix(c.current, "_test.go") || slices.ContainsFunc(speakers, speaks) {
+		return
+	}
+	if name := wireName.FindString(n.Value); name != "" {
+		c.fault("wire-name", "%s on line %d", name, c.files.Position(n.Pos()).Line)
+	}
+}
+
 func (c *checker) checkTag(n *ast.Field) {
-	if n.Tag == nil || slices.Contains(foreign, c.current) {
+	if n.Tag == nil || strings.HasPrefix(c.current, adapters) || slices.Contains(foreign, c.current) {
 		return
 	}
 	tag, err := strconv.Unquote(n.Tag.Value)
--- a/test/style/style_test.go
+++ b/test/style/style_test.go
@@ -27,12 +27,16 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(faults).To(Equal([]string{
 			"coordination/toolongname/name.go: package-name: toolongname",
+			"platform/: adapter-size: 8 of 39 lines",
 			"protocol/twotwo: exported-types: One, Two",
-			"state/badly/bad.go: bare-error: errors.New on line 16",
-			"state/badly/bad.go: bare-error: fmt.Errorf on line 17",
-			"state/badly/bad.go: bare-go: line 15",
+			"state/badly/bad.go: adapter-import: platform/alien",
+			"state/badly/bad.go: bare-error: errors.New on line 17",
+			"state/badly/bad.go: bare-error: fmt.Errorf on line 18",
+			"state/badly/bad.go: bare-go: line 16",
+			"state/badly/bad.go: import-direction: platform/alien",
 			"state/badly/bad.go: import-direction: transport/front",
 			"state/badly/bad.go: kebab-case: not_kebab",
+			"state/badly/bad.go: wire-name: Dragonflyroute-T on line 23",
 			"state/badly/bad_test.go: external-test: package badly",
 		}))
 	})
--- a/test/style/testdata/bad/state/badly/bad.go
+++ b/test/style/testdata/bad/state/badly/bad.go
@@ -1,6 +1,7 @@
 package badly
 
 import (
+	_ "github.com/dragonflyroute/dragonflyroute/platform/alien"
 	"errors"
 	"fmt"
 
@@ -17,3 +18,6 @@
 	two := fmt.Errorf("bare")
 	return []error{one, two}
 }
+
+// header is a planted wire name outside the adapters.
+const header = "Dragonflyroute-Tenant"
