--- a/standin/main.go
+++ b/standin/main.go
@@ -14,6 +14,7 @@
 		Platform platformCmd `cmd:"" help:"Plays the platform: table, host list and cloud."`
 		Engine   engineCmd   `cmd:"" help:"Plays one model engine."`
 		App      appCmd      `cmd:"" help:"Plays one application service."`
+		Site     siteCmd     `cmd:"" help:"Plays the users' platform: store, duty calls and endpoints."`
 	}
 	k := kong.Parse(&cli, kong.Name("standin"))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/standin/rows.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// feedStep is the time between looks for changes while a feed waits.
+const feedStep = 10 * time.Millisecond
+
+// siteRow is a row of the users' store; Ver is the version that it has or, in a condition, must have.
+type siteRow struct {
+	Table     string `json:"table"`
+	Part      string `json:"part"`
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Ver       int64  `json:"ver"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+type siteTxn struct {
+	ExpectedRev []siteRow `json:"expectedRev"`
+	Puts        []siteRow `json:"puts"`
+	Remove      []siteRow `json:"remove"`
+}
+
+type siteAnswer struct {
+	Rows    []siteRow `json:"rows"`
+	HasMore bool      `json:"hasMore"`
+	Ver     int64     `json:"ver"`
+}
+
+// rowStore is the users' store: rows with versions, a feed of changes, and faults.
+type rowStore struct {
+	mu   sync.Mutex
+	rows map[[2]string]siteRow
+	ver  int64
+	// floor is the version from which on the history is known.
+	floor int64
+	// down answers 503; lost carries calls out and cuts the connection.
+	down, lost bool
+}
+
+func (s *rowStore) put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	s.rows[[2]string{table, key}] = siteRow{Table: table, Key: key, Value: value, Ver: s.ver}
+}
+
+func (s *rowStore) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	s.rows[[2]string{table, key}] = siteRow{Table: table, Key: key, Ver: s.ver, Tombstone: true}
+}
+
+// handle adds the store's calls to a mux.
+func (s *rowStore) handle(mux *http.ServeMux) {
+	mux.HandleFunc("POST /rows-tx", s.faulty(s.commit))
+	mux.HandleFunc("GET /rows-get", s.faulty(s.get))
+	mux.HandleFunc("GET /rows-feed", s.faulty(s.feed))
+	mux.HandleFunc("POST /fault", func(_ http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		q := r.URL.Query()
+		s.down, s.lost = q.Has("down"), q.Has("lost")
+		if q.Has("compact") {
+			s.floor = s.ver + 1
+		}
+	})
+}
+
+func (s *rowStore) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down, lost := s.down, s.lost
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next(w, r)
+		if lost {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (s *rowStore) commit(w http.ResponseWriter, r *http.Request) {
+	var t siteTxn
+	if err := read(r, &t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range t.ExpectedRev {
+		row := s.rows[[2]string{c.Table, c.Key}]
+		if row.Tombstone {
+			row.Ver = 0
+		}
+		if row.Ver != c.Ver {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			reply(w, siteAnswer{Ver: s.ver})
+			return
+		}
+	}
+	s.ver++
+	for _, p := range t.Puts {
+		p.Ver = s.ver
+		s.rows[[2]string{p.Table, p.Key}] = p
+	}
+	for _, p := range t.Remove {
+		s.rows[[2]string{p.Table, p.Key}] = siteRow{Table: p.Table, Key: p.Key, Ver: s.ver, Tombstone: true}
+	}
+	reply(w, siteAnswer{Ver: s.ver})
+}
+
+// find returns the rows of a table that keep accepts, the oldest change first.
+func (s *rowStore) find(table string, keep func(r siteRow) bool) siteAnswer {
+	a := siteAnswer{Rows: []siteRow{}, Ver: s.ver}
+	for _, row := range s.rows {
+		if row.Table == table && keep(row) {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	slices.SortFunc(a.Rows, func(x, y siteRow) int { return int(x.Ver - y.Ver) })
+	return a
+}
+
+func (s *rowStore) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, to := q.Get("from"), q.Get("to")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply(w, s.find(q.Get("table"), func(row siteRow) bool {
+		return !row.Tombstone && row.Key >= from && (to == "" || row.Key < to)
+	}))
+}
+
+func (s *rowStore) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("waitMs"))
+	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		gone, down := after+1 < s.floor, s.down
+		a := s.find(q.Get("table"), func(row siteRow) bool { return row.Ver > after })
+		s.mu.Unlock()
+		switch {
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case len(a.Rows) > 0 || time.Now().After(until) || r.Context().Err() != nil:
+			reply(w, a)
+			return
+		}
+		time.Sleep(feedStep)
+	}
+}
--- /dev/null
+++ b/standin/site.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+)
+
+const (
+	// beatPeriod is the time between an endpoint's rows.
+	beatPeriod = 200 * time.Millisecond
+	// eventPeriod is the time between the events of a stream, and streamEvents their number.
+	eventPeriod  = 20 * time.Millisecond
+	streamEvents = 12
+)
+
+type siteCmd struct {
+	Listen    string `required:"" help:"Address of the store, the duty calls and the control calls."`
+	Endpoints int    `default:"3" help:"Number of endpoints to play."`
+}
+
+// siteServer is one endpoint of the users' platform.
+type siteServer struct {
+	site    *sitePlay
+	id      string
+	address string
+	stop    context.CancelFunc
+}
+
+// sitePlay plays the users' platform: store, duty calls and endpoints.
+type sitePlay struct {
+	store *rowStore
+
+	mu      sync.Mutex
+	servers map[string]*siteServer
+	// runs counts runs by request, and reports holds the usage reports by window.
+	runs    map[string]int
+	reports map[int64][]json.RawMessage
+	// fence is the highest fencing number seen.
+	fence int64
+}
+
+// Run plays until ctx ends.
+func (c *siteCmd) Run(ctx context.Context) error {
+	p := &sitePlay{
+		store:   &rowStore{rows: map[[2]string]siteRow{}},
+		servers: map[string]*siteServer{}, runs: map[string]int{}, reports: map[int64][]json.RawMessage{},
+	}
+	mux := http.NewServeMux()
+	p.store.handle(mux)
+	mux.HandleFunc("PUT /op/{key}", func(_ http.ResponseWriter, r *http.Request) {
+		value, _ := io.ReadAll(r.Body)
+		p.store.put("op", r.PathValue("key"), value)
+	})
+	mux.HandleFunc("POST /kill", func(_ http.ResponseWriter, r *http.Request) { p.kill(r.URL.Query().Get("id")) })
+	mux.HandleFunc("POST /usage", p.usage)
+	mux.HandleFunc("POST /scale", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /seen", p.seen)
+	g, ctx := errgroup.WithContext(ctx)
+	for i := range c.Endpoints {
+		if err := p.start(ctx, g, fmt.Sprintf("i-%d", i)); err != nil {
+			return err
+		}
+	}
+	g.Go(func() error { return serve(ctx, c.Listen, mux) })
+	return g.Wait()
+}
+
+// start plays one endpoint and writes its row until it is killed.
+func (p *sitePlay) start(ctx context.Context, g *errgroup.Group, id string) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fault.Wrap(kind.Unavailable, err, "endpoint %s", id)
+	}
+	inner, stop := context.WithCancel(ctx)
+	s := &siteServer{site: p, id: id, address: l.Addr().String(), stop: stop}
+	p.mu.Lock()
+	p.servers[id] = s
+	p.mu.Unlock()
+	server := &http.Server{Handler: s, ReadHeaderTimeout: joinTimeout}
+	g.Go(func() error {
+		_ = server.Serve(l)
+		return nil
+	})
+	g.Go(func() error {
+		defer func() { _ = server.Close() }()
+		for n := 0; inner.Err() == nil; n++ {
+			p.store.put("servers", id, s.row(n))
+			select {
+			case <-inner.Done():
+			case <-time.After(beatPeriod):
+			}
+		}
+		return nil
+	})
+	return nil
+}
+
+func (s *siteServer) row(n int) []byte {
+	data, _ := json.Marshal(map[string]any{
+		"service": "plume", "address": s.address, "zone": "here", "version": "v1", "slots": 8, "state": "ready", "sequence": n,
+	})
+	return data
+}
+
+// kill ends an endpoint without notice and removes its row.
+func (p *sitePlay) kill(id string) {
+	p.mu.Lock()
+	s := p.servers[id]
+	p.mu.Unlock()
+	if s == nil {
+		return
+	}
+	s.stop()
+	time.Sleep(beatPeriod)
+	p.store.remove("servers", id)
+}
+
+// ServeHTTP runs one request, as a stream when its path says so.
+func (s *siteServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Dragonflyroute-Request-Id")
+	w.Header().Set("Dragonflyroute-Request-Id", id)
+	if want := r.Header.Get("Dragonflyroute-Expect-Instance"); want != "" && want != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.site.mu.Lock()
+	s.site.runs[id]++
+	s.site.mu.Unlock()
+	w.Header().Set("Dragonflyroute-Response-Signature", "signed-by-"+s.id)
+	if !strings.Contains(r.URL.Path, "/stream/") {
+		_, _ = io.WriteString(w, "answer of "+r.Header.Get("Dragonflyroute-Tenant"))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := last + 1; n <= streamEvents && r.Context().Err() == nil; n++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, s.id)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(eventPeriod)
+	}
+}
+
+func (p *sitePlay) usage(w http.ResponseWriter, r *http.Request) {
+	var u struct {
+		WindowNumber int64           `json:"windowNumber"`
+		Counts       json.RawMessage `json:"counts"`
+	}
+	fence, _ := strconv.ParseInt(r.Header.Get("Dragonflyroute-Fencing-Token"), 10, 64)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := read(r, &u); err != nil || fence < p.fence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	p.fence = fence
+	p.reports[u.WindowNumber] = append(p.reports[u.WindowNumber], u.Counts)
+}
+
+// seen tells what the endpoints and the platform have seen.
+func (p *sitePlay) seen(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply(w, map[string]any{"runs": p.runs, "reports": p.reports, "fence": p.fence})
+}
--- /dev/null
+++ b/test/scene/site_test.go
@@ -0,0 +1,257 @@
+package scene_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// site is the users' platform and entry hosts on it, as processes on loopback.
+type site struct {
+	platform *process
+	hosts    []*siteHost
+	requests int
+}
+
+// siteHost is one entry host; its process answers callers at address.
+type siteHost struct {
+	*process
+	ready, addresses string
+}
+
+type siteSeen struct {
+	Runs    map[string]int                      `json:"runs"`
+	Reports map[string][]map[string]json.Number `json:"reports"`
+}
+
+const siteConfig = `{"version":%d,"routes":[
+ {"name":"call","host":"plans.example","prefix":"/call/","kind":"non_idempotent","timeoutMs":8000,"targetLatencyMs":300,"service":"plume","maxAttempts":1},
+ {"name":"stream","host":"plans.example","prefix":"/stream/","kind":"streaming","resumable":true,"timeoutMs":8000,"targetLatencyMs":500,"targetGapMs":500,"service":"plume","maxAttempts":3},
+ {"name":"open","host":"plans.example","prefix":"/open/","kind":"idempotent","timeoutMs":8000,"targetLatencyMs":300,"service":"plume","maxAttempts":2,"public":true}%s],
+ "services":[{"name":"plume","healthPath":"/health","maxConns":100}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"mutual","apiKeys":[%s]}]}`
+
+func newSite(hosts int) *site {
+	s := &site{}
+	address := freeAddress()
+	s.platform = start("standin", address, "site", "--listen", address)
+	Eventually(func() error { return ping(address + "/seen") }).Should(Succeed())
+	for i := range hosts {
+		s.add(i)
+	}
+	Expect(s.ask(0, "/open/x", "").status).To(Equal(http.StatusServiceUnavailable))
+	s.configure(1, "", `"k1"`)
+	for i := range hosts {
+		Eventually(func() int { return s.get(s.hosts[i].ready, "/ready") }).Should(Equal(http.StatusOK))
+	}
+	Eventually(func() int { return len(s.resolve(0)) }).Should(Equal(hosts))
+	return s
+}
+
+func port(address string) int {
+	_, text, err := net.SplitHostPort(address)
+	Expect(err).NotTo(HaveOccurred())
+	n, err := strconv.Atoi(text)
+	Expect(err).NotTo(HaveOccurred())
+	return n
+}
+
+func (s *site) add(i int) {
+	front, ready, directory := freeAddress(), freeAddress(), freeAddress()
+	inner := port(freeAddress())
+	settings := fmt.Sprintf(`{"node":"host-%d","ip":"127.0.0.1","zone":"here",
+ "listen":{"front":%q,"ready":%q,"directory":%q},"internalPorts":[%d,%d],"limits":{"memoryMb":200,"maxFds":1000},
+ "heartbeatMs":200,"bounds":{"graceS":4,"drainMs":2000,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetExtraRetries":50,
+ "leaseMs":1000,"reportWindowS":1,"usageLateS":10,"ttl_max_s":5},
+ "platform":{"address":%q},"cloud":{"address":%q,"duties":["usage_report"]}}`,
+		i, front, ready, directory, inner, inner+1, s.platform.address, s.platform.address)
+	file := filepath.Join(GinkgoT().TempDir(), "node.json")
+	Expect(os.WriteFile(file, []byte(settings), 0o600)).To(Succeed())
+	h := &siteHost{process: start("dragonflyroute", front, "host", "--settings", file), ready: ready, addresses: directory}
+	s.hosts = append(s.hosts, h)
+	Eventually(func() error { return ping(ready + "/ready") }).Should(Succeed())
+}
+
+func (s *site) configure(version int, routes, keys string) {
+	body := fmt.Sprintf(siteConfig, version, routes, keys)
+	r, err := http.NewRequest(http.MethodPut, "http://"+s.platform.address+"/op/config", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	_ = resp.Body.Close()
+}
+
+func (s *site) control(call string) {
+	resp, err := http.Post("http://"+s.platform.address+call, "", nil)
+	Expect(err).NotTo(HaveOccurred())
+	_ = resp.Body.Close()
+}
+
+func (s *site) get(address, path string) int {
+	resp, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (s *site) resolve(host int) []string {
+	resp, err := http.Get("http://" + s.hosts[host].addresses + "/resolve?name=plans.example&zone=here")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var a struct {
+		Addresses []string `json:"addresses"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&a) != nil {
+		return nil
+	}
+	return a.Addresses
+}
+
+// got is what a caller saw.
+type got struct {
+	id     string
+	status int
+	body   string
+	err    error
+	header http.Header
+}
+
+// open sends one request without reading its answer.
+func (s *site) open(host int, path, key string) (*http.Response, string, error) {
+	s.requests++
+	id := fmt.Sprintf("%016x", s.requests)
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.hosts[host].address+path, strings.NewReader("body"))
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "plans.example"
+	r.Header.Set("Dragonflyroute-Request-Id", id)
+	r.Header.Set("Dragonflyroute-Deadline-Ms", "8000")
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	return resp, id, err
+}
+
+func (s *site) ask(host int, path, key string) got {
+	resp, id, err := s.open(host, path, key)
+	if err != nil {
+		return got{id: id, err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return got{id: id, status: resp.StatusCode, body: string(body), err: err, header: resp.Header}
+}
+
+func (s *site) seen() siteSeen {
+	resp, err := http.Get("http://" + s.platform.address + "/seen")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	var seen siteSeen
+	Expect(json.NewDecoder(resp.Body).Decode(&seen)).To(Succeed())
+	return seen
+}
+
+var _ = Describe("the users' platform", func() {
+	It("serves calls and streams within routes and keys, and runs each call once", func() {
+		s := newSite(2)
+		answer := s.ask(0, "/call/x", "k1")
+		Expect(answer.status).To(Equal(http.StatusOK))
+		Expect(answer.body).To(Equal("answer of mutual"))
+		Expect(answer.header.Get("Dragonflyroute-Response-Signature")).To(HavePrefix("signed-by-i-"))
+		Expect(s.seen().Runs[answer.id]).To(Equal(1))
+		Expect(s.ask(1, "/call/x", "other").status).To(Equal(http.StatusUnauthorized))
+		Expect(s.ask(1, "/open/x", "").status).To(Equal(http.StatusOK))
+		Expect(s.ask(1, "/nothing/x", "k1").status).To(Equal(http.StatusNotFound))
+		Expect(strings.Count(s.ask(1, "/stream/x", "k1").body, "id: ")).To(Equal(12))
+	})
+
+	It("goes on with a stream whose endpoint is killed, without a missing or repeated event", func() {
+		s := newSite(1)
+		resp, _, err := s.open(0, "/stream/x", "k1")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = resp.Body.Close() }()
+		r := bufio.NewReader(resp.Body)
+		ids, killed := []string{}, false
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				Expect(err).To(Equal(io.EOF))
+				break
+			}
+			if id, ok := strings.CutPrefix(line, "id: "); ok {
+				ids = append(ids, strings.TrimSpace(id))
+			}
+			if by, ok := strings.CutPrefix(line, "data: "); ok && !killed {
+				killed = true
+				s.control("/kill?id=" + strings.TrimSpace(by))
+			}
+		}
+		Expect(strings.Join(ids, " ")).To(Equal("1 2 3 4 5 6 7 8 9 10 11 12"))
+	})
+
+	It("serves through an outage of the store, then takes the change that came after it", func() {
+		s := newSite(2)
+		s.control("/fault?down")
+		for range 20 {
+			Expect(s.ask(0, "/open/x", "").status).To(Equal(http.StatusOK))
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.control("/fault?compact")
+		s.configure(9, `,{"name":"new","host":"plans.example","prefix":"/new/","kind":"idempotent","timeoutMs":8000,"service":"plume","maxAttempts":1,"public":true}`, `"k2"`)
+		for i := range s.hosts {
+			Eventually(func() int { return s.ask(i, "/new/x", "").status }).Should(Equal(http.StatusOK))
+			Expect(s.ask(i, "/call/x", "k1").status).To(Equal(http.StatusUnauthorized))
+			Expect(s.ask(i, "/call/x", "k2").status).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("leaves address answers at a stop, and ends what it has taken", func() {
+		s := newSite(2)
+		resp, _, err := s.open(1, "/stream/x", "k1")
+		Expect(err).NotTo(HaveOccurred())
+		s.hosts[1].signal(syscall.SIGTERM)
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(string(body), "id: ")).To(Equal(12))
+		Eventually(func() []string { return s.resolve(0) }).Should(Equal([]string{s.hosts[0].address}))
+		Expect(s.get(s.hosts[1].ready, "/ready")).NotTo(Equal(http.StatusOK))
+		Expect(s.hosts[1].wait()).To(Succeed())
+	})
+
+	It("reports each request's usage once, and the same however often it is sent", func() {
+		s := newSite(2)
+		for i := range 30 {
+			Expect(s.ask(i%2, "/call/x", "k1").status).To(Equal(http.StatusOK))
+		}
+		sum := func() int64 {
+			total := int64(0)
+			for _, reports := range s.seen().Reports {
+				for _, counts := range reports {
+					Expect(counts).To(Equal(reports[0]))
+				}
+				n, _ := reports[0]["mutual"].Int64()
+				total += n
+			}
+			return total
+		}
+		Eventually(sum).Should(Equal(int64(30)))
+	})
+})
--- a/test/style/style.go
+++ b/test/style/style.go
@@ -25,6 +25,8 @@
 	"standin/assign.go",
 	"standin/engine.go",
 	"standin/prefixes.go",
+	"standin/rows.go",
+	"standin/site.go",
 	"standin/table.go",
 	"transport/caller/stream.go",
 	"transport/engine/assign.go",
