Move back ends between versions on the users' platform

Cause: the operator's op/rollout rows were not read, so a bad version would have got its full part of the traffic. Change: coordination/pilot chooses the side of each request, the product's ramp and judge lead the move under the duties' lease from what all hosts tell, a host stops by itself on its own evidence; the state is a row in the hosts' table. Ruled out: a table of its own, which would cost a feed more on every host.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -32,6 +32,7 @@
 	hostTable     = "dragonflyroute-hosts"
 	leaseTable    = "dragonflyroute-leases"
 	usageTable    = "dragonflyroute-usage"
+	statusTable   = "status"
 )
 
 const (
@@ -100,7 +101,11 @@
 	s.Hosts = rows(hostTable)
 	s.Leases = rows(leaseTable)
 	s.Counts = rows(usageTable)
+	s.Status = rows(statusTable)
 	s.ConfigKey = codec.ConfigKey
+	s.IsMove = codec.IsMove
+	s.MoveAsked = codec.Move
+	s.MoveStatus = codec.Status
 	s.Rules = codec.Rules
 	s.Endpoint = codec.Endpoint
 	if cfg.Cloud != "" {
--- a/coordination/pass/pass.go
+++ b/coordination/pass/pass.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
+	"github.com/dragonflyroute/dragonflyroute/coordination/pilot"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ending"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -79,6 +80,8 @@
 type Pass struct {
 	// Endpoints holds the endpoints.
 	Endpoints endpoints
+	// Pilot chooses between versions while a back end is moved.
+	Pilot *pilot.Pilot
 	// Choice chooses among them.
 	Choice *choose.Choice
 	// Retries bounds further arrivals.
@@ -145,7 +148,8 @@
 // step makes one attempt and reports whether there shall be another.
 func (p *Pass) step(ctx context.Context, j *trip, x exchange) (again bool, err error) {
 	now := p.Now()
-	to := p.Choice.Pick(p.Endpoints.Of(j.work.Backend), j.work, func(t *target.Target) bool { return j.used[t] }, now)
+	version := p.Pilot.Choose(j.work)
+	to := p.Choice.Pick(version.Filter(p.Endpoints.Of(j.work.Backend)), j.work, func(t *target.Target) bool { return j.used[t] }, now)
 	t := to.Target
 	if t == nil {
 		return false, p.final(ctx, j, x, "no endpoint of the back end may be used", noEndpointWait)
@@ -159,6 +163,7 @@
 	j.used[t] = true
 	j.at = t
 	j.last = p.attempt(ctx, j, t, to.Donor, to.Unread, x)
+	p.Pilot.Record(version, t, j.work, j.last)
 	if j.last.Sent {
 		j.arrivals++
 	}
--- a/coordination/pass/pass_test.go
+++ b/coordination/pass/pass_test.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/again"
 	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
 	"github.com/dragonflyroute/dragonflyroute/coordination/pass"
+	"github.com/dragonflyroute/dragonflyroute/coordination/pilot"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ending"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
@@ -75,6 +76,7 @@
 	known := &speed.Speed{}
 	b.pass = &pass.Pass{
 		Endpoints: b.depot,
+		Pilot:     &pilot.Pilot{},
 		Choice:    &choose.Choice{Rand: func() float64 { return 0 }, Speed: known},
 		Retries:   &again.Again{Ratio: 0.2, Extra: 50, Hosts: func() int { return 1 }},
 		Usage:     b.usage,
--- /dev/null
+++ b/coordination/pilot/pilot_test.go
@@ -0,0 +1,97 @@
+package pilot_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
+	"github.com/dragonflyroute/dragonflyroute/coordination/pilot"
+	"github.com/dragonflyroute/dragonflyroute/protocol/ending"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/move"
+	"github.com/dragonflyroute/dragonflyroute/protocol/path"
+	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/protocol/share"
+	"github.com/dragonflyroute/dragonflyroute/protocol/tried"
+	"github.com/dragonflyroute/dragonflyroute/protocol/work"
+	"github.com/dragonflyroute/dragonflyroute/state/score"
+	"github.com/dragonflyroute/dragonflyroute/state/target"
+)
+
+func TestPilot(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pilot")
+}
+
+var _ = Describe("Pilot", func() {
+	asked := move.Move{ID: "plume@7", Entry: "plume", To: "v2"}
+	what := &work.Work{Backend: "plume", Path: &path.Path{Name: "q", Target: time.Second}}
+	endpoint := func(v label.Name) *target.Target {
+		return target.New(roster.Row{ID: "i", Backend: "plume", Version: v, State: roster.Live})
+	}
+	both := []*target.Target{endpoint("v1"), endpoint("v2")}
+	var p *pilot.Pilot
+	BeforeEach(func() {
+		p = &pilot.Pilot{Scores: &score.Score{}, Judge: judge.Judge{Alpha: 0.001, Margin: 0.02}, Rand: func() float64 { return 0.5 }}
+	})
+	served := func() []label.Name {
+		var out []label.Name
+		for _, t := range p.Choose(what).Filter(both) {
+			out = append(out, t.Row().Version)
+		}
+		return out
+	}
+	ramping := asked
+	ramping.State = move.Ramping
+	ramping.Routes = []share.Share{{Name: "q", Share: 0.6}}
+
+	It("takes all versions while no move was asked for", func() {
+		Expect(served()).To(Equal([]label.Name{"v1", "v2"}))
+	})
+
+	It("keeps to the old version until the move's own state is known", func() {
+		p.Ask(asked)
+		Expect(served()).To(Equal([]label.Name{"v1"}))
+		earlier := ramping
+		earlier.ID, earlier.State = "plume@3", move.Done
+		p.Take(earlier)
+		Expect(served()).To(Equal([]label.Name{"v1"}))
+	})
+
+	It("splits by the route's share, and goes over when the move is done", func() {
+		p.Ask(asked)
+		p.Take(ramping)
+		Expect(served()).To(Equal([]label.Name{"v2"}))
+		done := ramping
+		done.State = move.Done
+		p.Take(done)
+		Expect(served()).To(Equal([]label.Name{"v2"}))
+	})
+
+	It("stops at once on its own evidence, and for good", func() {
+		p.Ask(asked)
+		p.Take(ramping)
+		side := p.Choose(what)
+		for range 40 {
+			p.Record(side, both[1], what, tried.Tried{Ending: ending.Failed, Sent: true})
+			p.Record(side, both[0], what, tried.Tried{Ending: ending.Delivered, Sent: true})
+		}
+		Expect(served()).To(Equal([]label.Name{"v1"}))
+		p.Take(ramping)
+		Expect(served()).To(Equal([]label.Name{"v1"}))
+	})
+
+	It("counts neither callers that left nor attempts that did not run", func() {
+		p.Ask(asked)
+		p.Take(ramping)
+		side := p.Choose(what)
+		for range 40 {
+			p.Record(side, both[1], what, tried.Tried{Ending: ending.Gone})
+			p.Record(side, both[1], what, tried.Tried{Ending: ending.NotRun})
+		}
+		Expect(served()).To(Equal([]label.Name{"v2"}))
+	})
+})
--- a/standin/rows.go
+++ b/standin/rows.go
@@ -166,3 +166,16 @@
 		time.Sleep(feedStep)
 	}
 }
+
+// statuses returns what the system has told the operator.
+func (s *rowStore) statuses() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]string{}
+	for at, row := range s.rows {
+		if at[0] == "status" {
+			out[at[1]] = string(row.Value)
+		}
+	}
+	return out
+}
--- a/standin/site.go
+++ b/standin/site.go
@@ -24,6 +24,7 @@
 	// eventPeriod is the time between the events of a stream, and streamEvents their number.
 	eventPeriod  = 20 * time.Millisecond
 	streamEvents = 12
+	hundredths   = 100
 )
 
 type siteCmd struct {
@@ -36,7 +37,10 @@
 	site    *sitePlay
 	id      string
 	address string
-	stop    context.CancelFunc
+	version string
+	// bad is the part of the requests that fail, in hundredths.
+	bad  int
+	stop context.CancelFunc
 }
 
 // sitePlay plays the users' platform: store, duty calls and endpoints.
@@ -45,9 +49,10 @@
 
 	mu      sync.Mutex
 	servers map[string]*siteServer
-	// runs counts runs by request, and reports holds the usage reports by window.
-	runs    map[string]int
-	reports map[int64][]json.RawMessage
+	// versions counts runs by version, runs by request, and reports holds the usage reports by window.
+	versions map[string]int
+	runs     map[string]int
+	reports  map[int64][]json.RawMessage
 	// fence is the highest fencing number seen.
 	fence int64
 }
@@ -56,7 +61,7 @@
 func (c *siteCmd) Run(ctx context.Context) error {
 	p := &sitePlay{
 		store:   &rowStore{rows: map[[2]string]siteRow{}},
-		servers: map[string]*siteServer{}, runs: map[string]int{}, reports: map[int64][]json.RawMessage{},
+		servers: map[string]*siteServer{}, runs: map[string]int{}, versions: map[string]int{}, reports: map[int64][]json.RawMessage{},
 	}
 	mux := http.NewServeMux()
 	p.store.handle(mux)
@@ -69,8 +74,15 @@
 	mux.HandleFunc("POST /scale", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /seen", p.seen)
 	g, ctx := errgroup.WithContext(ctx)
+	mux.HandleFunc("POST /add", func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		bad, _ := strconv.Atoi(q.Get("bad"))
+		if p.start(ctx, g, q.Get("id"), q.Get("version"), bad) != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
 	for i := range c.Endpoints {
-		if err := p.start(ctx, g, fmt.Sprintf("i-%d", i)); err != nil {
+		if err := p.start(ctx, g, fmt.Sprintf("i-%d", i), "v1", 0); err != nil {
 			return err
 		}
 	}
@@ -79,13 +91,13 @@
 }
 
 // start plays one endpoint and writes its row until it is killed.
-func (p *sitePlay) start(ctx context.Context, g *errgroup.Group, id string) error {
+func (p *sitePlay) start(ctx context.Context, g *errgroup.Group, id, version string, bad int) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return fault.Wrap(kind.Unavailable, err, "endpoint %s", id)
 	}
 	inner, stop := context.WithCancel(ctx)
-	s := &siteServer{site: p, id: id, address: l.Addr().String(), stop: stop}
+	s := &siteServer{site: p, id: id, address: l.Addr().String(), version: version, bad: bad, stop: stop}
 	p.mu.Lock()
 	p.servers[id] = s
 	p.mu.Unlock()
@@ -110,7 +122,7 @@
 
 func (s *siteServer) row(n int) []byte {
 	data, _ := json.Marshal(map[string]any{
-		"service": "plume", "address": s.address, "zone": "here", "version": "v1", "slots": 8, "state": "ready", "sequence": n,
+		"service": "plume", "address": s.address, "zone": "here", "version": s.version, "slots": 8, "state": "ready", "sequence": n,
 	})
 	return data
 }
@@ -138,8 +150,14 @@
 	}
 	s.site.mu.Lock()
 	s.site.runs[id]++
+	s.site.versions[s.version]++
+	fails := s.site.versions[s.version]%hundredths < s.bad
 	s.site.mu.Unlock()
 	w.Header().Set("Dragonflyroute-Response-Signature", "signed-by-"+s.id)
+	if fails {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if !strings.Contains(r.URL.Path, "/stream/") {
 		_, _ = io.WriteString(w, "answer of "+r.Header.Get("Dragonflyroute-Tenant"))
 		return
@@ -173,5 +191,7 @@
 func (p *sitePlay) seen(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reply(w, map[string]any{"runs": p.runs, "reports": p.reports, "fence": p.fence})
+	reply(w, map[string]any{
+		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "status": p.store.statuses(),
+	})
 }
--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -32,8 +32,11 @@
 }
 
 type siteSeen struct {
-	Runs    map[string]int                      `json:"runs"`
-	Reports map[string][]map[string]json.Number `json:"reports"`
+	Runs map[string]int `json:"runs"`
+	// Versions counts runs by version, and Status is what the operator was told.
+	Versions map[string]int                      `json:"versions"`
+	Status   map[string]string                   `json:"status"`
+	Reports  map[string][]map[string]json.Number `json:"reports"`
 }
 
 const siteConfig = `{"version":%d,"routes":[
@@ -85,6 +88,25 @@
 	Eventually(func() error { return ping(ready + "/ready") }).Should(Succeed())
 }
 
+// moveUnderLoad asks for a move of the back end to v2 and sends calls until the operator is told how it ended.
+func (s *site) moveUnderLoad(seconds int) string {
+	body := fmt.Sprintf(`{"service":"plume","to":"v2","durationS":%d}`, seconds)
+	r, err := http.NewRequest(http.MethodPut, "http://"+s.platform.address+"/op/rollout%2Fplume", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	_ = resp.Body.Close()
+	ended := ""
+	Eventually(func() string {
+		for range 40 {
+			s.ask(s.requests%len(s.hosts), "/call/x", "k1")
+		}
+		ended = s.seen().Status["rollout/plume"]
+		return ended
+	}).Should(Or(ContainSubstring("completed"), ContainSubstring("rolled_back")))
+	return ended
+}
+
 func (s *site) configure(version int, routes, keys string) {
 	body := fmt.Sprintf(siteConfig, version, routes, keys)
 	r, err := http.NewRequest(http.MethodPut, "http://"+s.platform.address+"/op/config", strings.NewReader(body))
@@ -254,4 +276,17 @@
 		}
 		Eventually(sum).Should(Equal(int64(30)))
 	})
+
+	It("moves a back end to a good version, and takes a bad one back after few requests", func() {
+		s := newSite(2)
+		s.control("/add?id=n-1&version=v2")
+		Expect(s.moveUnderLoad(15)).To(ContainSubstring("completed"))
+		Eventually(func() string { return s.ask(0, "/call/x", "k1").header.Get("Dragonflyroute-Response-Signature") }).Should(Equal("signed-by-n-1"))
+
+		s = newSite(2)
+		s.control("/add?id=n-1&version=v2&bad=60")
+		Expect(s.moveUnderLoad(15)).To(ContainSubstring("rolled_back"))
+		seen := s.seen()
+		Expect(float64(seen.Versions["v2"])).To(BeNumerically("<=", 50+0.1*float64(seen.Versions["v1"]+seen.Versions["v2"])))
+	})
 })
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -23,7 +23,6 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 	"github.com/dragonflyroute/dragonflyroute/state/holder"
-	"github.com/dragonflyroute/dragonflyroute/state/score"
 	"github.com/dragonflyroute/dragonflyroute/transport/peers"
 )
 
@@ -54,7 +53,7 @@
 		Peers:     s.peers,
 		Fleet:     s.fleet,
 		Holder:    &holder.Holder{},
-		Score:     &score.Score{},
+		Score:     s.scores,
 		Self:      s.pulse,
 		Heard:     s.heard,
 		Now:       time.Now,
@@ -88,6 +87,9 @@
 // operator takes rows of the operator's table.
 func (s *Site) operator(all []record.Record) {
 	for _, r := range all {
+		if s.IsMove(r.Key) && !r.Dropped {
+			s.askMove(r)
+		}
 		if r.Key != s.ConfigKey || r.Dropped {
 			continue
 		}
@@ -115,6 +117,10 @@
 			delete(s.members, r.Key)
 			continue
 		}
+		if isMoveRow(r.Key) {
+			s.takeMove(r)
+			continue
+		}
 		var row roster.Row
 		if err := json.Unmarshal(r.Value, &row); err != nil {
 			s.Log.Warn("row names no entry host", "key", r.Key, "version", r.Version, "error", err)
@@ -205,6 +211,8 @@
 		Read:        map[string][]uint64{},
 		Demand:      s.Rates.Demand(now),
 		Prefill:     s.flow.Own(now),
+		Trials:      s.ownTrials(),
+		Withdrawn:   s.scores.AllWithdrawn(),
 		Usage:       s.usage.Own(),
 	}
 	for _, t := range s.Depot.All() {
@@ -229,6 +237,7 @@
 func (s *Site) heard(p pulse.Pulse) {
 	now := time.Now()
 	scale := s.standsFor(p.Host, now)
+	s.hearTrials(p)
 	s.Rates.Hear(string(p.Host), p.Demand, now)
 	s.flow.Hear(string(p.Host), scaled(p.Prefill, scale), now)
 	s.usage.Hear(p.Host, p.Incarnation, p.Usage, now)
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/crew"
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/pass"
+	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/coordination/rates"
 	"github.com/dragonflyroute/dragonflyroute/coordination/report"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
@@ -29,15 +30,18 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/move"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/rules"
 	"github.com/dragonflyroute/dragonflyroute/protocol/table"
+	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 	"github.com/dragonflyroute/dragonflyroute/state/depot"
 	"github.com/dragonflyroute/dragonflyroute/state/fleet"
 	"github.com/dragonflyroute/dragonflyroute/state/flow"
 	"github.com/dragonflyroute/dragonflyroute/state/pace"
 	"github.com/dragonflyroute/dragonflyroute/state/policy"
+	"github.com/dragonflyroute/dragonflyroute/state/score"
 	"github.com/dragonflyroute/dragonflyroute/state/speed"
 	"github.com/dragonflyroute/dragonflyroute/state/usage"
 	"github.com/dragonflyroute/dragonflyroute/transport/meter"
@@ -83,14 +87,18 @@
 	EndpointHeartbeat time.Duration
 	// UsageWindow is the length of a window of the usage report, UsageLate when it is due after its end.
 	UsageWindow, UsageLate time.Duration
-	// Operator, Servers, Hosts, Leases and Counts are the tables of the operator, the endpoints, the entry hosts, the
-	// leases and the hosts' usage.
-	Operator, Servers, Hosts, Leases, Counts rows
+	// Operator, Servers, Hosts, Leases, Counts and Status are the tables of the operator, the endpoints, the entry hosts
+	// with the moves they make, the leases, the hosts' usage, and what the operator is told.
+	Operator, Servers, Hosts, Leases, Counts, Status rows
 	// ConfigKey is the operator's row that holds the configuration.
 	ConfigKey string
 	// Rules and Endpoint decode rows of the operator and of the endpoints.
 	Rules    func(data []byte) (*rules.Rules, error)
 	Endpoint func(id string, data []byte) (roster.Row, error)
+	// IsMove, MoveAsked and MoveStatus know the operator's rows that ask for moves, and those that tell how far they are.
+	IsMove     func(key string) bool
+	MoveAsked  func(version int64, data []byte) (m move.Move, lasts time.Duration, err error)
+	MoveStatus func(m move.Move) (key string, value []byte, err error)
 	// Duties makes the platform calls; nil when there are none.
 	Duties duties
 	// ReportsUsage and OrdersEndpoints tell which duties there are.
@@ -127,6 +135,14 @@
 	// heardAt is when each peer was heard last.
 	heardMu sync.Mutex
 	heardAt map[host.ID]time.Time
+	// scores is this process's evidence on moves, told that of its peers; base is the evidence as of each back end's last
+	// change of shares, and statuses the state last told for each move; only the duties use these two.
+	scores   *score.Score
+	ramp     ramp.Ramp
+	movesMu  sync.Mutex
+	told     map[host.ID]map[string][]trial.Trial
+	base     map[label.Name][]trial.Trial
+	statuses map[string]string
 	// reclaims wakes the duties.
 	reclaims chan struct{}
 	// stopAt is the time of the kill in Unix nanoseconds, nought before the order to stop.
@@ -142,6 +158,7 @@
 	s.usage = &usage.Usage{Length: s.UsageWindow}
 	s.flow = &flow.Flow{}
 	s.speed = &speed.Speed{}
+	s.scores = &score.Score{}
 	s.fleet = &fleet.Fleet{Self: s.Host, Timeout: silenceTime}
 	s.Rates = &rates.Rates{Hosts: s.hosts, Started: time.Now()}
 	s.Choice = &choose.Choice{Rand: rand.Float64, Speed: s.speed, Home: s.DataCentre}
@@ -159,6 +176,7 @@
 	}
 	s.reclaims = make(chan struct{}, 1)
 	s.census = &census.Census{Depot: s.Depot, Decode: s.Endpoint, Reclaimed: s.reclaimed, Now: time.Now, Log: s.Log}
+	s.buildMoves()
 	s.buildPeers()
 	s.buildDuties()
 }
