--- a/coordination/rates/rates_test.go
+++ b/coordination/rates/rates_test.go
@@ -21,6 +21,7 @@
 	hosts = 6
 	step  = 20 * time.Millisecond
 	size  = 500.0
+	steps = 3000
 	// slack is what may be admitted beyond rate and burst over any window, as a part.
 	slack = 1.1
 )
@@ -29,7 +30,7 @@
 
 // flood sends far more than the account's rate, spread unevenly over the hosts, and returns the tokens admitted in
 // each step. told reports whether hosts hear each other at a step; restart replaces all hosts at one step.
-func flood(steps int, told func(i int) bool, restart int) []float64 {
+func flood(told func(i int) bool, restart int) []float64 {
 	now := time.Unix(1000, 0)
 	all := fresh(now)
 	out := make([]float64, steps)
@@ -89,22 +90,22 @@
 	always := func(int) bool { return true }
 
 	It("keeps an account within its rate and burst over all hosts", func() {
-		admitted := flood(3000, always, -1)
+		admitted := flood(always, -1)
 		Expect(worst(admitted, window)).To(BeNumerically("<=", allowed+hosts*size))
 	})
 
 	It("gives an account most of what it may have", func() {
-		admitted := flood(3000, always, -1)
+		admitted := flood(always, -1)
 		Expect(worst(admitted[1000:], window)).To(BeNumerically(">=", 0.85*8*account.Rate))
 	})
 
 	It("gives no burst twice when all hosts start again", func() {
-		admitted := flood(3000, always, 1500)
+		admitted := flood(always, 1500)
 		Expect(worst(admitted, window)).To(BeNumerically("<=", allowed+hosts*size))
 	})
 
 	It("keeps an account within its rate while no host hears another", func() {
-		admitted := flood(3000, func(int) bool { return false }, 1500)
+		admitted := flood(func(int) bool { return false }, 1500)
 		Expect(worst(admitted, window)).To(BeNumerically("<=", allowed+hosts*size))
 	})
 
