--- a/coordination/crew/crew.go
+++ b/coordination/crew/crew.go
@@ -48,7 +48,8 @@
 type Crew struct {
 	// Endpoints holds the endpoints.
 	Endpoints endpoints
-	// Demand returns a back end's demand in endpoints' worth of busy time; known is false while that can't be told.
+	// Demand returns a back end's demand in endpoints' worth of busy time; known is false while it rests on a guess of
+	// the endpoints' speed.
 	Demand func(backend label.Name, now time.Time) (demand float64, known bool)
 	// Platform takes orders.
 	Platform platform
@@ -134,7 +135,7 @@
 	offers := c.offers(b, now)
 	demand, known := c.Demand(b.Name, now)
 	if !known {
-		demand = firstBusy * float64(c.found(b.Name, offers))
+		demand = max(demand, firstBusy*float64(c.found(b.Name, offers)))
 	}
 	all := sizing.Sizing{}.Wishes(b, demand, offers)
 	for i, w := range all {
--- a/coordination/crew/crew_test.go
+++ b/coordination/crew/crew_test.go
@@ -65,6 +65,7 @@
 	depot  *depot.Depot
 	now    time.Time
 	demand float64
+	guess  bool
 	held   bool
 }
 
@@ -77,7 +78,7 @@
 	b := &bench{cloud: &cloud{}, depot: &depot.Depot{}, now: time.Unix(1000, 0), demand: 2, held: true}
 	b.crew = &crew.Crew{
 		Endpoints: b.depot,
-		Demand:    func(label.Name, time.Time) (float64, bool) { return b.demand, true },
+		Demand:    func(label.Name, time.Time) (float64, bool) { return b.demand, !b.guess },
 		Platform:  b.cloud,
 		Held:      func() (int64, bool) { return 1, b.held },
 		Refused:   func() { b.held = false },
@@ -141,6 +142,15 @@
 		Expect(b.cloud.onDemand()).To(BeNumerically(">=", 3))
 	})
 
+	It("takes a demand that rests on a guess for more than the few endpoints that a reclaim has left", func() {
+		b := newBench()
+		b.guess, b.demand, b.cloud.dry = true, 6, true
+		b.add("a", 2, false)
+		b.step(0)
+		b.step(3 * time.Second)
+		Expect(b.cloud.onDemand()).To(BeNumerically(">=", 6))
+	})
+
 	It("orders nothing without the lease", func() {
 		b := newBench()
 		b.add("a", 3, false)
--- a/state/speed/speed.go
+++ b/state/speed/speed.go
@@ -14,6 +14,8 @@
 	// second.
 	defaultBase = 50 * time.Millisecond
 	defaultRate = 40_000
+	// toldPart is the weight of one peer's rate in the average of what peers tell.
+	toldPart = 0.1
 	// leastRate and mostRate bound the rate that is believed.
 	leastRate = 2_000
 	mostRate  = 2_000_000
@@ -27,6 +29,8 @@
 type Speed struct {
 	mu    sync.Mutex
 	lines map[label.Name]*line.Line
+	// told is the rate that peers have told, averaged.
+	told map[label.Name]float64
 }
 
 func (s *Speed) line(backend label.Name) *line.Line {
@@ -49,20 +53,59 @@
 }
 
 // Rate returns the tokens per second that one engine reads; known is false while that is a guess.
+//
+// A process that has not seen enough itself believes its peers.
 func (s *Speed) Rate(backend label.Name) (rate float64, known bool) {
+	if rate, seen := s.seen(backend); seen {
+		return rate, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rate := s.told[backend]; rate > 0 {
+		return rate, true
+	}
+	return defaultRate, false
+}
+
+func (s *Speed) seen(backend label.Name) (rate float64, seen bool) {
 	_, slope, known := s.line(backend).Fit()
 	if !known || slope <= 1.0/mostRate {
-		return defaultRate, false
+		return 0, false
 	}
 	return max(leastRate, 1/slope), true
 }
 
+// Seen returns the rates that this process has seen itself.
+func (s *Speed) Seen(backends []label.Name) map[label.Name]float64 {
+	out := map[label.Name]float64{}
+	for _, backend := range backends {
+		if rate, seen := s.seen(backend); seen {
+			out[backend] = rate
+		}
+	}
+	return out
+}
+
+// Hear takes the rates that a peer has seen.
+func (s *Speed) Hear(rates map[label.Name]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.told == nil {
+		s.told = map[label.Name]float64{}
+	}
+	for backend, rate := range rates {
+		if s.told[backend] == 0 {
+			s.told[backend] = rate
+		}
+		s.told[backend] += toldPart * (rate - s.told[backend])
+	}
+}
+
 // First returns the expected time to the first token when the given number of tokens must be read before it.
 func (s *Speed) First(backend label.Name, tokens int64) time.Duration {
-	rate, known := s.Rate(backend)
+	rate, _ := s.Rate(backend)
 	base := defaultBase
-	if known {
-		fitted, _, _ := s.line(backend).Fit()
+	if fitted, _, known := s.line(backend).Fit(); known {
 		base = time.Duration(min(mostBase.Seconds(), max(0, fitted)) * float64(time.Second))
 	}
 	return base + time.Duration(float64(tokens)/rate*float64(time.Second))
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
@@ -211,6 +212,7 @@
 		Read:        map[string][]uint64{},
 		Demand:      s.Rates.Demand(now),
 		Prefill:     s.flow.Own(now),
+		Speed:       s.speed.Seen(s.engines()),
 		Trials:      s.ownTrials(),
 		Withdrawn:   s.scores.AllWithdrawn(),
 		Usage:       s.usage.Own(),
@@ -237,6 +239,7 @@
 func (s *Site) heard(p pulse.Pulse) {
 	now := time.Now()
 	scale := s.standsFor(p.Host, now)
+	s.speed.Hear(p.Speed)
 	s.hearTrials(p)
 	s.Rates.Hear(string(p.Host), p.Demand, now)
 	s.flow.Hear(string(p.Host), scaled(p.Prefill, scale), now)
@@ -248,6 +251,21 @@
 	}
 }
 
+// engines returns the names of the back ends of model engines.
+func (s *Site) engines() []label.Name {
+	now := s.Policy.Rules()
+	if now == nil {
+		return nil
+	}
+	var out []label.Name
+	for i := range now.Backs {
+		if now.Backs[i].Engine {
+			out = append(out, now.Backs[i].Name)
+		}
+	}
+	return out
+}
+
 // heardTime is the time in which peers' figures count.
 const heardTime = 4 * time.Second
 
