--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -2,6 +2,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -35,6 +36,9 @@
 	members  map[host.ID]*member
 	listed   map[host.ID]roster.Row
 	suspects map[string]bool
+	// doubted is when each peer last told that it did not reach a host, and gone the hosts that several did not reach.
+	doubted map[host.ID]map[host.ID]time.Time
+	gone    map[host.ID]bool
 }
 
 // Observe takes a heartbeat heard at now and reports whether it was news.
@@ -53,6 +57,8 @@
 	}
 	f.members[p.Host] = &member{last: p, heard: now, left: p.State == pulse.Leaving}
 	delete(f.suspects, p.Peers)
+	delete(f.doubted, p.Host)
+	delete(f.gone, p.Host)
 	return true
 }
 
@@ -73,6 +79,75 @@
 	f.suspects[peers] = true
 }
 
+const (
+	// doubtTime is how long a peer's word counts that it did not reach a host.
+	doubtTime = 5 * time.Second
+	// doubters is the number of processes that must have failed to reach a host before it is taken as gone.
+	doubters = 2
+)
+
+// Doubts returns the hosts that this process did not reach since it last heard them, and those taken as gone.
+func (f *Fleet) Doubts() (unreached, gone []host.ID) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for id, row := range f.listed {
+		if f.suspects[row.Peers] {
+			unreached = append(unreached, id)
+		}
+	}
+	for id := range f.gone {
+		gone = append(gone, id)
+	}
+	return unreached, gone
+}
+
+// HearDoubts takes a peer's Doubts.
+//
+// One process that does not reach a host may be cut off itself, so two must tell; what was found then spreads, until
+// the host is heard.
+func (f *Fleet) HearDoubts(from host.ID, unreached, gone []host.ID, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range unreached {
+		f.doubt(id, from, now)
+	}
+	for _, id := range gone {
+		f.goneUnlessHeard(id, now)
+	}
+}
+
+func (f *Fleet) doubt(id, from host.ID, now time.Time) {
+	if f.doubted == nil {
+		f.doubted = map[host.ID]map[host.ID]time.Time{}
+	}
+	if f.doubted[id] == nil {
+		f.doubted[id] = map[host.ID]time.Time{}
+	}
+	f.doubted[id][from] = now
+	n := 0
+	if f.suspects[f.listed[id].Peers] {
+		n++
+	}
+	for _, at := range f.doubted[id] {
+		if now.Sub(at) < doubtTime {
+			n++
+		}
+	}
+	if n >= doubters {
+		f.goneUnlessHeard(id, now)
+	}
+}
+
+func (f *Fleet) goneUnlessHeard(id host.ID, now time.Time) {
+	if m := f.members[id]; id == f.Self || m != nil && now.Sub(m.heard) <= f.Timeout {
+		return
+	}
+	if f.gone == nil {
+		f.gone = map[host.ID]bool{}
+	}
+	f.gone[id] = true
+}
+
 // List takes the platform's rows of entry hosts; they say whom to contact, never who is alive.
 func (f *Fleet) List(rows []roster.Row) {
 	listed := map[host.ID]roster.Row{}
@@ -84,6 +159,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listed = listed
+	maps.DeleteFunc(f.gone, func(id host.ID, _ bool) bool { _, ok := listed[id]; return !ok })
 	for id, m := range f.members {
 		if _, ok := listed[id]; !ok && m.left {
 			delete(f.members, id)
@@ -119,12 +195,12 @@
 	var out []pulse.Pulse
 	for id, m := range f.members {
 		row, listed := f.listed[id]
-		if now.Sub(m.heard) <= f.Timeout || listed && row.State == roster.Live && !f.suspects[m.last.Peers] {
+		if now.Sub(m.heard) <= f.Timeout || listed && row.State == roster.Live && !f.gone[id] && !f.suspects[m.last.Peers] {
 			out = append(out, m.last)
 		}
 	}
 	for id, row := range f.listed {
-		if f.members[id] == nil && row.State == roster.Live && !f.suspects[row.Peers] {
+		if f.members[id] == nil && row.State == roster.Live && !f.gone[id] && !f.suspects[row.Peers] {
 			out = append(out, pulse.Pulse{Host: id, Callers: row.Address, Peers: row.Peers, DataCentre: row.DataCentre, State: pulse.Live})
 		}
 	}
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -56,6 +56,27 @@
 		Expect(alive(f, now)).To(ConsistOf(host.ID("b")))
 	})
 
+	It("takes a listed host for gone that two other processes did not reach, until it is heard", func() {
+		f.List([]roster.Row{row(roster.Live)})
+		f.HearDoubts("c", []host.ID{"b"}, nil, now)
+		Expect(alive(f, now)).To(ConsistOf(host.ID("b")))
+		f.HearDoubts("d", []host.ID{"b"}, nil, now.Add(time.Second))
+		Expect(alive(f, now.Add(time.Second))).To(BeEmpty())
+		_, gone := f.Doubts()
+		Expect(gone).To(Equal([]host.ID{"b"}))
+		f.Observe(beat(1, 1, pulse.Live), now.Add(2*time.Second))
+		Expect(alive(f, now.Add(2*time.Second))).To(ConsistOf(host.ID("b")))
+	})
+
+	It("believes no one who takes a host for gone that was heard a moment ago", func() {
+		f.List([]roster.Row{row(roster.Live)})
+		f.Observe(beat(1, 1, pulse.Live), now)
+		f.HearDoubts("c", nil, []host.ID{"b"}, now.Add(time.Second/2))
+		Expect(alive(f, now.Add(time.Hour))).To(ConsistOf(host.ID("b")))
+		f.HearDoubts("c", nil, []host.ID{"b"}, now.Add(2*time.Second))
+		Expect(alive(f, now.Add(2*time.Second))).To(BeEmpty())
+	})
+
 	It("does not give a host out that is listed as starting or leaving", func() {
 		for _, state := range []string{pulse.Starting, roster.Leaving} {
 			f.List([]roster.Row{row(state)})
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -163,7 +163,7 @@
 func (s *Site) rounds(ctx context.Context) error {
 	s.join(ctx)
 	for ctx.Err() == nil {
-		timer := time.NewTimer(s.spread.RoundWait(roundTime))
+		timer := time.NewTimer(s.roundWait())
 		s.spread.Round(ctx)
 		select {
 		case <-ctx.Done():
@@ -174,6 +174,14 @@
 	return nil
 }
 
+// roundWait returns the time between rounds: twice as long in a large fleet.
+func (s *Site) roundWait() time.Duration {
+	if s.hosts() > smallFleet {
+		return 2 * roundTime
+	}
+	return roundTime
+}
+
 // tellAll sends a heartbeat to every entry host at once.
 func (s *Site) tellAll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, roundTime)
@@ -217,6 +225,7 @@
 		Withdrawn:   s.scores.AllWithdrawn(),
 		Usage:       s.usage.Own(),
 	}
+	p.Unreached, p.Gone = s.fleet.Doubts()
 	for _, t := range s.Depot.All() {
 		running, unread := t.Own()
 		id := string(t.Row().ID)
@@ -239,6 +248,7 @@
 func (s *Site) heard(p pulse.Pulse) {
 	now := time.Now()
 	scale := s.standsFor(p.Host, now)
+	s.fleet.HearDoubts(p.Host, p.Unreached, p.Gone, now)
 	s.speed.Hear(p.Speed)
 	s.hearTrials(p)
 	s.Rates.Hear(string(p.Host), p.Demand, now)
