--- a/transport/site/duties.go
+++ b/transport/site/duties.go
@@ -133,6 +133,7 @@
 	if s.ReportsUsage {
 		s.report.Step(ctx, time.Now())
 	}
+	s.removeGone(ctx, time.Now())
 	s.lead(ctx)
 	s.order(ctx)
 }
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
@@ -41,6 +42,8 @@
 	// drainPart is the part of the time in which a leaving endpoint's last work must arrive that may pass between reads
 	// of the endpoints' rows.
 	drainPart = 0.4
+	// goneTime is how long a host must have been gone before its row is removed.
+	goneTime = 30 * time.Second
 	// joinAgain is the time between tries to write the own row.
 	joinAgain = 300 * time.Millisecond
 )
@@ -131,7 +134,10 @@
 		list = append(list, row)
 	}
 	s.fleet.List(list)
-	s.Log.Info("entry hosts listed", "hosts", len(list))
+	_, listed := s.members[string(s.Host)]
+	s.unlisted.Store(s.wasListed && !listed)
+	s.wasListed = s.wasListed || listed
+	s.Log.Info("entry hosts listed", "hosts", len(list), "this-one", listed)
 }
 
 // join writes the process's own row until that succeeds.
@@ -156,11 +162,34 @@
 	}
 }
 
+// removeGone removes the rows of hosts that have been gone for long, so that they count no more; one that is wrongly
+// removed writes its row again.
+func (s *Site) removeGone(ctx context.Context, now time.Time) {
+	_, gone := s.fleet.Doubts()
+	since := map[host.ID]time.Time{}
+	for _, id := range gone {
+		since[id] = now
+		if at, ok := s.goneSince[id]; ok {
+			since[id] = at
+		}
+		if now.Sub(since[id]) < goneTime {
+			continue
+		}
+		_, err := s.Hosts.Commit(ctx, table.Txn{}.Delete(string(id)))
+		s.Log.Info("row of a host that is gone removed", "host", id, "since-ms", now.Sub(since[id]).Milliseconds(), "error", err)
+		delete(since, id)
+	}
+	s.goneSince = since
+}
+
 // rounds joins the entry hosts and then exchanges heartbeats.
 func (s *Site) rounds(ctx context.Context) error {
 	s.join(ctx)
 	for ctx.Err() == nil {
 		timer := time.NewTimer(s.roundWait())
+		if s.unlisted.Swap(false) {
+			s.join(ctx)
+		}
 		s.spread.Round(ctx)
 		select {
 		case <-ctx.Done():
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -131,9 +131,13 @@
 	leases      *leases.Leases
 	report      *report.Report
 	// members holds the rows of the entry hosts; only the reader of their table uses it.
-	members  map[string]roster.Row
-	sequence atomic.Int64
-	waiting  atomic.Int64
+	members map[string]roster.Row
+	// wasListed tells that the own row was there once, unlisted that it is missing since; goneSince is since when hosts are gone, which only the duties use.
+	wasListed bool
+	unlisted  atomic.Bool
+	goneSince map[host.ID]time.Time
+	sequence  atomic.Int64
+	waiting   atomic.Int64
 	// heardAt is when each peer was heard last.
 	heardMu sync.Mutex
 	heardAt map[host.ID]time.Time
