--- a/cmd_host.go
+++ b/cmd_host.go
@@ -120,7 +120,7 @@
 		Pass:    s.Pass,
 		Send:    send.New(),
 		Leaving: s.Leaving,
-		Count:   func(outcome string) { s.Meter.Count("requests_"+outcome, 1) },
+		Count:   s.Meter.Answer,
 		Now:     time.Now,
 		Log:     log,
 	}
--- a/coordination/pass/pass.go
+++ b/coordination/pass/pass.go
@@ -286,7 +286,7 @@
 func (p *Pass) log(j *trip, err error) {
 	now := p.Now()
 	line := []any{
-		"id", j.work.ID, "route", j.work.Path.Name, "backend", j.work.Backend, "account", j.work.Account,
+		"id", j.work.ID, "route", j.work.Path.Name, "backend", j.work.Backend, "account", j.work.Account, "revision", j.work.Revision,
 		"took-ms", now.Sub(j.work.Came).Milliseconds(), "first-ms", j.first.Milliseconds(),
 		"attempts", len(j.used), "arrivals", j.arrivals, "ending", j.last.Ending.String(), "status", j.last.Status,
 	}
--- a/protocol/work/work.go
+++ b/protocol/work/work.go
@@ -17,6 +17,8 @@
 	Path *path.Path
 	// Backend is the back end that serves it.
 	Backend label.Name
+	// Revision is the revision of the configuration that decided route and account.
+	Revision int64
 	// Account is the client account, empty on public routes.
 	Account acct.ID
 	// Rank is the request's priority; 0 comes first.
--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -28,7 +28,7 @@
 // siteHost is one entry host; its process answers callers at address.
 type siteHost struct {
 	*process
-	ready, addresses string
+	ready, addresses, metrics string
 }
 
 type siteSeen struct {
@@ -83,7 +83,7 @@
 		i, front, ready, directory, inner, inner+1, s.platform.address, s.platform.address)
 	file := filepath.Join(GinkgoT().TempDir(), "node.json")
 	Expect(os.WriteFile(file, []byte(settings), 0o600)).To(Succeed())
-	h := &siteHost{process: start("dragonflyroute", front, "host", "--settings", file), ready: ready, addresses: directory}
+	h := &siteHost{process: start("dragonflyroute", front, "host", "--settings", file), ready: ready, addresses: directory, metrics: net.JoinHostPort("127.0.0.1", strconv.Itoa(inner+1))}
 	s.hosts = append(s.hosts, h)
 	Eventually(func() error { return ping(ready + "/ready") }).Should(Succeed())
 }
@@ -181,6 +181,16 @@
 	return got{id: id, status: resp.StatusCode, body: string(body), err: err, header: resp.Header}
 }
 
+func (s *site) metrics(host int) string {
+	resp, err := http.Get("http://" + s.hosts[host].metrics + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	return string(body)
+}
+
 func (s *site) seen() siteSeen {
 	resp, err := http.Get("http://" + s.platform.address + "/seen")
 	Expect(err).NotTo(HaveOccurred())
@@ -202,6 +212,10 @@
 		Expect(s.ask(1, "/open/x", "").status).To(Equal(http.StatusOK))
 		Expect(s.ask(1, "/nothing/x", "k1").status).To(Equal(http.StatusNotFound))
 		Expect(strings.Count(s.ask(1, "/stream/x", "k1").body, "id: ")).To(Equal(12))
+		Eventually(func() string { return s.metrics(1) }).Should(And(
+			ContainSubstring(`dragonflyroute_answers_total{outcome="ok"}`),
+			ContainSubstring(`dragonflyroute_answer_seconds_bucket{outcome="unauthorized"`)))
+		Expect(s.hosts[0].logged()).To(ContainSubstring(answer.id))
 	})
 
 	It("goes on with a stream whose endpoint is killed, without a missing or repeated event", func() {
--- a/transport/meter/meter.go
+++ b/transport/meter/meter.go
@@ -46,6 +46,13 @@
 	s.Histogram("request_seconds", tally.DefaultBuckets).RecordDuration(took)
 }
 
+// Answer records one answer to a caller: outcome is "ok", "broken" or the name of a failure.
+func (m *Meter) Answer(outcome string, took time.Duration) {
+	s := m.scope.Tagged(map[string]string{"outcome": outcome})
+	s.Counter("answers_total").Inc(1)
+	s.Histogram("answer_seconds", tally.DefaultBuckets).RecordDuration(took)
+}
+
 // Count adds to a counter.
 func (m *Meter) Count(name string, n int64) { m.scope.Counter(name).Inc(n) }
 
