--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -72,9 +72,22 @@
 	return n
 }
 
+// freePair returns the first of two ports in a row that are free.
+func freePair() int {
+	for {
+		first := port(freeAddress())
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+1)))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return first
+	}
+}
+
 func (s *site) add(i int) {
 	front, ready, directory := freeAddress(), freeAddress(), freeAddress()
-	inner := port(freeAddress())
+	inner := freePair()
 	settings := fmt.Sprintf(`{"node":"host-%d","ip":"127.0.0.1","zone":"here",
  "listen":{"front":%q,"ready":%q,"directory":%q},"internalPorts":[%d,%d],"limits":{"memoryMb":200,"maxFds":1000},
  "heartbeatMs":200,"bounds":{"graceS":4,"drainMs":2000,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetExtraRetries":50,
