Admit accounts one way at every size, by young figures of all hosts; let small fleets hear tables from peers

Above 8 hosts the figures of all were 1 to 2 seconds old and kept much back for that.

Change. - Heartbeats carry the same figures that readers add up, and coordination/tally adds them up in small fleets: one way to hear figures. Parts by demand, the calm rule and the peers' last words in rates, flow, target and speed are gone. - rates admits what the window of all hosts has left, rate and burst, over a while; what a rise may bring before the figures show it is kept back by their measured age (sums.Aged) in place of a constant. Requests much smaller than the account's mean one pass. - The exchange is a package without network now (coordination/polls).

--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -146,6 +146,9 @@
 	return f.version
 }
 
+// News returns what changed after the version that another host has; ok is false while the table is not known.
+func (f *Follow) News(have int64) (n news.News, ok bool) { return f.Mirror.News(have, f.Now()) }
+
 // Read reads what changed, or the whole table when that is not known.
 func (f *Follow) Read(ctx context.Context) error {
 	sent := f.Now()
@@ -195,8 +198,12 @@
 	if n.BackMillis >= 0 {
 		f.hearReturn(asked.Add(-time.Duration(n.BackMillis) * time.Millisecond))
 	}
-	f.failures = 0
-	f.apply(n.Rows, n.Version, n.Whole(), asked.Add(-time.Duration(n.AgeMillis)*time.Millisecond))
+	age := time.Duration(n.AgeMillis) * time.Millisecond
+	if age < toldOutage {
+		// Where nobody has an answer, the outage goes on.
+		f.failures = 0
+	}
+	f.apply(n.Rows, n.Version, n.Whole(), asked.Add(-age))
 	return true
 }
 
--- a/coordination/paces/paces.go
+++ b/coordination/paces/paces.go
@@ -30,6 +30,10 @@
 	pollPart  = 0.2
 	// leastPoll bounds the time between polls from below.
 	leastPoll = 300 * time.Millisecond
+	// briefPoll is the time between polls for accounts' figures while some account may come to its limit.
+	briefPoll = 150 * time.Millisecond
+	// overduePart is the age of a view, in terms of the time between reads, from which a read is taken to have failed.
+	overduePart = 1.4
 	// secondPart and ownPart are the parts of the time in which a change must be known that the head's word may be old at
 	// another reader, and any word at another host: the rest is for an own read.
 	secondPart = 0.35
@@ -135,6 +139,9 @@
 // Old reports whether a reader's view is older than it would be if the store answered it.
 func (p Paces) Old(age time.Duration) bool { return age > Part(secondPart, p.Drain) }
 
+// Overdue reports whether a view of the endpoints' rows is older than it would be if the store answered this host's own reads.
+func (p Paces) Overdue(age time.Duration) bool { return age > Part(overduePart, p.EndpointsPause()) }
+
 // Poll returns the time between polls of a reader by the other hosts.
 func (p Paces) Poll() time.Duration { return max(leastPoll, Part(pollPart, p.Drain)) }
 
@@ -146,6 +153,9 @@
 	return p.Poll() / 2
 }
 
+// BriefPoll returns the time between polls for accounts' figures alone, in between the host's other polls.
+func (p Paces) BriefPoll() time.Duration { return min(briefPoll, p.OwnPoll()/3) }
+
 // Round returns the time between rounds of heartbeats.
 func (p Paces) Round() time.Duration {
 	if p.Large() {
--- a/coordination/rates/rates.go
+++ b/coordination/rates/rates.go
@@ -2,52 +2,33 @@
 package rates
 
 import (
-	"math"
 	"sync"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/client"
 	"github.com/dragonflyroute/dragonflyroute/protocol/sums"
-	"github.com/dragonflyroute/dragonflyroute/state/words"
 )
 
 const (
-	// demandTime is the time over which demand is averaged.
-	demandTime = 2500 * time.Millisecond
-	// floorPart is the part of an even share that a host keeps without demand, so that it can begin at once.
-	floorPart = 0.3
-	// blindTrust is the part of the limits that is given out while the hosts know nothing of each other, and knownTrust
-	// what is added when they know all: they do not all use theirs at one time, and a tenth above is tolerated.
-	blindTrust = 0.86
-	knownTrust = 0.18
-	// slackPart is the part of the tolerated excess that the hosts share for requests larger than what they have saved.
-	slackPart = 0.5
-	// nearlyFull is the part of the units that may be saved up from which a request of any size is admitted.
-	nearlyFull = 0.9
-	// silentAfter is the time after which a silent peer's demand is no longer believed.
-	silentAfter = 4 * time.Second
-	// riseTime is the time in which a share rises to all but a third of what it lacks. It is longer than silentAfter: the
-	// oldest words must be gone before much is given out on them.
-	riseTime = 2 * silentAfter
-	// calmPart is the part of an account's rate up to which the demand of all hosts together is admitted without a look at
-	// the process's own part: on many hosts that is less than one large request.
-	calmPart = 0.95
-	// calmAfter is the time for which an account must have been asked for at the peers before its demand is taken for
-	// known, and calmKnown the number of hosts that must be known, or all.
-	calmAfter = silentAfter / 2
-	calmKnown = 10.0
-	// debtTime bounds what was admitted in calm beyond the process's own part, as the time in which the part makes up for
-	// it: when the calm ends, hosts that have spent their parts wait.
-	debtTime = 8 * time.Second
-	// viewTime is the time for which the peers' words are summed up once: a large fleet has a thousand of them.
-	viewTime = 50 * time.Millisecond
+	// sumsAge is the age from which the figures of the other hosts are no longer used.
+	sumsAge = 2500 * time.Millisecond
+	// sumsPart is the part of the other hosts that must be in them, and enoughHosts the number that is enough of any fleet.
+	sumsPart    = 0.5
+	enoughHosts = 5.0
+	// tightPart is the part of an account's rate from which it may come to its limit soon.
+	tightPart = 0.6
+	// leastSeasoned is the part of a window that hosts must have run, on their average, before their figures are used:
+	// demand is known only after a while.
+	leastSeasoned = 0.12
 )
 
-// Rates holds one process's part of every account's rate.
+// Rates admits one process's part of the requests of every account.
 //
-// The part follows the demand that the hosts tell each other. A process starts without saved-up units, so that a host
-// that starts again does not give out a burst twice. All methods may be called concurrently.
+// The hosts tell each other what accounts ask for and what was admitted in the last window. While a host knows that of
+// most others, it admits by what the window of all of them has left; otherwise it keeps to a part of the rate of its own.
+// A process starts without saved-up units, so that a host that starts again does not give out a burst twice. All methods may
+// be called concurrently.
 type Rates struct {
 	// Hosts returns the number of entry hosts, this one included.
 	Hosts func() int
@@ -55,49 +36,34 @@
 	Slack float64
 	// Window is the length of the window in which the limits hold, nought for none that is known.
 	Window time.Duration
-	// Rand returns a number in [0, 1); it is only needed with sums of all hosts.
+	// Rand returns a number in [0, 1); it is only needed with figures of other hosts.
 	Rand func() float64
 	// Started is when the process started; units are saved up from then on.
 	Started time.Time
 
 	mu    sync.Mutex
 	lines map[acct.ID]*line
-	peers words.Words[map[acct.ID]float64]
-	seen  view
-	// sums is what all other hosts together ask for, as of sumsAt.
+	// sums is what all other hosts together ask for and have admitted, as of sumsAt.
 	sums   *sums.Sums
 	sumsAt time.Time
-	// summed is since when the sums say that an account is asked for.
-	summed map[acct.ID]time.Time
-	// since is when the peers began to say that an account is asked for.
-	since map[acct.ID]time.Time
-}
-
-// view is the sum of the peers' words.
-type view struct {
-	at time.Time
-	// known is the number of hosts whose demand is known, this one included.
-	known float64
-	asked map[acct.ID]float64
 }
 
+// line is what a process knows of one account by its own requests.
 type line struct {
-	balance float64
-	filled  time.Time
-	demand  float64
-	at      time.Time
-	// share is the part of the rate that the process uses.
-	share float64
-	// quick is the demand averaged over a short time, as of quickAt, many the requests in it, and window what was admitted lately.
-	quick   float64
-	many    float64
-	quickAt time.Time
-	window  window
-	// admitted is the part of the units asked for that was admitted lately, as of admittedAt.
-	admitted   float64
-	admittedAt time.Time
+	// rate is the account's rate over all hosts.
+	rate float64
+	// asked tells that there was a request before.
+	asked bool
+	// demand is the units per second asked for here.
+	demand average
+	// window is what was admitted here lately.
+	window window
+	// admitted is the part of the units asked for that was admitted lately.
+	admitted share
 	// owed is what the process has admitted less than its part, or more when it is below nought.
 	owed float64
+	// own is the process's own part of the rate, for times in which it knows too little of the others.
+	own bucket
 }
 
 // Admit takes cost units of an account's rate, or returns the time until the account may come back.
@@ -107,165 +73,99 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l := r.line(c.Name, now)
-	l.ask(cost, now)
-	wait, ok = r.admit(c, l, cost, now)
+	l := r.line(c.Name)
+	l.rate = c.Rate
+	l.demand.add(cost, now)
+	l.own.fill(c, r.part(c, l, now), now)
+	if !l.asked {
+		l.own.begin(cost)
+	}
+	l.asked = true
+	if r.known(now) {
+		wait, ok = r.thin(c, l, cost, now)
+	} else {
+		wait, ok = l.own.admit(cost, r.Slack/float64(max(1, r.Hosts())))
+	}
 	if ok {
-		l.window.add(cost, now, max(r.Window, time.Second))
+		l.own.take(cost)
+		l.window.add(cost, now, r.length())
 	}
 	return wait, ok
 }
 
-func (r *Rates) admit(c *client.Client, l *line, cost float64, now time.Time) (wait time.Duration, ok bool) {
-	idle := now.Sub(l.at)
-	l.want(cost, now)
-	if r.exact(c.Name, now) {
-		return r.thin(c, l, cost, now)
-	}
-	part := l.follow(r.part(c, l, now), idle, r.even(now))
-	rate := c.Rate * part
-	l.balance = min(c.Burst*part, l.balance+rate*now.Sub(l.filled).Seconds())
-	l.filled = now
-	if r.calm(c, l, now) {
-		l.balance = max(l.balance-cost, -debtTime.Seconds()*rate)
-		return 0, true
-	}
-	least := min(cost-slackPart*r.Slack/float64(max(1, r.Hosts())), nearlyFull*c.Burst*part)
-	if l.balance < least {
-		return time.Duration((least - l.balance + 1) / rate * float64(time.Second)), false
-	}
-	l.balance -= cost
-	return 0, true
-}
+// length is the length of the window that is kept.
+func (r *Rates) length() time.Duration { return max(r.Window, time.Second) }
 
-func (r *Rates) line(account acct.ID, now time.Time) *line {
+func (r *Rates) line(account acct.ID) *line {
 	if r.lines == nil {
 		r.lines = map[acct.ID]*line{}
 	}
 	l := r.lines[account]
 	if l == nil {
-		l = &line{filled: r.Started, at: now, admitted: 1}
+		l = &line{admitted: share{value: 1}, own: bucket{filled: r.Started}}
 		r.lines[account] = l
 	}
 	return l
 }
 
-// want averages the demand, admitted or not.
-func (l *line) want(cost float64, now time.Time) {
-	l.demand = l.decayed(now) + cost/demandTime.Seconds()
-	l.at = now
-}
-
-func (l *line) decayed(now time.Time) float64 {
-	age := max(0, now.Sub(l.at))
-	return l.demand * math.Exp(-age.Seconds()/demandTime.Seconds())
-}
-
-// follow moves the share towards part and returns it.
-//
-// A share falls at once. Above an even one it rises as slowly as the peers' words grow old: after an idle time they still
-// say that an account asks for nothing, and every host would take the rate for its own.
-func (l *line) follow(part float64, idle time.Duration, even float64) float64 {
-	if l.share == 0 || idle > silentAfter {
-		l.share = even
-	}
-	l.share = max(l.share, min(part, even))
-	if part > l.share {
-		part = l.share + (part-l.share)*(1-math.Exp(-idle.Seconds()/riseTime.Seconds()))
-	}
-	l.share = part
-	return part
-}
-
-// even returns the part of a process when all have the same demand.
-func (r *Rates) even(now time.Time) float64 {
-	return r.trust(now) / float64(max(1, r.Hosts()))
-}
-
-// trust returns the part of the limits that the hosts give out together.
-func (r *Rates) trust(now time.Time) float64 {
-	return blindTrust + knownTrust*min(1, r.view(now).known/float64(max(1, r.Hosts())))
-}
-
-// part returns the process's part of an account's rate by what is known of the demand, above 0 and at most 1.
-func (r *Rates) part(c *client.Client, l *line, now time.Time) float64 {
-	n := float64(max(1, r.Hosts()))
-	floor := floorPart * c.Rate / n
-	return r.trust(now) * (l.demand + floor) / (r.sum(c, l, now) + n*floor)
-}
-
-// sum returns the demand of all hosts.
-//
-// Hosts that were not heard lately are taken for as busy as the others: they may be, and spend their part.
-func (r *Rates) sum(c *client.Client, l *line, now time.Time) float64 {
-	n := float64(max(1, r.Hosts()))
-	v := r.view(now)
-	sum := l.demand + v.asked[c.Name]
-	return sum + max(0, n-v.known)*sum/v.known
+// HearSums takes the figures of all other hosts together; the caller must not change them.
+func (r *Rates) HearSums(s *sums.Sums, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sums, r.sumsAt = s, now
 }
 
-// calm reports whether an account is known to ask for clearly less than its rate, over all hosts.
-func (r *Rates) calm(c *client.Client, l *line, now time.Time) bool {
-	v := r.view(now)
-	if v.known < min(calmKnown, float64(r.Hosts())) {
-		return false
-	}
-	since, asked := r.since[c.Name]
-	if !asked || now.Sub(since) < calmAfter {
-		return false
+// known reports whether the figures of the other hosts are young and stand for enough of them.
+func (r *Rates) known(now time.Time) bool {
+	others := float64(r.Hosts() - 1)
+	if r.Window <= 0 || others <= 0 {
+		return r.Window > 0
 	}
-	// The own demand is left out of what stands for the silent hosts: it has just risen by the request.
-	silent := max(1, float64(r.Hosts())-1) / max(1, v.known-1)
-	return l.demand+silent*v.asked[c.Name] < calmPart*c.Rate
+	return r.young(now) && float64(r.sums.Hosts) >= min(enoughHosts, max(1, sumsPart*others)) && r.seasoned(now) >= leastSeasoned
 }
 
-// view sums up what the peers said lately.
-func (r *Rates) view(now time.Time) *view {
-	if r.seen.asked != nil && now.Sub(r.seen.at) < viewTime {
-		return &r.seen
-	}
-	r.seen = view{at: now, asked: map[acct.ID]float64{}}
-	r.peers.MaxAge = silentAfter
-	r.seen.known = 1 + float64(r.peers.Each(now, func(demand map[acct.ID]float64) {
-		for account, d := range demand {
-			r.seen.asked[account] += d
-		}
-	}))
-	r.since = noted(r.since, r.seen.asked, now)
-	return &r.seen
+// young reports whether there are figures of other hosts that may be used.
+func (r *Rates) young(now time.Time) bool {
+	return r.sums != nil && r.sums.Hosts > 0 && now.Sub(r.sumsAt) < sumsAge
 }
 
-// noted returns since when each account is asked for, by what was known before.
-func noted(before map[acct.ID]time.Time, asked map[acct.ID]float64, now time.Time) map[acct.ID]time.Time {
-	since := map[acct.ID]time.Time{}
-	for account, demand := range asked {
-		if demand <= 0 {
-			continue
+// Own returns what each account asks for here, in units per second, and what was admitted in the last window.
+func (r *Rates) Own(now time.Time) (demand, used map[acct.ID]float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	demand, used = map[acct.ID]float64{}, map[acct.ID]float64{}
+	for account, l := range r.lines {
+		if d := l.demand.at(now); d >= 1 {
+			demand[account] = d
 		}
-		since[account] = now
-		if at, ok := before[account]; ok {
-			since[account] = at
+		if u := l.window.sum(now, r.length()); u > 0 {
+			used[account] = u
 		}
 	}
-	return since
+	return demand, used
 }
 
-// Demand returns the units per second that each account asked for here, admitted or not.
-func (r *Rates) Demand(now time.Time) map[acct.ID]float64 {
+// Tight reports whether some account may come to its limit soon, as far as is known: the hosts' figures should be young then.
+func (r *Rates) Tight(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := map[acct.ID]float64{}
+	if r.Window <= 0 || !r.young(now) {
+		return false
+	}
 	for account, l := range r.lines {
-		if d := l.decayed(now); d >= 1 {
-			out[account] = float64(int64(d))
+		demand := l.demand.at(now) + r.scale()*r.sums.Demand[account]
+		used := l.window.sum(now, r.length()) + r.scale()*r.sums.Used[account]
+		if max(demand, used/r.Window.Seconds()) > tightPart*l.rate {
+			return true
 		}
 	}
-	return out
+	return false
 }
 
-// Hear takes the demand that a peer told.
-func (r *Rates) Hear(peer string, demand map[acct.ID]float64, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.peers.Hear(peer, demand, now)
+// Age returns the part of a window since which the process runs.
+func (r *Rates) Age(now time.Time) float64 {
+	if r.Window <= 0 {
+		return 1
+	}
+	return min(1, now.Sub(r.Started).Seconds()/r.Window.Seconds())
 }
--- a/coordination/tally/tally.go
+++ b/coordination/tally/tally.go
@@ -35,7 +35,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.members.MaxAge = memberAge
-	t.members.Hear(string(from), s, now)
+	hear(&t.members, from, s, now)
+}
+
+// hear takes figures; brief ones leave the others of the same host as they were.
+func hear(w *words.Words[*sums.Sums], from host.ID, s *sums.Sums, now time.Time) {
+	if last, ok := w.Last(string(from)); ok && s.Brief {
+		s = last.Renewed(s)
+	}
+	w.Hear(string(from), s, now)
 }
 
 // HearGroup takes the figures of another group from the host that adds them up, which is no member then.
@@ -43,7 +51,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.groups.MaxAge = groupAge
-	t.groups.Hear(string(from), s, now)
+	hear(&t.groups, from, s, now)
 	t.members.Forget(string(from))
 }
 
@@ -64,7 +72,22 @@
 func (t *Tally) group(own *sums.Sums, now time.Time) *sums.Sums {
 	out := &sums.Sums{}
 	out.Add(own)
-	t.members.Each(now, out.Add)
+	t.members.Each(now, aged(out.Add))
+	return out
+}
+
+// Others returns the figures of all hosts that are known but this one.
+func (t *Tally) Others(now time.Time) *sums.Sums {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.others(now)
+}
+
+func (t *Tally) others(now time.Time) *sums.Sums {
+	out := &sums.Sums{}
+	t.members.MaxAge, t.groups.MaxAge = memberAge, groupAge
+	t.members.Each(now, aged(out.Add))
+	t.groups.Each(now, aged(out.Add))
 	return out
 }
 
@@ -76,8 +99,13 @@
 	if t.total != nil && now.Sub(t.at) < totalTime {
 		return t.total
 	}
-	out := t.group(own, now)
-	t.groups.Each(now, out.Add)
+	out := t.others(now)
+	out.Add(own)
 	t.total, t.at = out, now
 	return out
 }
+
+// aged hands figures on with the time that has passed since they were told.
+func aged(add func(*sums.Sums)) func(s *sums.Sums, age time.Duration) {
+	return func(s *sums.Sums, age time.Duration) { add(s.Older(age)) }
+}
--- a/protocol/pulse/pulse.go
+++ b/protocol/pulse/pulse.go
@@ -2,11 +2,10 @@
 package pulse
 
 import (
-	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/doubts"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
-	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/sums"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 	"github.com/dragonflyroute/dragonflyroute/protocol/window"
 )
@@ -49,24 +48,14 @@
 	Weight float64 `json:"weight"`
 	// Withdrawn lists the moves that the sender knows to be withdrawn.
 	Withdrawn []string `json:"withdrawn,omitempty"`
-	// Slim tells that the sender's figures are left out: demand, sent, unread, prefill, speed and usage. They go another way.
-	Slim bool `json:"slim,omitempty"`
-	// Sent counts requests in flight from the sender by endpoint.
-	Sent map[string]int `json:"sent,omitempty"`
-	// Unread counts the prompt tokens in flight from the sender that an endpoint has not begun to answer, by endpoint.
-	Unread map[string]int64 `json:"unread,omitempty"`
+	// Own holds the sender's figures, nil when they and Usage go another way.
+	Own *sums.Sums `json:"own,omitempty"`
 	// Read lists parts of prompts that an endpoint has lately read for the sender, by endpoint.
 	Read map[string][]uint64 `json:"read,omitempty"`
 	// Announced lists the endpoints that said themselves that they leave, with the start (Unix millisecond) that said so.
 	Announced map[string]int64 `json:"announced,omitempty"`
-	// Demand is what accounts ask of the sender, in units of their rates per second.
-	Demand map[acct.ID]float64 `json:"demand,omitempty"`
-	// Prefill is the prompt tokens per second that go from the sender to each back end.
-	Prefill map[label.Name]float64 `json:"prefill,omitempty"`
 	// Doubts is the sender's word on hosts that may be gone.
 	Doubts doubts.Doubts `json:"doubts"`
-	// Speed is the prompt tokens per second that one endpoint of a back end reads, as the sender has seen it.
-	Speed map[label.Name]float64 `json:"speed,omitempty"`
 	// Trials is the sender's evidence on running moves of back ends, by move.
 	Trials map[string][]trial.Trial `json:"trials,omitempty"`
 	// Usage counts the sender's requests that began to run, for each of the newest windows.
--- a/protocol/sums/sums.go
+++ b/protocol/sums/sums.go
@@ -2,6 +2,8 @@
 package sums
 
 import (
+	"time"
+
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 )
@@ -16,6 +18,10 @@
 	// parts of that window since which the hosts run.
 	Used     map[acct.ID]float64 `json:"used,omitempty"`
 	Seasoned float64             `json:"seasoned"`
+	// Aged is the sum of the ages of these hosts' accounts' figures, in seconds.
+	Aged float64 `json:"aged,omitempty"`
+	// Brief tells that there are only figures of accounts.
+	Brief bool `json:"brief,omitempty"`
 	// Prefill is the prompt tokens per second that go from them to each back end.
 	Prefill map[label.Name]float64 `json:"prefill,omitempty"`
 	// Paced counts the hosts that have seen how fast the engines of a back end read, and Pace adds up what they saw, in
@@ -34,6 +40,7 @@
 	s.Demand = added(s.Demand, other.Demand, 1)
 	s.Used = added(s.Used, other.Used, 1)
 	s.Seasoned += other.Seasoned
+	s.Aged += other.Aged
 	s.Prefill = added(s.Prefill, other.Prefill, 1)
 	s.Paced = added(s.Paced, other.Paced, 1)
 	s.Pace = added(s.Pace, other.Pace, 1)
@@ -41,6 +48,26 @@
 	s.Unread = added(s.Unread, other.Unread, 1)
 }
 
+// Accounts returns only the figures of accounts.
+func (s *Sums) Accounts() *Sums {
+	return &Sums{Hosts: s.Hosts, Demand: s.Demand, Used: s.Used, Seasoned: s.Seasoned, Aged: s.Aged, Brief: true}
+}
+
+// Renewed returns the figures with newer ones of accounts.
+func (s *Sums) Renewed(accounts *Sums) *Sums {
+	out := *s
+	out.Hosts, out.Seasoned, out.Aged = accounts.Hosts, accounts.Seasoned, accounts.Aged
+	out.Demand, out.Used = accounts.Demand, accounts.Used
+	return &out
+}
+
+// Older returns the figures as they are after a time.
+func (s *Sums) Older(age time.Duration) *Sums {
+	out := *s
+	out.Aged += float64(s.Hosts) * max(0, age.Seconds())
+	return &out
+}
+
 // Rates returns the prompt tokens per second that an engine of each back end reads, on the average of what was seen. It
 // averages times, as a host that has seen little may take the engines for many times as fast, and never for as slow.
 func (s *Sums) Rates() map[label.Name]float64 {
@@ -56,6 +83,7 @@
 func (s *Sums) Without(part *Sums) *Sums {
 	out := &Sums{}
 	out.Add(s)
+	out.Brief = s.Brief
 	out.Hosts = max(0, s.Hosts-part.Hosts)
 	out.Demand = added(out.Demand, part.Demand, -1)
 	out.Used = added(out.Used, part.Used, -1)
--- a/state/flow/flow.go
+++ b/state/flow/flow.go
@@ -6,13 +6,12 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
-	"github.com/dragonflyroute/dragonflyroute/state/words"
 )
 
 const (
 	// meanTime is the time over which work is averaged.
 	meanTime = 4 * time.Second
-	// believed is the age up to which a peer's figure counts.
+	// believed is the age up to which the peers' figures count.
 	believed = 4 * time.Second
 	// peakTime is the time in which the memory of a peak falls to a third.
 	peakTime = 20 * time.Second
@@ -29,8 +28,10 @@
 type Flow struct {
 	mu    sync.Mutex
 	own   map[label.Name]mean
-	peers words.Words[map[label.Name]float64]
 	peaks map[label.Name]mean
+	// others is what goes to back ends from all peers together, as of othersAt.
+	others   map[label.Name]float64
+	othersAt time.Time
 }
 
 func (m mean) decayed(now time.Time) float64 {
@@ -61,18 +62,11 @@
 	return out
 }
 
-// Hear takes a peer's tokens per second.
-func (f *Flow) Hear(peer string, values map[label.Name]float64, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.peers.Hear(peer, values, now)
-}
-
 // HearAll takes the tokens per second of all peers together.
-func (f *Flow) HearAll(values map[label.Name]float64, peers int, now time.Time) {
+func (f *Flow) HearAll(values map[label.Name]float64, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers.HearAll(values, peers, now)
+	f.others, f.othersAt = values, now
 }
 
 // Sum returns the tokens per second that go to a back end from all processes.
@@ -80,8 +74,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	sum := f.own[backend].decayed(now)
-	f.peers.MaxAge = believed
-	f.peers.Each(now, func(values map[label.Name]float64) { sum += values[backend] })
+	if now.Sub(f.othersAt) < believed {
+		sum += f.others[backend]
+	}
 	return sum
 }
 
--- a/state/speed/speed.go
+++ b/state/speed/speed.go
@@ -15,8 +15,6 @@
 	// second.
 	defaultBase = 50 * time.Millisecond
 	defaultRate = 40_000
-	// toldPart is the weight of one peer's rate in the average of what peers tell.
-	toldPart = 0.1
 	// leastRate and mostRate bound the rate that is believed.
 	leastRate = 2_000
 	mostRate  = 2_000_000
@@ -30,7 +28,7 @@
 type Speed struct {
 	mu    sync.Mutex
 	lines map[label.Name]*line.Line
-	// told is the rate that peers have told, averaged.
+	// told is the rate that the peers have seen on the average.
 	told map[label.Name]float64
 }
 
@@ -91,21 +89,6 @@
 	return out
 }
 
-// Hear takes the rates that a peer has seen.
-func (s *Speed) Hear(rates map[label.Name]float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.told == nil {
-		s.told = map[label.Name]float64{}
-	}
-	for backend, rate := range rates {
-		if s.told[backend] == 0 {
-			s.told[backend] = rate
-		}
-		s.told[backend] += toldPart * (rate - s.told[backend])
-	}
-}
-
 // HearAll takes the rates that all peers have seen on the average, in place of what was told before.
 func (s *Speed) HearAll(rates map[label.Name]float64) {
 	s.mu.Lock()
--- a/state/target/target.go
+++ b/state/target/target.go
@@ -12,7 +12,6 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/tried"
 	"github.com/dragonflyroute/dragonflyroute/protocol/work"
-	"github.com/dragonflyroute/dragonflyroute/state/words"
 )
 
 const (
@@ -48,11 +47,13 @@
 
 	running int
 	prefill int64
-	others  words.Words[counts]
-	load    reported
-	slow    float64
-	parts   map[uint64]time.Time
-	news    []news
+	// others is what the peers have sent to the endpoint, as of othersAt.
+	others   counts
+	othersAt time.Time
+	load     reported
+	slow     float64
+	parts    map[uint64]time.Time
+	news     []news
 
 	failed   time.Time
 	failures int
@@ -272,22 +273,11 @@
 	return t.failures, now.Sub(t.failed)
 }
 
-// Hear takes a peer's counts of what it has sent to the endpoint, or of what the peers that it stands for have.
-func (t *Target) Hear(peer string, running, prefill float64, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if running == 0 && prefill == 0 {
-		t.others.Forget(peer)
-		return
-	}
-	t.others.Hear(peer, counts{running: running, prefill: prefill}, now)
-}
-
-// HearAll takes the counts of all peers together.
+// HearAll takes the counts of what all peers together have sent to the endpoint.
 func (t *Target) HearAll(running, prefill float64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.others.HearAll(counts{running: running, prefill: prefill}, 1, now)
+	t.others, t.othersAt = counts{running: running, prefill: prefill}, now
 }
 
 // Own returns this process's requests at the endpoint and the prompt tokens of those not begun.
@@ -301,13 +291,10 @@
 func (t *Target) Busy(now time.Time) (running int, prefill int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	others := counts{}
-	t.others.MaxAge = othersAge
-	t.others.Each(now, func(c counts) {
-		others.running += c.running
-		others.prefill += c.prefill
-	})
-	return t.running + int(others.running), t.prefill + int64(others.prefill)
+	if now.Sub(t.othersAt) >= othersAge {
+		return t.running, t.prefill
+	}
+	return t.running + int(t.others.running), t.prefill + int64(t.others.prefill)
 }
 
 // Slow returns how many times as long as expected the endpoint takes to its first tokens.
--- a/state/words/words.go
+++ b/state/words/words.go
@@ -3,7 +3,7 @@
 
 import "time"
 
-// Words holds the last word of each peer, or one that all of them together have sent.
+// Words holds the last word of each peer.
 //
 // Words older than MaxAge are forgotten. Its owner guards it.
 type Words[T any] struct {
@@ -11,9 +11,6 @@
 	MaxAge time.Duration
 
 	peers map[string]word[T]
-	all   word[T]
-	// hosts is the number of peers whose word all is.
-	hosts int
 }
 
 type word[T any] struct {
@@ -29,6 +26,12 @@
 	w.peers[peer] = word[T]{value: value, at: now}
 }
 
+// Last returns a peer's word.
+func (w *Words[T]) Last(peer string) (value T, ok bool) {
+	p, ok := w.peers[peer]
+	return p.value, ok
+}
+
 // Heard reports whether a peer's word is younger than an age.
 func (w *Words[T]) Heard(peer string, age time.Duration, now time.Time) bool {
 	p, ok := w.peers[peer]
@@ -38,23 +41,14 @@
 // Forget drops a peer's word.
 func (w *Words[T]) Forget(peer string) { delete(w.peers, peer) }
 
-// HearAll takes the word of a number of peers together, which stands for those of all while it is believed.
-func (w *Words[T]) HearAll(value T, hosts int, now time.Time) {
-	w.all, w.hosts = word[T]{value: value, at: now}, hosts
-}
-
-// Each calls take with the words that are believed, and returns the number of peers that have sent them.
-func (w *Words[T]) Each(now time.Time, take func(value T)) (hosts int) {
-	if !w.all.at.IsZero() && now.Sub(w.all.at) < w.MaxAge {
-		take(w.all.value)
-		return w.hosts
-	}
+// Each calls take with the words that are believed and their ages, and returns the number of peers that have sent them.
+func (w *Words[T]) Each(now time.Time, take func(value T, age time.Duration)) (hosts int) {
 	for peer, p := range w.peers {
 		if now.Sub(p.at) >= w.MaxAge {
 			delete(w.peers, peer)
 			continue
 		}
-		take(p.value)
+		take(p.value, now.Sub(p.at))
 		hosts++
 	}
 	return hosts
--- a/transport/site/beats.go
+++ b/transport/site/beats.go
@@ -1,11 +1,9 @@
 package site
 
 import (
-	"maps"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
-	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
@@ -38,12 +36,9 @@
 	}
 	p.Doubts = s.fleet.Doubts(now)
 	s.addEndpoints(&p, now)
-	if p.Slim = s.polls.fresh(now); !p.Slim {
-		own := s.ownSums(now)
-		p.Prefill, p.Sent, p.Unread = own.Prefill, own.Sent, own.Unread
-		p.Demand = s.Rates.Demand(now)
+	if !s.polls.Fresh(now) {
+		p.Own = s.ownSums(now)
 		p.Usage = s.usage.Own()
-		p.Speed = s.speed.Seen(s.engines())
 	}
 	return p
 }
@@ -76,14 +71,16 @@
 	return out
 }
 
-// hearRest takes the figures of all other hosts together. Those of hosts that are missing are taken for like the others'.
+// hearRest takes the figures of other hosts together. Those of hosts that are missing are taken for like the others',
+// and those that are in them twice count once.
 func (s *Site) hearRest(rest *sums.Sums, now time.Time) {
-	scale := max(1, float64(s.hosts()-1)/float64(max(1, rest.Hosts)))
-	if rest.Hosts > 0 {
-		s.Rates.HearSums(rest, now)
+	if rest.Hosts == 0 {
+		return
 	}
+	scale := float64(s.hosts()-1) / float64(rest.Hosts)
+	s.Rates.HearSums(rest, now)
 	s.speed.HearAll(rest.Rates())
-	s.flow.HearAll(scaled(rest.Prefill, scale), rest.Hosts, now)
+	s.flow.HearAll(scaled(rest.Prefill, scale), now)
 	for _, t := range s.Depot.All() {
 		id := string(t.Row().ID)
 		t.HearAll(scale*float64(rest.Sent[id]), scale*float64(rest.Unread[id]), now)
@@ -104,8 +101,6 @@
 }
 
 // heard takes a peer's heartbeat.
-//
-// In a large fleet only some of the peers are heard within a few seconds, so each one's figures stand for several.
 func (s *Site) heard(p pulse.Pulse) {
 	now := time.Now()
 	s.fleet.HearDoubts(p.Host, p.Doubts, now)
@@ -123,17 +118,13 @@
 
 // hearFigures takes a peer's figures, unless they go another way.
 func (s *Site) hearFigures(p pulse.Pulse, now time.Time) {
-	if p.Slim {
+	if p.Own == nil {
 		return
 	}
-	scale := s.standsFor(p.Host, now)
-	s.speed.Hear(p.Speed)
-	s.Rates.Hear(string(p.Host), p.Demand, now)
-	s.flow.Hear(string(p.Host), scaled(p.Prefill, scale), now)
 	s.usage.Hear(p.Host, p.Incarnation, p.Usage, now)
-	for _, t := range s.Depot.All() {
-		id := string(t.Row().ID)
-		t.Hear(string(p.Host), scale*float64(p.Sent[id]), scale*float64(p.Unread[id]), now)
+	s.beats.Hear(p.Host, p.Own, now)
+	if !s.polls.Fresh(now) {
+		s.hearRest(s.beats.Others(now), now)
 	}
 }
 
@@ -152,21 +143,6 @@
 	return out
 }
 
-// heardTime is the time in which peers' figures count.
-const heardTime = 4 * time.Second
-
-// standsFor returns the number of peers for which a heartbeat heard now stands.
-func (s *Site) standsFor(from host.ID, now time.Time) float64 {
-	s.heardMu.Lock()
-	defer s.heardMu.Unlock()
-	if s.heardAt == nil {
-		s.heardAt = map[host.ID]time.Time{}
-	}
-	s.heardAt[from] = now
-	maps.DeleteFunc(s.heardAt, func(_ host.ID, at time.Time) bool { return now.Sub(at) > heardTime })
-	return max(1, float64(s.hosts()-1)/float64(len(s.heardAt)))
-}
-
 func scaled[K comparable](values map[K]float64, scale float64) map[K]float64 {
 	out := make(map[K]float64, len(values))
 	for k, v := range values {
--- a/transport/site/counts.go
+++ b/transport/site/counts.go
@@ -66,18 +66,18 @@
 	return ticks.Every(countStep, func(ctx context.Context) {
 		at := time.Now()
 		now := s.usage.Number(at)
-		pace := s.paces()
+		pace := s.Paces()
 		if now == last || !pace.Large() || at.Before(s.usage.End(now-1).Add(pace.CountWait())) {
 			return
 		}
-		reads := s.polls.isReader()
-		if !reads && s.polls.taken.Load() >= now-1 {
+		reads := s.polls.Reads()
+		if !reads && s.polls.Taken() >= now-1 {
 			last = now
 			return
 		}
 		rows := map[host.ID]countedRow{}
 		if reads {
-			rows = s.polls.batch.drain(mostCounted)
+			rows = s.batch.drain(mostCounted)
 		}
 		rows[s.Host] = countedRow{Incarnation: s.incarnation, Through: now - 1, Windows: s.usage.Own()}
 		if s.writeCounts(ctx, rows) {
@@ -106,7 +106,7 @@
 
 // readCounts takes the usage that the hosts of a large fleet have written.
 func (s *Site) readCounts(ctx context.Context) {
-	if !s.paces().Large() {
+	if !s.Paces().Large() {
 		return
 	}
 	rows, version, err := s.Counts.Snapshot(ctx)
@@ -130,7 +130,7 @@
 
 // usageTold reports whether all hosts that are alive have told their final counts of a window.
 func (s *Site) usageTold(number int64) bool {
-	if !s.paces().Large() {
+	if !s.Paces().Large() {
 		return true
 	}
 	for _, p := range s.fleet.Alive(time.Now()) {
--- a/transport/site/duties.go
+++ b/transport/site/duties.go
@@ -45,7 +45,7 @@
 }
 
 func (s *Site) tries(key string) bool {
-	return s.fleet.Ranks(key, s.paces().LeaseTries(), time.Now())
+	return s.fleet.Ranks(key, s.Paces().LeaseTries(), time.Now())
 }
 
 // lease counts the lease's term on a clock that a suspension does not stop.
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -11,6 +11,8 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/follow"
 	"github.com/dragonflyroute/dragonflyroute/coordination/nearby"
 	"github.com/dragonflyroute/dragonflyroute/coordination/paces"
+	"github.com/dragonflyroute/dragonflyroute/coordination/polls"
+	"github.com/dragonflyroute/dragonflyroute/coordination/reader"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
@@ -76,11 +78,23 @@
 	hostsTable    = "hosts"
 )
 
+// buildPolls makes this host's part in the exchange of tables and figures; buildTables adds the tables.
+func (s *Site) buildPolls() {
+	s.polls = &polls.Polls{
+		Reader:  reader.Reader{Self: s.Host, In: s.DataCentre},
+		Site:    exchange{s},
+		Watched: serversTable,
+		Now:     time.Now,
+		Boot:    clock.Boot,
+		Log:     s.Log,
+	}
+}
+
 // buildTables makes the readers of the tables.
 func (s *Site) buildTables() {
 	s.tables = map[string]*follow.Follow{
 		operatorTable: {
-			Name: operatorTable, Source: s.Operator, Wait: func() time.Duration { return s.paces().OperatorWait() },
+			Name: operatorTable, Source: s.Operator, Wait: func() time.Duration { return s.Paces().OperatorWait() },
 			Whole: s.operator, Changed: s.operator, Rest: s.tableRest(s.ConfigApply),
 		},
 		serversTable: {
@@ -88,23 +102,24 @@
 			Whole: s.census.Whole, Changed: s.census.Changed, Regained: s.serversRegained, Rest: s.tableRest(s.EndpointDrain),
 		},
 		hostsTable: {
-			Name: hostsTable, Source: s.Hosts, Wait: func() time.Duration { return s.paces().HostsWait() },
-			Pause: func() time.Duration { return s.paces().HostsPause() },
+			Name: hostsTable, Source: s.Hosts, Wait: func() time.Duration { return s.Paces().HostsWait() },
+			Pause: func() time.Duration { return s.Paces().HostsPause() },
 			Whole: s.allHosts, Changed: s.someHosts,
-			Rest: func(age time.Duration, known bool) time.Duration { return s.paces().HostsRest(age, known) },
+			Rest: func(age time.Duration, known bool) time.Duration { return s.Paces().HostsRest(age, known) },
 		},
 	}
-	for _, t := range s.tables {
+	for name, t := range s.tables {
 		t.Now, t.Log, t.Mirror = clock.Boot, s.Log, &mirror.Mirror{}
+		s.polls.Add(name, t)
 	}
 	s.tables[serversTable].Mirror.Same = s.sameEndpoint
 }
 
-// paces returns how often this host reads and tells now.
-func (s *Site) paces() paces.Paces {
+// Paces returns how often this host reads and tells now.
+func (s *Site) Paces() paces.Paces {
 	return paces.Paces{
 		Hosts:  s.hosts(),
-		Role:   s.polls.current(),
+		Role:   s.polls.Role(),
 		First:  s.First,
 		Listed: s.tables[hostsTable].Version() > 0,
 		Drain:  s.EndpointDrain,
@@ -114,7 +129,7 @@
 
 // tableRest returns how long a table need not be read here whose changes must be known within a time.
 func (s *Site) tableRest(within time.Duration) func(age time.Duration, known bool) time.Duration {
-	return func(age time.Duration, known bool) time.Duration { return s.paces().Rest(within, age, known) }
+	return func(age time.Duration, known bool) time.Duration { return s.Paces().Rest(within, age, known) }
 }
 
 // sameEndpoint reports whether two rows of an endpoint mean the same.
@@ -129,7 +144,7 @@
 
 // serversPause returns the time until the next read of the endpoints' rows.
 func (s *Site) serversPause() time.Duration {
-	pause := s.paces().EndpointsPause()
+	pause := s.Paces().EndpointsPause()
 	if time.Now().UnixNano()-s.serversBack.Load() < quickReads.Nanoseconds() {
 		return min(pause, quickRead)
 	}
@@ -242,7 +257,7 @@
 func (s *Site) rounds(ctx context.Context) error {
 	s.join(ctx)
 	for ctx.Err() == nil {
-		timer := time.NewTimer(s.paces().Round())
+		timer := time.NewTimer(s.Paces().Round())
 		if s.unlisted.Swap(false) {
 			s.join(ctx)
 		}
@@ -316,7 +331,7 @@
 func (p *service) Evidence(string) []trial.Trial { return nil }
 
 // Query answers what another host asks of the tables and of all hosts' figures.
-func (p *service) Query(q query.Query) reply.Reply { return p.s.polls.answer(q) }
+func (p *service) Query(q query.Query) reply.Reply { return p.s.polls.Answer(q) }
 
 // Accept takes no requests: callers come back by themselves.
 func (p *service) Accept(ticket.Ticket) bool { return false }
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -21,10 +21,12 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/follow"
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/pass"
+	"github.com/dragonflyroute/dragonflyroute/coordination/polls"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/coordination/rates"
 	"github.com/dragonflyroute/dragonflyroute/coordination/report"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
+	"github.com/dragonflyroute/dragonflyroute/coordination/tally"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
@@ -142,7 +144,9 @@
 	census      *census.Census
 	// tables reads or hears the platform's tables.
 	tables map[string]*follow.Follow
-	polls  *polls
+	polls  *polls.Polls
+	// batch holds the usage of hosts for which this one reads.
+	batch  batch
 	usage  *usage.Usage
 	flow   *flow.Flow
 	speed  *speed.Speed
@@ -159,9 +163,8 @@
 	goneSince map[host.ID]time.Time
 	sequence  atomic.Int64
 	waiting   atomic.Int64
-	// heardAt is when each peer was heard last.
-	heardMu sync.Mutex
-	heardAt map[host.ID]time.Time
+	// beats holds the figures that came with heartbeats.
+	beats tally.Tally
 	// scores is this process's evidence on moves, told that of its peers; base is the evidence as of each back end's last
 	// change of shares, and statuses the state last told for each move; only the duties use these two.
 	scores   *score.Score
@@ -265,7 +268,7 @@
 	for _, t := range s.tables {
 		add(t.Run)
 	}
-	add(s.polls.Run)
+	add(s.poll)
 	add(s.rounds)
 	add(s.duty)
 	add(s.countAll)
