Spread plain requests by what arrives while other hosts' counts are old

Ruled out: too few places (15.2 of 18 busy on the average).

A request without a prompt goes to a server drawn by the part of the requests that makes all equally busy once those have come that arrive while the counts are old (coordination/choose/spread.go). No preference of the own data centre for these: their bytes are few.

--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -51,6 +51,10 @@
 	Speed speed
 	// Home is the process's own data centre.
 	Home centre.ID
+	// Hosts returns the number of entry hosts, this one included; nil stands for one.
+	Hosts func() int
+
+	arrivals arrivals
 }
 
 // pick is the choice for one attempt.
@@ -75,6 +79,9 @@
 // Endpoints that leave or have asked for a pause are never chosen, those that failed a moment ago only when there is
 // no other.
 func (c *Choice) Pick(all []*target.Target, w *work.Work, used func(*target.Target) bool, now time.Time) pick {
+	if w.PromptTokens == 0 {
+		return c.spread(all, w, used, now)
+	}
 	var best, second pick
 	preferred := prefer(all, w.Session(), now)
 	sample := c.sample(all)
@@ -223,10 +230,7 @@
 // estimate returns the choice of one endpoint and its cost; donor is known to have all but known tokens of the prompt.
 func (c *Choice) estimate(t *target.Target, w *work.Work, preferred, donor *target.Target, known int64, now time.Time) pick {
 	running, prefill := t.Busy(now)
-	slots := t.Slots()
-	if slots <= 0 {
-		slots = defaultSlots
-	}
+	slots := slotsOf(t)
 	p := pick{Target: t, Unread: t.Uncached(w, now)}
 	if w.PromptTokens > 0 {
 		again := c.share(&p, w, preferred, donor, known)
@@ -246,6 +250,14 @@
 	return p
 }
 
+// slotsOf returns the number of requests that an endpoint runs at one time, a guess while that is not known.
+func slotsOf(t *target.Target) int {
+	if slots := t.Slots(); slots > 0 {
+		return slots
+	}
+	return defaultSlots
+}
+
 // share decides what the endpoint fetches, corrects what it must read, and returns the shared tokens that it is likely
 // to read though another endpoint has.
 //
--- a/coordination/polls/polls_test.go
+++ b/coordination/polls/polls_test.go
@@ -138,6 +138,7 @@
 func (m *member) Paces() paces.Paces {
 	return paces.Paces{Hosts: len(m.fleet.live), Role: m.polls.Role(), Listed: true, Drain: drain, Apply: drain}
 }
+
 func (m *member) Live(time.Time) []pulse.Pulse { return append([]pulse.Pulse(nil), m.fleet.live...) }
 func (m *member) Tight(now time.Time) bool     { return m.rates.Tight(now) }
 
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -191,7 +191,7 @@
 	s.scores = &score.Score{}
 	s.fleet = &fleet.Fleet{Self: s.Host, Timeout: silenceTime}
 	s.Rates = &rates.Rates{Hosts: s.hosts, Slack: s.RateSlack, Window: s.RateWindow, Rand: rand.Float64, Started: time.Now()}
-	s.Choice = &choose.Choice{Rand: rand.Float64, Speed: s.speed, Home: s.DataCentre}
+	s.Choice = &choose.Choice{Rand: rand.Float64, Speed: s.speed, Home: s.DataCentre, Hosts: s.hosts}
 	s.Pass = &pass.Pass{
 		Endpoints: s.Depot,
 		Choice:    s.Choice,
