Give sessions two homes, and let them count unless an endpoint is known to have more of the prompt

A host of many knows of nearly every endpoint that it has the first part of a prompt, which thousands of requests share, and of hardly any that it has the session's. Any such endpoint was taken for the best donor, and the session's home by rendezvous was never asked for.

The two endpoints that rank highest for a session are its homes; each fetches from the other, and others from the first. They count unless an endpoint is known to have as many tokens of the prompt as a home is taken to have.

--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -18,8 +18,10 @@
 	queueTime = 60 * time.Millisecond
 	// awayTime is what another data centre counts for, beside the time on the wire: bytes between them are priced.
 	awayTime = 8 * time.Millisecond
-	// hashPart is the part of a prompt's shared tokens that the endpoint which a session's hash prefers is taken to know.
-	hashPart = 0.6
+	// homePart is the part of a prompt's shared tokens that the two homes of a session are taken to know between them, and
+	// strayPart that which another endpoint gets from the first of them.
+	homePart  = 0.85
+	strayPart = 0.6
 	// againPart is what reading shared tokens once more counts for beside the time that it takes, as a part of that time:
 	// the work is paid for.
 	againPart = 2.0
@@ -83,17 +85,17 @@
 		return c.spread(all, w, used, now)
 	}
 	var best, second pick
-	preferred := prefer(all, w.Session(), now)
+	homes := homesOf(all, w.Session(), now)
 	sample := c.sample(all)
 	donor, known := richest(all, w, now)
 	for _, t := range all {
 		if !open(t, now) || used(t) {
 			continue
 		}
-		if sample != nil && t != preferred && t != donor && !sample[t] {
+		if sample != nil && !homes.has(t) && t != donor && !sample[t] {
 			continue
 		}
-		p := c.estimate(t, w, preferred, donor, known, now)
+		p := c.estimate(t, w, homes, donor, known, now)
 		switch {
 		case paused(t, now):
 			second = better(second, p)
@@ -145,7 +147,7 @@
 func (c *Choice) any(all []*target.Target, w *work.Work, used func(*target.Target) bool, now time.Time) pick {
 	for _, t := range all {
 		if open(t, now) && !used(t) {
-			return c.estimate(t, w, nil, nil, 0, now)
+			return c.estimate(t, w, homes{}, nil, 0, now)
 		}
 	}
 	return pick{}
@@ -192,22 +194,40 @@
 	return ""
 }
 
-// prefer returns the endpoint that ranks highest for a session by rendezvous hash, nil without a session.
-func prefer(all []*target.Target, session uint64, now time.Time) *target.Target {
+// homes are the two endpoints that keep a session's shared parts, as far as all hosts agree without a word; nil ones are missing.
+type homes struct{ first, second *target.Target }
+
+// homesOf returns the endpoints that rank highest for a session by rendezvous hash, none without a session.
+func homesOf(all []*target.Target, session uint64, now time.Time) homes {
+	var h homes
 	if session == 0 {
-		return nil
+		return h
 	}
-	var best *target.Target
-	highest := uint64(0)
+	var highest, next uint64
 	for _, t := range all {
 		if !open(t, now) {
 			continue
 		}
-		if rank := mix(t.Hash() ^ session); best == nil || rank > highest {
-			best, highest = t, rank
+		rank := mix(t.Hash() ^ session)
+		switch {
+		case h.first == nil || rank > highest:
+			h.first, h.second = t, h.first
+			highest, next = rank, highest
+		case h.second == nil || rank > next:
+			h.second, next = t, rank
 		}
 	}
-	return best
+	return h
+}
+
+func (h homes) has(t *target.Target) bool { return t == h.first || t == h.second }
+
+// other returns the home from which an endpoint fetches what it lacks, nil for none.
+func (h homes) other(t *target.Target) *target.Target {
+	if t == h.first {
+		return h.second
+	}
+	return h.first
 }
 
 // mix spreads the bits of a hash (the finalizer of SplitMix64).
@@ -228,12 +248,12 @@
 }
 
 // estimate returns the choice of one endpoint and its cost; donor is known to have all but known tokens of the prompt.
-func (c *Choice) estimate(t *target.Target, w *work.Work, preferred, donor *target.Target, known int64, now time.Time) pick {
+func (c *Choice) estimate(t *target.Target, w *work.Work, home homes, donor *target.Target, known int64, now time.Time) pick {
 	running, prefill := t.Busy(now)
 	slots := slotsOf(t)
 	p := pick{Target: t, Unread: t.Uncached(w, now)}
 	if w.PromptTokens > 0 {
-		again := c.share(&p, w, preferred, donor, known)
+		again := c.share(&p, w, home, donor, known)
 		p.First = times(t.Slow(), c.Speed.First(w.Backend, prefill+p.Unread))
 		p.cost = times(againPart, c.Speed.First(w.Backend, again)-c.Speed.First(w.Backend, 0))
 	}
@@ -241,7 +261,7 @@
 		p.First += time.Duration(over) * queueTime
 	}
 	p.cost += p.First + time.Duration(running)*runTime + time.Duration(c.Rand()*float64(jitter))
-	if p.Donor != nil {
+	if p.Donor != nil && !home.has(t) {
 		p.cost += fetchTime
 	}
 	if t.Row().DataCentre != c.Home {
@@ -261,24 +281,32 @@
 // share decides what the endpoint fetches, corrects what it must read, and returns the shared tokens that it is likely
 // to read though another endpoint has.
 //
-// Without knowledge, the endpoint that a session's hash prefers is taken for one that knows the session.
-func (c *Choice) share(p *pick, w *work.Work, preferred, donor *target.Target, known int64) (again int64) {
+// Where no endpoint is known to have as much, the session's homes are taken for endpoints that know it; each fetches from the
+// other what it lacks. Nearly all endpoints have the first part of a prompt, which says nothing of the others.
+func (c *Choice) share(p *pick, w *work.Work, home homes, donor *target.Target, known int64) (again int64) {
 	shared := w.Shared()
 	if p.Unread <= w.PromptTokens-shared {
 		return 0
 	}
-	if donor != nil && donor != p.Target && p.Unread-known >= fetchTokens {
-		p.Donor, p.Unread = donor, known
-		return 0
+	part := strayPart
+	if home.has(p.Target) {
+		part = homePart
 	}
-	if donor != nil || preferred == nil || shared < fetchTokens {
+	guess := int64(part * float64(shared))
+	if home.first == nil || shared < fetchTokens {
+		guess = 0
+	}
+	if donor != nil && w.PromptTokens-known >= guess {
+		if donor != p.Target && p.Unread-known >= fetchTokens {
+			p.Donor, p.Unread = donor, known
+		}
 		return 0
 	}
-	guess := int64(hashPart * float64(shared))
-	p.Unread -= guess
-	if p.Target != preferred {
-		p.Donor = preferred
+	if guess == 0 {
+		return 0
 	}
+	p.Unread = min(p.Unread, w.PromptTokens-guess)
+	p.Donor = home.other(p.Target)
 	return shared - guess
 }
 
