Fit the engines' speed over the samples of all hosts, and remember peaks of load in its own units

Hosts tell the sums of their samples, and the line is fitted over those of all (protocol/fit, in place of an average of the hosts' lines): it is known after a second. Peaks are kept of tokens per second and of running requests, and turned into endpoints by the speed that is known now. A request with a donor is a sample where the shared part is small.

--- a/coordination/pass/pass.go
+++ b/coordination/pass/pass.go
@@ -28,6 +28,9 @@
 	leaveWait = 50 * time.Millisecond
 	// patiencePart is the part of the time left that an endpoint may take before a repeatable request goes elsewhere.
 	patiencePart = 0.4
+	// sureShared is the largest shared part of a prompt, in terms of what is to be read, with which a request still shows how
+	// fast an engine reads though it is not known what the engine had kept.
+	sureShared = 0.3
 )
 
 type exchange interface {
@@ -195,7 +198,7 @@
 	})
 	now = p.Now()
 	t.Observe(r, p.expected(j.work, ahead+unread), now)
-	if ahead == 0 && donor == nil && r.First > 0 && unread > 0 {
+	if ahead == 0 && r.First > 0 && unread > 0 && (donor == nil || float64(j.work.Shared()) < sureShared*float64(unread)) {
 		p.Speed.Add(j.work.Backend, unread, r.First)
 	}
 	p.note(j, t, r, now)
--- a/protocol/sums/sums.go
+++ b/protocol/sums/sums.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 )
 
@@ -24,10 +25,8 @@
 	Brief bool `json:"brief,omitempty"`
 	// Prefill is the prompt tokens per second that go from them to each back end.
 	Prefill map[label.Name]float64 `json:"prefill,omitempty"`
-	// Paced counts the hosts that have seen how fast the engines of a back end read, and Pace adds up what they saw, in
-	// seconds for a prompt token.
-	Paced map[label.Name]int     `json:"paced,omitempty"`
-	Pace  map[label.Name]float64 `json:"pace,omitempty"`
+	// Speed is what they saw of the engines' speed by back end: seconds to the first token by prompt tokens.
+	Speed map[label.Name]fit.Fit `json:"speed,omitempty"`
 	// Sent counts their requests in flight by endpoint.
 	Sent map[string]int `json:"sent,omitempty"`
 	// Unread counts the prompt tokens in flight that an endpoint has not begun to answer, by endpoint.
@@ -42,8 +41,12 @@
 	s.Seasoned += other.Seasoned
 	s.Aged += other.Aged
 	s.Prefill = added(s.Prefill, other.Prefill, 1)
-	s.Paced = added(s.Paced, other.Paced, 1)
-	s.Pace = added(s.Pace, other.Pace, 1)
+	for backend, seen := range other.Speed {
+		if s.Speed == nil {
+			s.Speed = make(map[label.Name]fit.Fit, len(other.Speed))
+		}
+		s.Speed[backend] = s.Speed[backend].Plus(seen)
+	}
 	s.Sent = added(s.Sent, other.Sent, 1)
 	s.Unread = added(s.Unread, other.Unread, 1)
 }
@@ -68,16 +71,6 @@
 	return &out
 }
 
-// Rates returns the prompt tokens per second that an engine of each back end reads, on the average of what was seen. It
-// averages times, as a host that has seen little may take the engines for many times as fast, and never for as slow.
-func (s *Sums) Rates() map[label.Name]float64 {
-	out := make(map[label.Name]float64, len(s.Pace))
-	for backend, pace := range s.Pace {
-		out[backend] = float64(s.Paced[backend]) / pace
-	}
-	return out
-}
-
 // Without returns the figures less those of hosts that are in them, but for what was seen of the engines; none
 // falls below nought.
 func (s *Sums) Without(part *Sums) *Sums {
--- a/state/flow/flow.go
+++ b/state/flow/flow.go
@@ -26,9 +26,10 @@
 //
 // All methods may be called concurrently.
 type Flow struct {
-	mu    sync.Mutex
-	own   map[label.Name]mean
-	peaks map[label.Name]mean
+	mu  sync.Mutex
+	own map[label.Name]mean
+	// reading and running hold the peaks of the tokens per second and of the requests at one time.
+	reading, running peaks
 	// others is what goes to back ends from all peers together, as of othersAt.
 	others   map[label.Name]float64
 	othersAt time.Time
@@ -80,18 +81,35 @@
 	return sum
 }
 
-// Peak returns the largest recent value for a back end; the memory of one fades.
-func (f *Flow) Peak(backend label.Name, value float64, now time.Time) float64 {
+// PeakReading returns the largest recent number of tokens per second that go to a back end; the memory of it fades.
+//
+// Peaks hold the load itself, not what the engines' speed makes of it: that may turn out to be other than was thought.
+func (f *Flow) PeakReading(backend label.Name, tokens float64, now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reading.raise(backend, tokens, now)
+}
+
+// PeakRunning returns the largest recent number of requests that run at a back end; the memory of it fades.
+func (f *Flow) PeakRunning(backend label.Name, requests float64, now time.Time) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.peaks == nil {
-		f.peaks = map[label.Name]mean{}
+	return f.running.raise(backend, requests, now)
+}
+
+// peaks holds the largest recent value of each back end.
+type peaks map[label.Name]mean
+
+// raise takes a value and returns the largest recent one.
+func (p *peaks) raise(backend label.Name, value float64, now time.Time) float64 {
+	if *p == nil {
+		*p = peaks{}
 	}
-	peak := f.peaks[backend]
+	peak := (*p)[backend]
 	faded := peak.value * float64(peakTime) / float64(peakTime+max(0, now.Sub(peak.at)))
-	if value >= faded {
-		f.peaks[backend] = mean{value: value, at: now}
-		return value
+	if value < faded {
+		return faded
 	}
-	return faded
+	(*p)[backend] = mean{value: value, at: now}
+	return value
 }
--- a/state/speed/speed.go
+++ b/state/speed/speed.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/fit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
-	"github.com/dragonflyroute/dragonflyroute/state/line"
 )
 
 const (
@@ -22,89 +22,59 @@
 	mostBase = 500 * time.Millisecond
 )
 
-// Speed fits the time to the first token to the number of prompt tokens read, for each back end.
+// Speed fits the time to the first token to the number of prompt tokens read, for each back end, over what all hosts saw.
 //
 // All methods may be called concurrently.
 type Speed struct {
-	mu    sync.Mutex
-	lines map[label.Name]*line.Line
-	// told is the rate that the peers have seen on the average.
-	told map[label.Name]float64
-}
-
-func (s *Speed) line(backend label.Name) *line.Line {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.lines == nil {
-		s.lines = map[label.Name]*line.Line{}
-	}
-	l := s.lines[backend]
-	if l == nil {
-		l = &line.Line{}
-		s.lines[backend] = l
-	}
-	return l
+	mu     sync.Mutex
+	own    map[label.Name]fit.Fit
+	others map[label.Name]fit.Fit
 }
 
 // Add takes the time to the first token of a request that had to wait for no other.
 func (s *Speed) Add(backend label.Name, tokens int64, first time.Duration) {
-	s.line(backend).Add(float64(tokens), first.Seconds())
-}
-
-// Rate returns the tokens per second that one engine reads; known is false while that is a guess.
-//
-// What the peers have told, averaged, goes before what the process has seen itself: it rests on more requests.
-func (s *Speed) Rate(backend label.Name) (rate float64, known bool) {
-	if rate := s.heard(backend); rate > 0 {
-		return rate, true
-	}
-	if rate, seen := s.seen(backend); seen {
-		return rate, true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.own == nil {
+		s.own = map[label.Name]fit.Fit{}
 	}
-	return defaultRate, false
+	s.own[backend] = s.own[backend].Sampled(float64(tokens), first.Seconds())
 }
 
-func (s *Speed) heard(backend label.Name) float64 {
+// Own returns what this process has seen.
+func (s *Speed) Own() map[label.Name]fit.Fit {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.told[backend]
+	return maps.Clone(s.own)
 }
 
-func (s *Speed) seen(backend label.Name) (rate float64, seen bool) {
-	_, slope, known := s.line(backend).Fit()
-	if !known || slope <= 1.0/mostRate {
-		return 0, false
-	}
-	return max(leastRate, 1/slope), true
+// HearAll takes what all other hosts have seen together.
+func (s *Speed) HearAll(seen map[label.Name]fit.Fit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.others = seen
 }
 
-// Seen returns the rates that this process has seen itself.
-func (s *Speed) Seen(backends []label.Name) map[label.Name]float64 {
-	out := map[label.Name]float64{}
-	for _, backend := range backends {
-		if rate, seen := s.seen(backend); seen {
-			out[backend] = rate
-		}
-	}
-	return out
+// Rate returns the tokens per second that one engine reads; known is false while that is a guess.
+func (s *Speed) Rate(backend label.Name) (rate float64, known bool) {
+	_, rate, known = s.line(backend)
+	return rate, known
 }
 
-// HearAll takes the rates that all peers have seen on the average, in place of what was told before.
-func (s *Speed) HearAll(rates map[label.Name]float64) {
+// line returns the time that passes beside the reading, and the tokens per second.
+func (s *Speed) line(backend label.Name) (base time.Duration, rate float64, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.told == nil {
-		s.told = map[label.Name]float64{}
+	start, slope, known := s.own[backend].Plus(s.others[backend]).Line()
+	if !known || slope <= 1.0/mostRate {
+		return defaultBase, defaultRate, false
 	}
-	maps.Copy(s.told, rates)
+	base = time.Duration(min(mostBase.Seconds(), max(0, start)) * float64(time.Second))
+	return base, max(leastRate, 1/slope), true
 }
 
 // First returns the expected time to the first token when the given number of tokens must be read before it.
 func (s *Speed) First(backend label.Name, tokens int64) time.Duration {
-	rate, _ := s.Rate(backend)
-	base := defaultBase
-	if fitted, _, known := s.line(backend).Fit(); known {
-		base = time.Duration(min(mostBase.Seconds(), max(0, fitted)) * float64(time.Second))
-	}
+	base, rate, _ := s.line(backend)
 	return base + time.Duration(float64(tokens)/rate*float64(time.Second))
 }
--- a/transport/site/beats.go
+++ b/transport/site/beats.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
-	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/pulse"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/sums"
@@ -49,15 +48,11 @@
 		Hosts:    1,
 		Seasoned: s.Rates.Age(now),
 		Prefill:  s.flow.Own(now),
-		Paced:    map[label.Name]int{},
-		Pace:     map[label.Name]float64{},
+		Speed:    s.speed.Own(),
 		Sent:     map[string]int{},
 		Unread:   map[string]int64{},
 	}
 	out.Demand, out.Used = s.Rates.Own(now)
-	for backend, rate := range s.speed.Seen(s.engines()) {
-		out.Paced[backend], out.Pace[backend] = 1, 1/rate
-	}
 	for _, t := range s.Depot.All() {
 		running, unread := t.Own()
 		id := string(t.Row().ID)
@@ -79,7 +74,7 @@
 	}
 	scale := float64(s.hosts()-1) / float64(rest.Hosts)
 	s.Rates.HearSums(rest, now)
-	s.speed.HearAll(rest.Rates())
+	s.speed.HearAll(rest.Speed)
 	s.flow.HearAll(scaled(rest.Prefill, scale), now)
 	for _, t := range s.Depot.All() {
 		id := string(t.Row().ID)
@@ -128,21 +123,6 @@
 	}
 }
 
-// engines returns the names of the back ends of model engines.
-func (s *Site) engines() []label.Name {
-	now := s.Policy.Rules()
-	if now == nil {
-		return nil
-	}
-	var out []label.Name
-	for i := range now.Backs {
-		if now.Backs[i].Engine {
-			out = append(out, now.Backs[i].Name)
-		}
-	}
-	return out
-}
-
 func scaled[K comparable](values map[K]float64, scale float64) map[K]float64 {
 	out := make(map[K]float64, len(values))
 	for k, v := range values {
--- a/transport/site/duties.go
+++ b/transport/site/duties.go
@@ -75,12 +75,11 @@
 	}
 }
 
-// demand returns a back end's demand in endpoints' worth: of the time spent on reading prompts or of the requests that
-// run at one time, whichever is larger.
+// demand returns a back end's recent peak of demand in endpoints' worth: of the time spent on reading prompts or of the requests
+// that run at one time, whichever is larger.
 func (s *Site) demand(backend label.Name, now time.Time) (demand float64, known bool) {
 	rate, known := s.speed.Rate(backend)
 	reading := s.flow.Sum(backend, now)
-	demand = reading / rate
 	running, slots := 0.0, 0.0
 	all := s.Depot.Of(backend)
 	for _, t := range all {
@@ -88,13 +87,9 @@
 		running += float64(n)
 		slots += float64(t.Slots())
 	}
-	if slots > 0 {
-		demand = max(demand, running*float64(len(all))/slots)
-	}
-	peak := demand
-	if known {
-		peak = s.flow.Peak(backend, demand, now)
-	}
+	each := max(1, slots/float64(max(1, len(all))))
+	demand = max(reading/rate, running/each)
+	peak := max(s.flow.PeakReading(backend, reading, now)/rate, s.flow.PeakRunning(backend, running, now)/each)
 	s.tellDemand(backend, now, "reading-tokens", int64(reading), "engine-tokens", int64(rate), "known", known, "running", running, "slots", slots, "demand", demand, "peak", peak)
 	return peak, known
 }
