Tell in a refusal over an account's rate what decided it, and how old that was

The line of a refused request named the account only; which part of the rate, of what figures, could not be told from the logs. Change. rates.Admit returns the refusal: units admitted and allowed in the window, the demand, the age of the others' figures, or the host's own part. No figures: decisions are the same.

--- a/coordination/polls/polls_test.go
+++ b/coordination/polls/polls_test.go
@@ -222,7 +222,7 @@
 		size := sizes[f.chance.IntN(len(sizes))]
 		t.asked++
 		t.bySize[size]++
-		if _, ok := f.hosts[f.chance.IntN(len(f.hosts))].rates.Admit(&t.account, size, f.now); ok {
+		if err := f.hosts[f.chance.IntN(len(f.hosts))].rates.Admit(&t.account, size, f.now); err == nil {
 			sum += size
 			continue
 		}
--- a/coordination/rates/rates.go
+++ b/coordination/rates/rates.go
@@ -2,11 +2,14 @@
 package rates
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/client"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/sums"
 )
 
@@ -66,10 +69,11 @@
 	own bucket
 }
 
-// Admit takes cost units of an account's rate, or returns the time until the account may come back.
-func (r *Rates) Admit(c *client.Client, cost float64, now time.Time) (wait time.Duration, ok bool) {
+// Admit takes cost units of an account's rate, or returns an OverLimit error with what decided it and the time until the account
+// may come back.
+func (r *Rates) Admit(c *client.Client, cost float64, now time.Time) error {
 	if c.Rate <= 0 {
-		return 0, true
+		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -81,16 +85,31 @@
 		l.own.begin(cost)
 	}
 	l.asked = true
+	if err := r.decide(c, l, cost, now); err != nil {
+		return err
+	}
+	l.own.take(cost)
+	l.window.add(cost, now, r.length())
+	return nil
+}
+
+func (r *Rates) decide(c *client.Client, l *line, cost float64, now time.Time) error {
 	if r.known(now) {
-		wait, ok = r.thin(c, l, cost, now)
-	} else {
-		wait, ok = l.own.admit(cost, r.Slack/float64(max(1, r.Hosts())))
+		s := r.standing(c, l, now)
+		if wait, ok := r.thin(l, s.part(), cost, now); !ok {
+			return over(c, "the hosts admitted %.0f of %.0f units in the window and are asked for %.0f a second, by figures %d ms old", s.used, s.allowed, s.demand, s.lag.Milliseconds()).After(wait)
+		}
+		return nil
 	}
-	if ok {
-		l.own.take(cost)
-		l.window.add(cost, now, r.length())
+	if wait, ok := l.own.admit(cost, r.Slack/float64(max(1, r.Hosts()))); !ok {
+		return over(c, "the other hosts' figures are not known, and this one has %.0f units left of its part of %.0f a second", l.own.balance, l.own.rate).After(wait)
 	}
-	return wait, ok
+	return nil
+}
+
+// over makes the refusal of an account.
+func over(c *client.Client, reason string, args ...any) *fault.Error {
+	return fault.New(kind.OverLimit, "account", "account %s is over its rate: %s", c.Name, fmt.Sprintf(reason, args...))
 }
 
 // length is the length of the window that is kept.
--- a/coordination/rates/rates_test.go
+++ b/coordination/rates/rates_test.go
@@ -81,7 +81,7 @@
 	for h := range all {
 		for k := range 1 + h%3 {
 			size := f.sizes[(i+h+k)%len(f.sizes)]
-			if _, ok := all[h].Admit(&f.account, size, now); ok {
+			if err := all[h].Admit(&f.account, size, now); err == nil {
 				sum += size
 			}
 		}
@@ -183,9 +183,9 @@
 				break
 			}
 			size := sizes[chance.IntN(len(sizes))]
-			_, ok := all[chance.IntN(len(all))].Admit(&b.account, size, now)
+			err := all[chance.IntN(len(all))].Admit(&b.account, size, now)
 			switch {
-			case ok:
+			case err == nil:
 				admitted++
 				b.units[i] += size
 			case i > knownSteps:
@@ -357,7 +357,7 @@
 				Hosts: 120, Seasoned: 120,
 				Demand: map[acct.ID]float64{"calm": 2 * 0.6 * account.Rate}, Used: map[acct.ID]float64{"calm": 2 * 0.6 * windowTime * account.Rate},
 			}, now)
-			if _, ok := r.Admit(account, 30, now); !ok {
+			if err := r.Admit(account, 30, now); err != nil {
 				refused++
 			}
 		}
@@ -369,14 +369,12 @@
 		account := &client.Client{Name: "calm", Rate: 36_000, Burst: 36_000, Tokens: true}
 		for range 85 {
 			r := &rates.Rates{Hosts: func() int { return 85 }, Slack: 140_000, Window: windowTime * time.Second, Rand: rand.Float64, Started: now}
-			_, ok := r.Admit(account, 2_400, now.Add(100*time.Millisecond))
-			Expect(ok).To(BeTrue())
+			Expect(r.Admit(account, 2_400, now.Add(100*time.Millisecond))).To(Succeed())
 		}
 	})
 
 	It("takes an account without a rate for unlimited", func() {
 		r := &rates.Rates{Hosts: func() int { return 1 }}
-		_, ok := r.Admit(&client.Client{Name: "free"}, 1e9, time.Unix(1000, 0))
-		Expect(ok).To(BeTrue())
+		Expect(r.Admit(&client.Client{Name: "free"}, 1e9, time.Unix(1000, 0))).To(Succeed())
 	})
 })
--- a/coordination/rates/thin.go
+++ b/coordination/rates/thin.go
@@ -31,10 +31,9 @@
 	mostBack  = 2 * time.Second
 )
 
-// thin admits the part of the requests that fits into the account's rate over all hosts: no host has a part of its own that
-// is smaller than a request, or that it could leave unused.
-func (r *Rates) thin(c *client.Client, l *line, cost float64, now time.Time) (wait time.Duration, ok bool) {
-	part := r.fitting(c, l, now)
+// thin admits a part of the requests, all of them from 1 on: no host has a part of the rate that is smaller than a request, or that
+// it could leave unused.
+func (r *Rates) thin(l *line, part, cost float64, now time.Time) (wait time.Duration, ok bool) {
 	l.admitted.add(part, max(r.lag(now), demandTime), now)
 	if part >= 1 {
 		l.owed = 0
@@ -60,25 +59,35 @@
 	return min(mostBack, time.Duration(float64(leastBack)/max(part, 0.01)))
 }
 
-// fitting returns the part of the units asked for now that may be admitted; 1 and more is all of them.
-//
-// What is left of the window of all hosts is given out over a while, beside the rate.
-func (r *Rates) fitting(c *client.Client, l *line, now time.Time) float64 {
-	seasoned := r.seasoned(now)
+// standing is how an account stands over all hosts, as far as is known.
+type standing struct {
+	// used is the units that were admitted in the window, allowed those that may be.
+	used, allowed float64
+	// demand is the units asked for per second, and given those that are given out.
+	demand, given float64
+	// lag is the age of the other hosts' figures.
+	lag time.Duration
+}
+
+// part returns the part of the units asked for that may be admitted now; 1 and more is all of them.
+func (s standing) part() float64 { return s.given / max(s.demand, 1) }
+
+// standing finds out how an account stands. What is left of the window of all hosts is given out over a while, beside the rate.
+func (r *Rates) standing(c *client.Client, l *line, now time.Time) standing {
 	lag := r.lag(now)
 	own := l.demand.at(now)
 	others, used := 0.0, 0.0
 	if r.young(now) {
 		others, used = r.scale()*r.sums.Demand[c.Name], r.scale()*r.sums.Used[c.Name]
 	}
-	demand := max(own+others, r.surge(l, now))
+	s := standing{demand: max(own+others, r.surge(l, now)), lag: lag}
 	// What the others have admitted since is not in their figures, nor what has left their windows.
-	late := lag.Seconds() * max(0, (demand-own)*l.admitted.value-used/r.Window.Seconds())
-	used += late + l.window.sum(now, r.length())
-	left := r.allowed(c, demand, lag)*seasoned - used
+	late := lag.Seconds() * max(0, (s.demand-own)*l.admitted.value-used/r.Window.Seconds())
+	s.used = used + late + l.window.sum(now, r.length())
+	s.allowed = r.allowed(c, s.demand, lag) * r.seasoned(now)
 	spread := max(leastSpread, time.Duration(spreadLags*float64(lag)))
-	given := max(0, c.Rate+left/spread.Seconds())
-	return given / max(demand, 1)
+	s.given = max(0, c.Rate+(s.allowed-s.used)/spread.Seconds())
+	return s
 }
 
 // allowed returns the units of a window that are given out. What a rise of the demand admits before the figures show it is
