--- a/coordination/rates/rates.go
+++ b/coordination/rates/rates.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -148,17 +149,18 @@
 	return r.sums != nil && r.sums.Hosts > 0 && now.Sub(r.sumsAt) < sumsAge
 }
 
-// Own returns what each account asks for here, in units per second, and what was admitted in the last window.
+// Own returns what each account asks for here, in units per second, and what was admitted in the last window, both in whole units
+// as they are told often.
 func (r *Rates) Own(now time.Time) (demand, used map[acct.ID]float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	demand, used = map[acct.ID]float64{}, map[acct.ID]float64{}
 	for account, l := range r.lines {
 		if d := l.demand.at(now); d >= 1 {
-			demand[account] = d
+			demand[account] = math.Floor(d)
 		}
 		if u := l.window.sum(now, r.length()); u > 0 {
-			used[account] = u
+			used[account] = math.Floor(u)
 		}
 	}
 	return demand, used
--- a/coordination/rates/thin.go
+++ b/coordination/rates/thin.go
@@ -107,9 +107,8 @@
 	return l.demand.at(now) * float64(r.Hosts()) / mostShare
 }
 
-// scale is the number of other hosts for each one in the figures; below 1, some are in them twice, as they have changed the
-// host that they tell theirs.
-func (r *Rates) scale() float64 { return float64(r.Hosts()-1) / float64(r.sums.Hosts) }
+// scale is the number of other hosts for each one in the figures.
+func (r *Rates) scale() float64 { return r.sums.Scale(r.Hosts() - 1) }
 
 // lag returns the age of the other hosts' figures, on their average.
 func (r *Rates) lag(now time.Time) time.Duration {
--- a/coordination/tally/tally_test.go
+++ b/coordination/tally/tally_test.go
@@ -85,6 +85,25 @@
 		Expect(1 / slope).To(BeNumerically("~", 55_000, 2_000))
 	})
 
+	It("takes brief figures for those of accounts alone, and leaves a host's others as they were", func() {
+		t := &tally.Tally{}
+		t.Hear("a", figures(10), now)
+		t.Hear("a", (&sums.Sums{Hosts: 1, Demand: map[acct.ID]float64{"mutual": 25}}).Accounts(), now.Add(time.Second))
+		others := t.Others(now.Add(time.Second))
+		Expect(others.Demand).To(HaveKeyWithValue(acct.ID("mutual"), 25.0))
+		Expect(others.Unread).To(HaveKeyWithValue("e", int64(10)))
+	})
+
+	It("tells how old figures are on their average, through groups too", func() {
+		t, head := &tally.Tally{}, &tally.Tally{}
+		t.Hear("a", figures(1), now)
+		t.Hear("b", figures(1), now.Add(200*time.Millisecond))
+		head.HearGroup("t", t.Group(figures(1), now.Add(400*time.Millisecond)), now.Add(400*time.Millisecond))
+		others := head.Others(now.Add(500 * time.Millisecond))
+		Expect(others.Hosts).To(Equal(3))
+		Expect(others.Aged).To(BeNumerically("~", 0.5+0.3+0.1, 1e-6))
+	})
+
 	It("gives figures without a part that fall to nought, and none below", func() {
 		left := figures(3).Without(&sums.Sums{Hosts: 9, Demand: map[acct.ID]float64{"mutual": 3, "other": 1}, Sent: map[string]int{"e": 1}})
 		Expect(left.Hosts).To(Equal(0))
--- a/protocol/sums/sums.go
+++ b/protocol/sums/sums.go
@@ -51,6 +51,10 @@
 	s.Unread = added(s.Unread, other.Unread, 1)
 }
 
+// Scale returns by how much the figures are to be multiplied to stand for a number of hosts; they must hold one at least. Below 1,
+// some are in them twice, as they have changed the host that they tell theirs.
+func (s *Sums) Scale(hosts int) float64 { return float64(hosts) / float64(s.Hosts) }
+
 // Accounts returns only the figures of accounts.
 func (s *Sums) Accounts() *Sums {
 	return &Sums{Hosts: s.Hosts, Demand: s.Demand, Used: s.Used, Seasoned: s.Seasoned, Aged: s.Aged, Brief: true}
--- a/transport/site/beats.go
+++ b/transport/site/beats.go
@@ -72,7 +72,7 @@
 	if rest.Hosts == 0 {
 		return
 	}
-	scale := float64(s.hosts()-1) / float64(rest.Hosts)
+	scale := rest.Scale(s.hosts() - 1)
 	s.Rates.HearSums(rest, now)
 	s.speed.HearAll(rest.Speed)
 	s.flow.HearAll(scaled(rest.Prefill, scale), now)
