Refuse at a stop streams that may generate more than there is time for, and read an outage's end although another host tells its old view

(2) test/scene 'serves through an outage of the store, then takes the change that came after it' failed: two hosts of a small fleet told each other the view from before the outage for 60 s, each took it for synced again, and asked the store for changes after a version whose history was gone.

Streams of a back end tell the time of a token, and a stream is expected to take as long as what it may generate, a guess until one was seen. The package of the fitted line has a name of the house style.

Tests, both failed first: pass 'refuses at a stopping host a stream that may generate more', follow 'reads the whole table after an outage in which the history was forgotten'.

--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -199,10 +199,11 @@
 		f.hearReturn(asked.Add(-time.Duration(n.BackMillis) * time.Millisecond))
 	}
 	age := time.Duration(n.AgeMillis) * time.Millisecond
-	if age < toldOutage {
-		// Where nobody has an answer, the outage goes on.
-		f.failures = 0
+	if f.failures > 0 && age >= toldOutage {
+		// The other host has no answer either: the outage goes on here, and its end is read here.
+		return false
 	}
+	f.failures = 0
 	f.apply(n.Rows, n.Version, n.Whole(), asked.Add(-age))
 	return true
 }
--- a/coordination/follow/follow_test.go
+++ b/coordination/follow/follow_test.go
@@ -156,6 +156,27 @@
 			Expect(returned).To(Equal([]time.Duration{100 * time.Millisecond}))
 		})
 
+		It("reads the whole table after an outage in which the history was forgotten, though another host tells its old view all the while", func() {
+			now := time.Unix(1000, 0)
+			gone := fault.New(kind.Conflict, "", "history gone")
+			down := fault.New(kind.OutcomeUnknown, "", "no answer")
+			s := &source{script: []error{down, down, down, gone, gone, gone, gone}, end: func() {}}
+			f := &follow.Follow{
+				Name: "t", Source: s, Whole: func([]record.Record) {}, Changed: func([]record.Record) {}, Now: func() time.Time { return now }, Log: hclog.NewNullLogger(),
+			}
+			Expect(f.Read(context.Background())).To(Succeed())
+			for range 4 {
+				now = now.Add(time.Second)
+				_ = f.Read(context.Background())
+				old := now.Sub(time.Unix(1000, 0))
+				f.Offer(&news.News{Since: f.Version(), Version: 10, AgeMillis: old.Milliseconds(), BackMillis: -1}, now)
+			}
+			Expect(s.snapshots).To(BeNumerically(">=", 2))
+			age, known := f.Age()
+			Expect(known).To(BeTrue())
+			Expect(age).To(BeNumerically("<", 4*time.Second))
+		})
+
 		It("may be asked for its version while it decides whether to read", func() {
 			f.Rest = func(age time.Duration, _ bool) time.Duration { return time.Duration(f.Version()) - age }
 			Expect(f.Offer(&whole, at)).To(BeTrue())
--- a/coordination/pass/pass.go
+++ b/coordination/pass/pass.go
@@ -28,6 +28,8 @@
 	leaveWait = 50 * time.Millisecond
 	// patiencePart is the part of the time left that an endpoint may take before a repeatable request goes elsewhere.
 	patiencePart = 0.4
+	// stopMargin is how many times its expected time a stream must have at a host that stops.
+	stopMargin = 1.25
 	// sureShared is the largest shared part of a prompt, in terms of what is to be read, with which a request still shows how
 	// fast an engine reads though it is not known what the engine had kept.
 	sureShared = 0.3
@@ -70,6 +72,10 @@
 	Observe(route label.Name, took time.Duration)
 	// Longest returns about the longest time that a request of the route took lately.
 	Longest(route label.Name) time.Duration
+	// ObserveStream takes the time from the first token to the end of a stream of a back end, and the tokens that it might generate.
+	ObserveStream(backend label.Name, took time.Duration, tokens int64)
+	// Stream returns about the longest time from the first token on of a stream that may generate a number of tokens.
+	Stream(backend label.Name, tokens int64) time.Duration
 }
 
 type starts interface {
@@ -141,13 +147,23 @@
 // stays refuses a request that is not expected to end before the process does.
 func (p *Pass) stays(w *work.Work) error {
 	leaving, left := p.Leaving()
-	if !leaving || left > max(w.Path.Target, p.Pace.Longest(w.Path.Name)) {
+	if !leaving || left > p.atMost(w) {
 		return nil
 	}
 	p.Log.Info("request refused", "id", w.ID, "route", w.Path.Name, "left-ms", left.Milliseconds(), "reason", "the host stops before the request is expected to end")
 	return fault.New(kind.Draining, "", "the host stops before the request is expected to end").After(leaveWait)
 }
 
+// atMost returns the time in which a request is expected to end. A stream takes as long as what it may generate: few of a
+// route's streams have been seen when a host stops soon after its start.
+func (p *Pass) atMost(w *work.Work) time.Duration {
+	stream := time.Duration(stopMargin * float64(w.Path.Target+p.Pace.Stream(w.Backend, w.OutTokens)))
+	if w.OutTokens == 0 {
+		stream = w.Path.Target
+	}
+	return max(stream, p.Pace.Longest(w.Path.Name))
+}
+
 // step makes one attempt and reports whether there shall be another.
 func (p *Pass) step(ctx context.Context, j *trip, x exchange) (again bool, err error) {
 	now := p.Now()
@@ -256,7 +272,11 @@
 func (p *Pass) next(ctx context.Context, j *trip, x exchange) (again bool, err error) {
 	switch j.last.Ending {
 	case ending.Delivered:
-		p.Pace.Observe(j.work.Path.Name, p.Now().Sub(j.work.Came))
+		took := p.Now().Sub(j.work.Came)
+		p.Pace.Observe(j.work.Path.Name, took)
+		if j.work.OutTokens > 0 && j.begun {
+			p.Pace.ObserveStream(j.work.Backend, took-j.first, j.work.OutTokens)
+		}
 		return false, nil
 	case ending.Gone:
 		return false, fault.New(kind.OutcomeUnknown, "", "the caller left")
--- a/coordination/pass/pass_test.go
+++ b/coordination/pass/pass_test.go
@@ -168,6 +168,18 @@
 		Expect(run(b, request(mode.Resumable, 2), s)).To(Succeed())
 	})
 
+	It("refuses at a stopping host a stream that may generate more than there is time for, though only short ones were seen", func() {
+		b, s := newBench(2), &script{results: []tried.Tried{done}}
+		b.pass.Pace.(*pace.Pace).ObserveStream("plume", 400*time.Millisecond, 100)
+		b.leaving, b.left = true, 2700*time.Millisecond
+		long := request(mode.Resumable, 2)
+		long.OutTokens = 800
+		Expect(fault.KindOf(run(b, long, s))).To(Equal(kind.Draining))
+		short := request(mode.Resumable, 2)
+		short.OutTokens = 100
+		Expect(run(b, short, s)).To(Succeed())
+	})
+
 	It("sends nothing more to an endpoint that turned out to be another", func() {
 		moved := tried.Tried{Ending: ending.Moved, Sent: true}
 		b, s := newBench(2), &script{results: []tried.Tried{moved, done}}
--- a/coordination/polls/polls.go
+++ b/coordination/polls/polls.go
@@ -304,15 +304,13 @@
 }
 
 // doubt takes a host for no reader for a while that the store does not answer: it says so, or takes itself for a reader and
-// has an old view. A host that does not know yet that it shall be a reader is not doubted.
+// has an old view. A host that does not know yet that it shall be a reader is not doubted, and none of a small fleet is.
 func (p *Polls) doubt(id host.ID, r *reply.Reply) {
 	age := time.Duration(r.News[p.Watched].AgeMillis) * time.Millisecond
-	if !r.Blind && (!r.Reads || !p.Site.Paces().Old(age)) {
+	if p.blind == nil || !r.Blind && (!r.Reads || !p.Site.Paces().Old(age)) {
 		return
 	}
-	if p.blind != nil {
-		p.blind[id] = p.Now().Add(blindTime)
-	}
+	p.blind[id] = p.Now().Add(blindTime)
 	p.Log.Info("reader's view is old", "reader", id, "age-ms", age.Milliseconds(), "blind", r.Blind)
 }
 
--- a/coordination/tally/tally_test.go
+++ b/coordination/tally/tally_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/tally"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
-	"github.com/dragonflyroute/dragonflyroute/protocol/fit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/linear"
 	"github.com/dragonflyroute/dragonflyroute/protocol/sums"
 )
 
@@ -73,12 +73,12 @@
 	It("averages the engines' speed by the times that hosts saw, so that one that saw next to nothing does not rule", func() {
 		t := &tally.Tally{}
 		for i, rate := range []float64{50_000, 60_000, 55_000, 2_000_000} {
-			var seen fit.Fit
+			var seen linear.Fit
 			for n := range 40 >> (i / 3 * 5) {
 				tokens := float64(1_000 + 4_000*(n%2))
 				seen = seen.Sampled(tokens, tokens/rate)
 			}
-			t.Hear(host.ID(fmt.Sprint(i)), &sums.Sums{Hosts: 1, Speed: map[label.Name]fit.Fit{"plume": seen}}, now)
+			t.Hear(host.ID(fmt.Sprint(i)), &sums.Sums{Hosts: 1, Speed: map[label.Name]linear.Fit{"plume": seen}}, now)
 		}
 		_, slope, known := t.Total(figures(1), now).Speed["plume"].Line()
 		Expect(known).To(BeTrue())
--- a/protocol/fit/fit.go
+++ b/protocol/linear/linear.go
@@ -1,5 +1,5 @@
-// Package fit holds a straight line through samples in a form that several hosts can add up.
-package fit
+// Package linear holds a straight line through samples in a form that several hosts can add up.
+package linear
 
 const (
 	// fade is the weight that a sample keeps with each further one.
--- a/protocol/sums/sums.go
+++ b/protocol/sums/sums.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
-	"github.com/dragonflyroute/dragonflyroute/protocol/fit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/linear"
 )
 
 // Sums adds up the figures of some entry hosts.
@@ -26,7 +26,7 @@
 	// Prefill is the prompt tokens per second that go from them to each back end.
 	Prefill map[label.Name]float64 `json:"prefill,omitempty"`
 	// Speed is what they saw of the engines' speed by back end: seconds to the first token by prompt tokens.
-	Speed map[label.Name]fit.Fit `json:"speed,omitempty"`
+	Speed map[label.Name]linear.Fit `json:"speed,omitempty"`
 	// Sent counts their requests in flight by endpoint.
 	Sent map[string]int `json:"sent,omitempty"`
 	// Unread counts the prompt tokens in flight that an endpoint has not begun to answer, by endpoint.
@@ -43,7 +43,7 @@
 	s.Prefill = added(s.Prefill, other.Prefill, 1)
 	for backend, seen := range other.Speed {
 		if s.Speed == nil {
-			s.Speed = make(map[label.Name]fit.Fit, len(other.Speed))
+			s.Speed = make(map[label.Name]linear.Fit, len(other.Speed))
 		}
 		s.Speed[backend] = s.Speed[backend].Plus(seen)
 	}
--- a/state/pace/pace_test.go
+++ b/state/pace/pace_test.go
@@ -29,7 +29,15 @@
 		Expect(p.Longest("plans")).To(BeNumerically("<", 600*time.Millisecond))
 	})
 
+	It("knows how long a stream takes by what it may generate, from shorter ones", func() {
+		p := &pace.Pace{}
+		p.ObserveStream("plans", 400*time.Millisecond, 100)
+		p.ObserveStream("plans", 300*time.Millisecond, 100)
+		Expect(p.Stream("plans", 1_000)).To(BeNumerically("~", 4*time.Second, 10*time.Millisecond))
+	})
+
 	It("knows nothing of a route without requests", func() {
+		Expect((&pace.Pace{}).Stream("plans", 100)).To(BeNumerically(">", 0))
 		Expect((&pace.Pace{}).Longest("plans")).To(BeZero())
 	})
 })
--- a/state/speed/speed.go
+++ b/state/speed/speed.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/dragonflyroute/dragonflyroute/protocol/fit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/linear"
 )
 
 const (
@@ -27,8 +27,8 @@
 // All methods may be called concurrently.
 type Speed struct {
 	mu     sync.Mutex
-	own    map[label.Name]fit.Fit
-	others map[label.Name]fit.Fit
+	own    map[label.Name]linear.Fit
+	others map[label.Name]linear.Fit
 }
 
 // Add takes the time to the first token of a request that had to wait for no other.
@@ -36,20 +36,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.own == nil {
-		s.own = map[label.Name]fit.Fit{}
+		s.own = map[label.Name]linear.Fit{}
 	}
 	s.own[backend] = s.own[backend].Sampled(float64(tokens), first.Seconds())
 }
 
 // Own returns what this process has seen.
-func (s *Speed) Own() map[label.Name]fit.Fit {
+func (s *Speed) Own() map[label.Name]linear.Fit {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return maps.Clone(s.own)
 }
 
 // HearAll takes what all other hosts have seen together.
-func (s *Speed) HearAll(seen map[label.Name]fit.Fit) {
+func (s *Speed) HearAll(seen map[label.Name]linear.Fit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.others = seen
--- a/state/speed/speed_test.go
+++ b/state/speed/speed_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/dragonflyroute/dragonflyroute/protocol/fit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/linear"
 	"github.com/dragonflyroute/dragonflyroute/state/speed"
 )
 
@@ -45,20 +45,20 @@
 		for range 30 {
 			others = others.Plus(fleet.Own()["plume"])
 		}
-		s.HearAll(map[label.Name]fit.Fit{"plume": others})
+		s.HearAll(map[label.Name]linear.Fit{"plume": others})
 		got, _ := s.Rate("plume")
 		Expect(got).To(BeNumerically("~", rate, rate/20))
 	})
 
 	It("knows the engines' speed from a few requests of each of many hosts", func() {
-		var others fit.Fit
+		var others linear.Fit
 		for range 20 {
 			host := &speed.Speed{}
 			sample(host, 2, 1)
 			others = others.Plus(host.Own()["plume"])
 		}
 		s := &speed.Speed{}
-		s.HearAll(map[label.Name]fit.Fit{"plume": others})
+		s.HearAll(map[label.Name]linear.Fit{"plume": others})
 		got, known := s.Rate("plume")
 		Expect(known).To(BeTrue())
 		Expect(got).To(BeNumerically("~", rate, rate/20))
