--- a/coordination/choose/stale_test.go
+++ b/coordination/choose/stale_test.go
@@ -35,7 +35,7 @@
 	targets [][]*target.Target
 	servers []*server
 	ends    ends
-	// sent holds, for each server, what each host had in flight at some times before.
+	// history holds, for each tick before, what all hosts had in flight at each server.
 	history [][]int
 	shed    int
 	waits   []time.Duration
@@ -49,10 +49,10 @@
 }
 
 type job struct {
-	at, server, host int
-	came             time.Time
-	end              time.Time
-	done             func()
+	server int
+	came   time.Time
+	end    time.Time
+	done   func()
 }
 
 type ends []*job
@@ -103,7 +103,7 @@
 	p := l.hosts[host].Pick(l.targets[host], w, func(*target.Target) bool { return false }, l.now)
 	at := int(p.Target.Row().ID[0] - 'a')
 	s := l.servers[at]
-	j := &job{server: at, host: host, came: l.now}
+	j := &job{server: at, came: l.now}
 	if len(s.waiting) >= queueRoom {
 		l.shed++
 		return
