--- a/coordination/polls/polls.go
+++ b/coordination/polls/polls.go
@@ -191,8 +191,9 @@
 	} else {
 		p.ask(ctx, p.asks, p.query(group, now), own)
 	}
-	if now = p.Now(); p.Fresh(now) {
-		p.Site.HearRest(p.others(now), now)
+	now = p.Now()
+	if others := p.enough(now); others != nil {
+		p.Site.HearRest(others, now)
 	}
 }
 
@@ -336,11 +337,17 @@
 }
 
 // Fresh reports whether the figures of enough of the other hosts are known this way.
-func (p *Polls) Fresh(now time.Time) bool {
+func (p *Polls) Fresh(now time.Time) bool { return p.enough(now) != nil }
+
+// enough returns the figures of the other hosts, nil unless those of enough of them are known this way.
+func (p *Polls) enough(now time.Time) *sums.Sums {
 	pace := p.Site.Paces()
 	if !pace.Large() {
-		return false
+		return nil
 	}
 	others := p.others(now)
-	return others != nil && float64(others.Hosts) >= max(1, sumsPart*float64(pace.Hosts-1))
+	if others == nil || float64(others.Hosts) < max(1, sumsPart*float64(pace.Hosts-1)) {
+		return nil
+	}
+	return others
 }
