Log and count what endpoints say of their request limit, and the donor of each request

Nothing decides by it yet. The hypotheses of docs/incidents/limit.md could not be told apart: no line had the limit that an answer names, nor the endpoint from which another one was told to fetch KV cache.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -127,12 +127,14 @@
 	}
 	s.Prepare()
 	s.DirectoryHandler = &lookup.Handler{Addresses: s.EntryAddresses, TTL: min(addressTTL, cfg.MaxAddressTTL), Ready: s.IsReady, Log: log}
+	sender := send.New()
+	sender.Log = log
 	s.RequestHandler = &httpin.Handler{
 		Policy:        s.Policy,
 		Rates:         s.Rates,
 		PickBackend:   s.Balancer.PickBackend,
 		Proxy:         s.Proxy,
-		Sender:        send.New(),
+		Sender:        sender,
 		BodyMemory:    semaphore.NewWeighted(bodyMemory(cfg)),
 		Draining:      s.Leaving,
 		RecordOutcome: s.Meter.RecordAnswer,
--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -110,6 +110,8 @@
 	Draining func() (draining bool, left time.Duration)
 	// Now returns the time.
 	Now func() time.Time
+	// Count adds to a counter of the process.
+	Count func(name string, n int64)
 	// Log gets one line for each request.
 	Log hclog.Logger
 }
@@ -125,8 +127,9 @@
 	startCounted bool
 	lastResult   result.Result
 	timeToFirst  time.Duration
-	// lastEndpoint is the endpoint of the last attempt, nil before the first.
-	lastEndpoint *target.Target
+	// lastEndpoint is the endpoint of the last attempt, nil before the first, and lastDonor the one from which it fetched KV
+	// cache, nil for none.
+	lastEndpoint, lastDonor *target.Target
 }
 
 // Run makes attempts until the caller has an answer or the request fails. It returns nil when an answer was delivered,
@@ -189,7 +192,7 @@
 		return false, p.finalError(ctx, j, x, "the back end's retry budget is exhausted", refusedRetryAfter)
 	}
 	j.attempted[t] = true
-	j.lastEndpoint = t
+	j.lastEndpoint, j.lastDonor = t, to.Donor
 	j.lastResult = p.attempt(ctx, j, t, to.Donor, to.PrefillTokens, x)
 	p.Canary.Record(version, t, j.work, j.lastResult)
 	if j.lastResult.Sent {
@@ -213,6 +216,7 @@
 		ctx, cancel = context.WithTimeoutCause(ctx, limit, errAttemptTimeout)
 		defer cancel()
 	}
+	p.countLimited(t, donor)
 	r := x.Attempt(ctx, t, donor, j.lastResult.LastEventID, func() {
 		begun()
 		t.RecordProgress(p.Now())
@@ -227,6 +231,19 @@
 	return r
 }
 
+// countLimited counts an attempt that uses an endpoint with a request limit, itself or as a donor of KV cache.
+func (p *Proxy) countLimited(t, donor *target.Target) {
+	if _, limited := t.Limit.PerSecond(); limited {
+		p.Count("limited_requests_total", 1)
+	}
+	if donor == nil {
+		return
+	}
+	if _, limited := donor.Limit.PerSecond(); limited {
+		p.Count("limited_donors_total", 1)
+	}
+}
+
 // expectedFirstToken returns the expected time to first token of a prompt, zero for plain requests.
 func (p *Proxy) expectedFirstToken(w *work.Request, tokens int64) time.Duration {
 	if w.PromptTokens == 0 {
@@ -329,12 +346,25 @@
 		"took-ms", now.Sub(j.work.Received).Milliseconds(), "first-ms", j.timeToFirst.Milliseconds(),
 		"attempts", len(j.attempted), "arrivals", j.arrivals, "ending", j.lastResult.Ending.String(), "status", j.lastResult.Status,
 	}
-	if j.lastEndpoint != nil {
-		running, prefill := j.lastEndpoint.Outstanding(now)
-		line = append(line, "endpoint", j.lastEndpoint.Row().ID, "endpoint-running", running, "endpoint-unread-tokens", prefill)
-	}
+	line = append(line, endpointFields(j, now)...)
 	if err != nil {
 		line = append(line, "reason", err.Error())
 	}
 	p.Log.Info("request ended", line...)
 }
+
+// endpointFields returns the fields of a request's log line that describe the endpoint of its last attempt.
+func endpointFields(j *job, now time.Time) []any {
+	if j.lastEndpoint == nil {
+		return nil
+	}
+	running, prefill := j.lastEndpoint.Outstanding(now)
+	out := []any{"endpoint", j.lastEndpoint.Row().ID, "endpoint-running", running, "endpoint-unread-tokens", prefill}
+	if perSecond, limited := j.lastEndpoint.Limit.PerSecond(); limited {
+		out = append(out, "endpoint-limit", perSecond)
+	}
+	if j.lastDonor != nil {
+		out = append(out, "donor", j.lastDonor.Row().ID)
+	}
+	return out
+}
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -90,6 +90,7 @@
 		Durations: &timing.Durations{},
 		Draining:  func() (bool, time.Duration) { return f.draining, f.left },
 		Now:       time.Now,
+		Count:     func(string, int64) {},
 		Log:       hclog.NewNullLogger(),
 	}
 	return f
--- a/state/target/target.go
+++ b/state/target/target.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/result"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/work"
+	"github.com/dragonflyroute/dragonflyroute/state/limits"
 )
 
 const (
@@ -36,6 +37,9 @@
 //
 // All methods may be called concurrently.
 type Target struct {
+	// Limit is the request limit that the endpoint names.
+	Limit limits.Limit
+
 	row     atomic.Pointer[roster.Row]
 	hash    uint64
 	mu      sync.Mutex
--- a/transport/site/serve.go
+++ b/transport/site/serve.go
@@ -21,6 +21,8 @@
 	// idleTimeout is the idle timeout of connections. Callers' connections are closed earlier if the operator's idle
 	// timeout is shorter.
 	idleTimeout = 5 * time.Minute
+	// gaugeInterval is the time between updates of the gauges.
+	gaugeInterval = time.Second
 	// shortReadTimeout bounds the time until an address look-up, a readiness check or a request for metrics has arrived.
 	shortReadTimeout = 5 * time.Second
 	// maxHeaderBytes bounds the size of a request's headers.
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -213,6 +213,7 @@
 		Durations: &timing.Durations{},
 		Draining:  s.Leaving,
 		Now:       time.Now,
+		Count:     s.Meter.Count,
 		Log:       s.Log,
 	}
 	s.reclaimSignal = make(chan struct{}, 1)
@@ -284,6 +285,7 @@
 	add(s.runLeaseHolder)
 	add(s.writeUsage)
 	add(ticks.Every(expiryInterval, func(context.Context) { s.syncer.Expire() }))
+	add(ticks.Every(gaugeInterval, func(context.Context) { s.Meter.Gauge("limited_endpoints", float64(s.limitedEndpoints())) }))
 	add(func(c context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -298,6 +300,17 @@
 	return err
 }
 
+// limitedEndpoints returns the number of endpoints with a request limit.
+func (s *Site) limitedEndpoints() int {
+	n := 0
+	for _, t := range s.Registry.All() {
+		if _, limited := t.Limit.PerSecond(); limited {
+			n++
+		}
+	}
+	return n
+}
+
 type listeners struct{ requests, ready, addresses, peers, metrics net.Listener }
 
 func (s *Site) listen() (*listeners, error) {
