Add failing tests of an endpoint that limits its requests

The stand-in's endpoints can name a request limit, and record its changes and the arrivals after them.

--- a/standin/site.go
+++ b/standin/site.go
@@ -62,6 +62,8 @@
 	runs     map[string]int
 	// arrivals counts requests by endpoint.
 	arrivals map[string]int
+	// limitEvents holds the changes of request limits and the requests that arrived after the first one, by endpoint.
+	limitEvents map[string][]limitEvent
 	reports  map[int64][]json.RawMessage
 	// fence is the highest fencing number of a usage report.
 	fence int64
@@ -71,7 +73,7 @@
 func (c *siteCmd) Run(ctx context.Context) error {
 	p := &sitePlatform{
 		store:   &rowStore{rows: map[[2]string]siteRow{}, reads: map[string]int{}},
-		servers: map[string]*siteServer{}, runs: map[string]int{}, arrivals: map[string]int{}, versions: map[string]int{}, reports: map[int64][]json.RawMessage{},
+		servers: map[string]*siteServer{}, runs: map[string]int{}, arrivals: map[string]int{}, limitEvents: map[string][]limitEvent{}, versions: map[string]int{}, reports: map[int64][]json.RawMessage{},
 	}
 	mux := http.NewServeMux()
 	p.store.handle(mux)
@@ -163,7 +165,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if s.countArrival().apply(w) {
+	if s.countArrival(id).apply(w) {
 		return
 	}
 	s.site.mu.Lock()
@@ -214,6 +216,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reply(w, map[string]any{
-		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "reads": p.store.readCounts(), "status": p.store.statuses(),
+		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "status": p.store.statuses(),
 	})
 }
--- a/standin/sitefaults.go
+++ b/standin/sitefaults.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // siteFaults holds the faults and states that tests inject into an endpoint of the users' platform.
@@ -13,11 +14,14 @@
 	// retryAfter makes the endpoint refuse every request as not executed, with this Retry-After in seconds; empty
 	// refuses none.
 	retryAfter string
+	// limit is the request limit that every response names, in requests per second; empty names none.
+	limit string
 	// endless names the part of the response that never ends: head, body, or empty for none.
 	endless string
 }
 
-// setEndpointFaults replaces the faults of an endpoint: /trouble?id=ID&leaving=1&pause=SECONDS&endless=head|body.
+// setEndpointFaults replaces the faults of an endpoint:
+// /trouble?id=ID&leaving=1&pause=SECONDS&limit=PER-SECOND&endless=head|body.
 func (p *sitePlatform) setEndpointFaults(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	p.mu.Lock()
@@ -27,14 +31,36 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	s.faults = siteFaults{leaving: q.Get("leaving") != "", retryAfter: q.Get("pause"), endless: q.Get("endless")}
+	s.faults = siteFaults{leaving: q.Get("leaving") != "", retryAfter: q.Get("pause"), limit: q.Get("limit"), endless: q.Get("endless")}
+	s.recordLimit("")
+}
+
+// limitEvent is a change of an endpoint's request limit, or the arrival of a request after the first one.
+type limitEvent struct {
+	// AtMillis is the time of the event, in Unix milliseconds.
+	AtMillis int64 `json:"at"`
+	// Request is the id of the request that arrived, empty for a change of the limit.
+	Request string `json:"request,omitempty"`
+	// Limit is the request limit that the endpoint's responses name from then on, empty for none.
+	Limit string `json:"limit,omitempty"`
+}
+
+// recordLimit records a change of the request limit, or the arrival of a request if an endpoint has had one. The caller
+// holds the platform's mu.
+func (s *siteServer) recordLimit(request string) {
+	events := s.site.limitEvents[s.id]
+	if s.faults.limit == "" && len(events) == 0 {
+		return
+	}
+	s.site.limitEvents[s.id] = append(events, limitEvent{AtMillis: time.Now().UnixMilli(), Request: request, Limit: s.faults.limit})
 }
 
 // countArrival counts a request and returns the endpoint's faults.
-func (s *siteServer) countArrival() siteFaults {
+func (s *siteServer) countArrival(request string) siteFaults {
 	s.site.mu.Lock()
 	defer s.site.mu.Unlock()
 	s.site.arrivals[s.id]++
+	s.recordLimit(request)
 	return s.faults
 }
 
@@ -43,6 +69,9 @@
 	if f.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if f.limit != "" {
+		w.Header().Set("Server-Limit", f.limit)
+	}
 	switch {
 	case f.retryAfter != "":
 		w.Header().Set("Dragonflyroute-Not-Executed", "1")
--- /dev/null
+++ b/test/scene/limits_test.go
@@ -0,0 +1,117 @@
+package scene_test
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// limitWindow is the length of the windows in which requests to a limited endpoint are counted.
+	limitWindow = 4 * time.Second
+	// limitTolerance and limitExtra are the allowed multiple of a request limit and the requests allowed beyond that.
+	limitTolerance = 1.5
+	limitExtra     = 5
+	// limitNotice is the time that hosts have to apply a new or lowered limit, and hostNotice the time after which a host
+	// that passed on an answer with a limit must keep to it.
+	limitNotice = 3 * time.Second
+	hostNotice  = 500 * time.Millisecond
+)
+
+// limitEvent is a change of an endpoint's request limit, or the arrival of a request.
+type limitEvent struct {
+	AtMillis int64  `json:"at"`
+	Request  string `json:"request"`
+	Limit    string `json:"limit"`
+}
+
+func (e limitEvent) at() time.Time { return time.UnixMilli(e.AtMillis) }
+
+// perSecond returns the limit in force after the event; ok is false for none.
+func (e limitEvent) perSecond() (n float64, ok bool) {
+	n, err := strconv.ParseFloat(e.Limit, 64)
+	return n, err == nil
+}
+
+// allowedRequests returns the requests that an endpoint may get in the window that ends at a time; limited is false if
+// it named no limit for a part of the window or of the time that hosts have to apply one. A lowered limit counts once
+// that time has passed.
+func allowedRequests(events []limitEvent, end time.Time) (allowed float64, limited bool) {
+	from := end.Add(-limitWindow - limitNotice)
+	highest, inForce := 0.0, false
+	for _, e := range events {
+		if e.at().After(end) {
+			break
+		}
+		n, ok := e.perSecond()
+		if !e.at().After(from) {
+			highest, inForce = n, ok
+			continue
+		}
+		inForce = inForce && ok
+		highest = max(highest, n)
+	}
+	return limitTolerance*highest*limitWindow.Seconds() + limitExtra, inForce
+}
+
+// excessAt returns the requests in the window that ends with the last of some arrivals beyond what is allowed.
+func excessAt(events []limitEvent, arrivals []time.Time) float64 {
+	end := arrivals[len(arrivals)-1]
+	allowed, limited := allowedRequests(events, end)
+	if !limited {
+		return 0
+	}
+	n := 0
+	for _, at := range arrivals {
+		if end.Sub(at) < limitWindow {
+			n++
+		}
+	}
+	return max(0, float64(n)-allowed)
+}
+
+// maxExcess returns the most requests beyond what is allowed that an endpoint got in a window, of those that count.
+func maxExcess(events []limitEvent, counts func(e limitEvent) bool) float64 {
+	var arrivals []time.Time
+	worst := 0.0
+	for _, e := range events {
+		if e.Request == "" || !counts(e) {
+			continue
+		}
+		arrivals = append(arrivals, e.at())
+		worst = max(worst, excessAt(events, arrivals))
+	}
+	return worst
+}
+
+// sendFor sends requests to all hosts in turn for some time and returns how many of them were not served.
+func (s *site) sendFor(length, pause time.Duration) (failed int) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(pause) {
+		path := "/call/x"
+		if s.requests%2 == 0 {
+			path = "/open/x"
+		}
+		if s.request(s.requests%len(s.hosts), path, "k1").status != http.StatusOK {
+			failed++
+		}
+	}
+	return failed
+}
+
+var _ = Describe("an endpoint that limits its requests", func() {
+	everything := func(limitEvent) bool { return true }
+
+	// Guards against hosts that ignore the request limit of an endpoint, or that each send as many requests as all of them
+	// together may.
+	It("gets no more requests from all hosts together than its limit allows", func() {
+		s := newSite(3)
+		s.control("/trouble?id=i-0&limit=1")
+		Expect(s.sendFor(limitNotice+2*limitWindow, 10*time.Millisecond)).To(Equal(0))
+		events := s.record().Limits["i-0"]
+		Expect(maxExcess(events, everything)).To(Equal(0.0))
+		Expect(len(events)).To(BeNumerically(">", limitWindow.Seconds()), "the endpoint gets requests within its limit")
+	})
+})
--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -42,6 +42,8 @@
 	// Versions counts runs by version, and Status holds the status rows written for the operator, by key.
 	Versions map[string]int `json:"versions"`
 	Arrivals map[string]int `json:"arrivals"`
+	// Limits holds the changes of request limits and the requests that arrived after the first one, by endpoint.
+	Limits map[string][]limitEvent `json:"limits"`
 	// Reads counts the reads of the store's tables, by table.
 	Reads   map[string]int                      `json:"reads"`
 	Status  map[string]string                   `json:"status"`
