Don't fetch KV cache from an endpoint that limits its requests

What callers saw: nothing by itself; the endpoint in need got work beyond the limit that it had named.

Cause: the donor of a prompt is chosen by what it has cached, without regard to what it accepts.

Change: an endpoint with a request limit is neither donor nor home of a session. Whether the users' count contains such fetches is open (docs/questions.md).

--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -121,6 +121,13 @@
 // accepts reports whether an endpoint accepts requests from this process.
 func accepts(t *target.Target, now time.Time) bool { return !t.Leaving() && !t.Paused(now) }
 
+// canDonate reports whether other endpoints may fetch KV cache from an endpoint: a fetch is work too, so not from one that
+// limits its requests.
+func canDonate(t *target.Target, now time.Time) bool {
+	_, limited := t.Limit.PerSecond()
+	return !limited && accepts(t, now)
+}
+
 // untilAccepting returns the time until the first endpoint's pause ends, zero when one of them is not paused.
 func untilAccepting(all []*target.Target, now time.Time) time.Duration {
 	var first time.Duration
@@ -156,11 +163,11 @@
 	return pick{}
 }
 
-// mostCached returns the endpoint known to have most of the prompt cached, and the tokens that it would still prefill.
+// mostCached returns the possible donor known to have most of the prompt cached, and the tokens that it would still prefill.
 func mostCached(all []*target.Target, w *work.Request, now time.Time) (donor *target.Target, uncached int64) {
 	uncached = w.PromptTokens
 	for _, t := range all {
-		if !accepts(t, now) {
+		if !canDonate(t, now) {
 			continue
 		}
 		if n := t.Uncached(w, now); n < uncached {
@@ -203,7 +210,7 @@
 // Rendezvous hashing gives all hosts the same homes without coordination.
 type homes struct{ first, second *target.Target }
 
-// homesOf returns the endpoints that rank highest for a session by rendezvous hashing, none without a session.
+// homesOf returns the possible donors that rank highest for a session by rendezvous hashing, none without a session.
 func homesOf(all []*target.Target, session uint64, now time.Time) homes {
 	var h homes
 	if session == 0 {
@@ -211,7 +218,7 @@
 	}
 	var highest, next uint64
 	for _, t := range all {
-		if !accepts(t, now) {
+		if !canDonate(t, now) {
 			continue
 		}
 		rank := mix(t.Hash() ^ session)
--- a/standin/site.go
+++ b/standin/site.go
@@ -64,7 +64,7 @@
 	arrivals map[string]int
 	// limitEvents holds the changes of request limits and the requests that arrived after the first one, by endpoint.
 	limitEvents map[string][]limitEvent
-	reports  map[int64][]json.RawMessage
+	reports     map[int64][]json.RawMessage
 	// fence is the highest fencing number of a usage report.
 	fence int64
 }
