Keep the request limits of endpoints over all hosts together

What callers saw: nothing at once.

Cause: no host read the limit. It is of a class with the accounts' rates: one host is told, all are bound, so a limit kept by each host would let six times as much pass.

Change: a request to an endpoint with a limit needs a permit. The permits of an endpoint are granted by one host, selected by rendezvous hashing over the live ones, from a bucket that fills at the limit (`coordination/pacer`, JSON-RPC between hosts). A host that takes others for dead grants only its part of the limit, so that one that is cut off does not grant it once more. What an endpoint says goes along with the hosts' statistics and with each request for a permit; the newest word counts, a new start of the endpoint begins anew. Permits are used up at the first write of a request, so that none that waited for a connection passes without one. Without a permit the request goes elsewhere; where there is none to be had it is refused as not run, with the time until there is. Below one in ten seconds a request still shows whether the limit has ended.

--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -73,7 +73,7 @@
 	// TimeToFirst is the expected time to the first part of the answer.
 	TimeToFirst time.Duration
 	// RetryAfter is the time until the first endpoint accepts requests again; it is set only without a Target, when all
-	// endpoints have asked for a pause.
+	// endpoints have asked for a pause or are at their request limits.
 	RetryAfter time.Duration
 
 	cost time.Duration
@@ -81,7 +81,7 @@
 
 // Pick returns the usable endpoint of least cost among those compared.
 //
-// Endpoints that are leaving or have asked for a pause are never chosen; those in backoff after a failure only when
+// Endpoints that are leaving, have asked for a pause or are at their request limit are never chosen; those in backoff after a failure only when
 // no other is compared.
 func (b *Balancer) Pick(all []*target.Target, w *work.Request, used func(*target.Target) bool, now time.Time) pick {
 	if w.PromptTokens == 0 {
@@ -119,7 +119,18 @@
 }
 
 // accepts reports whether an endpoint accepts requests from this process.
-func accepts(t *target.Target, now time.Time) bool { return !t.Leaving() && !t.Paused(now) }
+func accepts(t *target.Target, now time.Time) bool {
+	return !t.Leaving() && !now.Before(acceptsFrom(t))
+}
+
+// acceptsFrom returns the time from which an endpoint that is not leaving accepts requests from this process.
+func acceptsFrom(t *target.Target) time.Time {
+	paused, held := t.PausedUntil(), t.Limit.HeldUntil()
+	if held.After(paused) {
+		return held
+	}
+	return paused
+}
 
 // canDonate reports whether other endpoints may fetch KV cache from an endpoint: a fetch is work too, so not from one that
 // limits its requests.
@@ -128,14 +139,14 @@
 	return !limited && accepts(t, now)
 }
 
-// untilAccepting returns the time until the first endpoint's pause ends, zero when one of them is not paused.
+// untilAccepting returns the time until the first endpoint accepts requests, zero when one of them does now.
 func untilAccepting(all []*target.Target, now time.Time) time.Duration {
 	var first time.Duration
 	for _, t := range all {
 		if t.Leaving() {
 			continue
 		}
-		left := t.PausedUntil().Sub(now)
+		left := acceptsFrom(t).Sub(now)
 		if left <= 0 {
 			return 0
 		}
--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -29,6 +29,8 @@
 	// attemptTimeoutFraction is the fraction of the remaining time after which an attempt of an idempotent request is
 	// abandoned in favour of another endpoint.
 	attemptTimeoutFraction = 0.4
+	// maxRefusedPermits is the number of refused permits after which a request is not sent to endpoints with a request limit.
+	maxRefusedPermits = 4
 	// drainMargin times its expected duration must be left at a draining host for a stream to be accepted.
 	drainMargin = 1.25
 	// maxSharedRatio is the largest ratio of a prompt's shared tokens to its tokens to prefill with which a request
@@ -81,6 +83,12 @@
 	LongestStream(backend label.Name, tokens int64) time.Duration
 }
 
+type permits interface {
+	// Take obtains a permit for one request to an endpoint that limits its requests, and reports whether it got one. Without
+	// one, the endpoint is not chosen until another may be had.
+	Take(ctx context.Context, t *target.Target) bool
+}
+
 type usageCounter interface {
 	// RecordBegun counts a request that an endpoint started to run.
 	RecordBegun(w *work.Request, now time.Time)
@@ -98,6 +106,8 @@
 	Balancer *choose.Balancer
 	// Retries is the retry budget of each back end.
 	Retries retries
+	// Permits keeps the request limits of endpoints.
+	Permits permits
 	// Usage counts the requests of each account that endpoints started to run.
 	Usage usageCounter
 	// Speed estimates the prefill speed of engines.
@@ -120,6 +130,8 @@
 type job struct {
 	work      *work.Request
 	attempted map[*target.Target]bool
+	// refusedPermits counts the permits that were not granted.
+	refusedPermits int
 	// arrivals counts the attempts of which bytes may have reached an endpoint.
 	arrivals int
 	// mayHaveRun is true once an endpoint may have run the request.
@@ -177,10 +189,10 @@
 func (p *Proxy) step(ctx context.Context, j *job, x exchange) (again bool, err error) {
 	now := p.Now()
 	version := p.Canary.Choose(j.work)
-	to := p.Balancer.Pick(version.Filter(p.Endpoints.ByBackend(j.work.Backend)), j.work, func(t *target.Target) bool { return j.attempted[t] }, now)
+	to := p.Balancer.Pick(version.Filter(p.Endpoints.ByBackend(j.work.Backend)), j.work, j.excluded, now)
 	t := to.Target
 	if t == nil && to.RetryAfter > 0 {
-		return false, p.finalError(ctx, j, x, "all endpoints of the back end asked for a pause", to.RetryAfter)
+		return false, p.finalError(ctx, j, x, "all endpoints of the back end asked for a pause or are at their request limits", to.RetryAfter)
 	}
 	if t == nil {
 		return false, p.finalError(ctx, j, x, "the back end has no usable endpoint", noEndpointRetryAfter)
@@ -188,6 +200,10 @@
 	if !j.mayHaveRun && now.Add(to.TimeToFirst).After(j.work.Deadline) {
 		return false, p.finalError(ctx, j, x, "no endpoint is expected to start the answer before the request's deadline", refusedRetryAfter)
 	}
+	if !p.Permits.Take(ctx, t) {
+		j.refusedPermits++
+		return ctx.Err() == nil, p.deadlineError(ctx, j, x)
+	}
 	if j.arrivals > 0 && !p.Retries.Take(j.work.Backend) {
 		return false, p.finalError(ctx, j, x, "the back end's retry budget is exhausted", refusedRetryAfter)
 	}
@@ -198,12 +214,34 @@
 	if j.lastResult.Sent {
 		j.arrivals++
 	}
+	if j.lastResult.Withheld {
+		delete(j.attempted, t)
+	}
 	if !j.lastResult.Ending.NotExecuted() {
 		j.mayHaveRun = true
 	}
 	return p.decide(ctx, j, x)
 }
 
+// excluded reports whether the job must not be sent to an endpoint: it was sent there before, or permits for other ones
+// were refused so often that another refusal would cost too much time.
+func (j *job) excluded(t *target.Target) bool {
+	if j.refusedPermits >= maxRefusedPermits {
+		if _, limited := t.Limit.PerSecond(); limited {
+			return true
+		}
+	}
+	return j.attempted[t]
+}
+
+// deadlineError returns the error to answer with once the request's context has ended, and nil before.
+func (p *Proxy) deadlineError(ctx context.Context, j *job, x exchange) error {
+	if ctx.Err() == nil {
+		return nil
+	}
+	return p.finalError(ctx, j, x, "the request ended while it waited for a permit", 0)
+}
+
 // attempt sends the request to one endpoint and records what the result shows about the endpoint.
 func (p *Proxy) attempt(ctx context.Context, j *job, t, donor *target.Target, prefillTokens int64, x exchange) result.Result {
 	now := p.Now()
@@ -282,8 +320,8 @@
 		t.RecordFailure(now)
 		p.countStart(j)
 	case ending.NotRun:
-		// An endpoint that asked for a pause or is leaving has not failed.
-		if !t.Paused(now) && !t.Leaving() {
+		// An endpoint that asked for a pause, is leaving or is at its request limit has not failed.
+		if !r.Withheld && !t.Paused(now) && !t.Leaving() {
 			t.RecordFailure(now)
 		}
 	case ending.Failed:
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -65,16 +65,28 @@
 
 func (c *fakeUsage) RecordBegun(*work.Request, time.Time) { c.n++ }
 
+// fakePermits grants the permits of all endpoints but those in refused.
+type fakePermits struct{ refused map[endpt.ID]bool }
+
+func (p *fakePermits) Take(_ context.Context, t *target.Target) bool {
+	if !p.refused[t.Row().ID] {
+		return true
+	}
+	t.Limit.HoldUntil(time.Now().Add(time.Second))
+	return false
+}
+
 type fixture struct {
 	proxy    *proxy.Proxy
 	registry *endreg.Registry
 	usage    *fakeUsage
+	permits  *fakePermits
 	draining bool
 	left     time.Duration
 }
 
 func newFixture(endpoints int) *fixture {
-	f := &fixture{registry: &endreg.Registry{}, usage: &fakeUsage{}}
+	f := &fixture{registry: &endreg.Registry{}, usage: &fakeUsage{}, permits: &fakePermits{}}
 	for i := range endpoints {
 		f.registry.Put(roster.Row{ID: endpt.ID(rune('a' + i)), Address: "x", Backend: "plume", State: roster.Live, Slots: 8})
 	}
@@ -84,6 +96,7 @@
 		Canary:    &canary.Canary{},
 		Balancer:  &choose.Balancer{Rand: func() float64 { return 0 }, Speed: prefill},
 		Retries:   &retry.Budgets{Ratio: 0.2, Extra: 50, Hosts: func() int { return 1 }},
+		Permits:   f.permits,
 		Usage:     f.usage,
 		Speed:     prefill,
 		Flow:      &flow.Flow{},
@@ -202,6 +215,43 @@
 		Expect(fault.From(err).RetryAfter).To(BeNumerically("~", 7*time.Second, time.Second))
 	})
 
+	It("sends a request elsewhere when there is no permit for an endpoint that limits its requests", func() {
+		f, s := newFixture(2), &fakeExchange{results: []result.Result{done}}
+		f.permits.refused = map[endpt.ID]bool{"a": true}
+		for range 20 {
+			Expect(run(f, request(mode.Once, 1), s)).To(Succeed())
+		}
+		Expect(s.to).NotTo(ContainElement(endpt.ID("a")))
+	})
+
+	It("refuses a request as not run, with the time until a permit may be had, when there is none for any endpoint", func() {
+		f, s := newFixture(2), &fakeExchange{}
+		f.permits.refused = map[endpt.ID]bool{"a": true, "b": true}
+		err := run(f, request(mode.Once, 1), s)
+		Expect(s.to).To(BeEmpty())
+		Expect(fault.KindOf(err)).To(Equal(kind.NotRun))
+		Expect(fault.From(err).RetryAfter).To(BeNumerically("~", time.Second, 100*time.Millisecond))
+	})
+
+	It("does not let many endpoints without permits keep a request from one without a limit", func() {
+		f, s := newFixture(9), &fakeExchange{results: []result.Result{done}}
+		f.permits.refused = map[endpt.ID]bool{}
+		for _, t := range f.registry.All()[:8] {
+			t.Limit.Named(1, time.Now())
+			f.permits.refused[t.Row().ID] = true
+		}
+		Expect(run(f, request(mode.Once, 1), s)).To(Succeed())
+		Expect(s.to).To(Equal([]endpt.ID{"i"}))
+	})
+
+	It("tries an endpoint again at which a request was withheld, and does not count that as a failure", func() {
+		withheld := result.Result{Ending: ending.NotRun, Withheld: true}
+		f, s := newFixture(1), &fakeExchange{results: []result.Result{withheld, withheld, done}}
+		Expect(run(f, request(mode.Once, 1), s)).To(Succeed())
+		n, _ := f.registry.All()[0].Failures(time.Now())
+		Expect(n).To(Equal(0))
+	})
+
 	It("doesn't count a refusal by an endpoint that asked for a pause as a failure", func() {
 		f, s := newFixture(1), &fakeExchange{results: []result.Result{full}}
 		t := f.registry.All()[0]
--- a/protocol/result/result.go
+++ b/protocol/result/result.go
@@ -13,6 +13,9 @@
 	Ending ending.Ending
 	// Sent is set when bytes of the request may have reached the endpoint.
 	Sent bool
+	// Withheld is set when nothing was sent because the endpoint was found to accept no more requests: it is leaving, has
+	// asked for a pause, or limits its requests and there was no permit.
+	Withheld bool
 	// Status is the endpoint's HTTP status code, 0 when there is none.
 	Status int
 	// LastEventID is the id of the last event that was delivered to the caller completely, empty for none.
--- a/protocol/stats/stats.go
+++ b/protocol/stats/stats.go
@@ -7,6 +7,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/linear"
+	"github.com/dragonflyroute/dragonflyroute/protocol/notice"
 )
 
 // Stats holds the load statistics of one entry host, or the totals of several.
@@ -21,7 +22,7 @@
 	Coverage float64             `json:"seasoned"`
 	// AgeSum is the sum over the hosts of the age of their account statistics, in seconds.
 	AgeSum float64 `json:"aged,omitempty"`
-	// AccountsOnly is set when only the account statistics are present.
+	// AccountsOnly is set when only the account statistics and the request limits are present.
 	AccountsOnly bool `json:"brief,omitempty"`
 	// PrefillRate is the prompt tokens per second that the hosts send to each back end.
 	PrefillRate map[label.Name]float64 `json:"prefill,omitempty"`
@@ -31,6 +32,9 @@
 	InFlight map[string]int `json:"sent,omitempty"`
 	// PrefillTokens is the number of prompt tokens in flight whose answer has not begun, by endpoint.
 	PrefillTokens map[string]int64 `json:"unread,omitempty"`
+	// RequestLimits holds what endpoints have told the hosts themselves of their request limits, by endpoint; the newest
+	// counts.
+	RequestLimits map[string]notice.Notice `json:"request-limits,omitempty"`
 }
 
 // Add adds the statistics of other hosts to s.
@@ -49,34 +53,41 @@
 	}
 	s.InFlight = addSigned(s.InFlight, other.InFlight, 1)
 	s.PrefillTokens = addSigned(s.PrefillTokens, other.PrefillTokens, 1)
+	s.RequestLimits = newestLimits(s.RequestLimits, other.RequestLimits)
 }
 
 // ScaleFactor returns the factor that extrapolates the totals to a number of hosts. The totals must cover at least 1 host.
 // The factor is below 1 when some hosts are counted twice, which happens after they change the host that they report to.
 func (s *Stats) ScaleFactor(hosts int) float64 { return float64(hosts) / float64(s.Hosts) }
 
-// OnlyAccounts returns a copy with the account statistics only.
+// OnlyAccounts returns a copy with the account statistics and the request limits only.
 func (s *Stats) OnlyAccounts() *Stats {
-	return &Stats{Hosts: s.Hosts, Demand: s.Demand, Admitted: s.Admitted, Coverage: s.Coverage, AgeSum: s.AgeSum, AccountsOnly: true}
+	return &Stats{Hosts: s.Hosts, Demand: s.Demand, Admitted: s.Admitted, Coverage: s.Coverage, AgeSum: s.AgeSum, AccountsOnly: true, RequestLimits: s.RequestLimits}
 }
 
-// WithAccounts returns a copy whose account statistics are replaced by newer ones.
+// WithAccounts returns a copy whose account statistics and request limits are replaced by newer ones.
 func (s *Stats) WithAccounts(accounts *Stats) *Stats {
 	out := *s
 	out.Hosts, out.Coverage, out.AgeSum = accounts.Hosts, accounts.Coverage, accounts.AgeSum
 	out.Demand, out.Admitted = accounts.Demand, accounts.Admitted
+	out.RequestLimits = accounts.RequestLimits
 	return &out
 }
 
-// AgedBy returns a copy whose account statistics are older by age.
+// AgedBy returns a copy whose account statistics and request limits are older by age.
 func (s *Stats) AgedBy(age time.Duration) *Stats {
 	out := *s
 	out.AgeSum += float64(s.Hosts) * max(0, age.Seconds())
+	out.RequestLimits = make(map[string]notice.Notice, len(s.RequestLimits))
+	for id, n := range s.RequestLimits {
+		n.Age += max(0, age)
+		out.RequestLimits[id] = n
+	}
 	return &out
 }
 
 // Without returns the totals less those of some of the hosts in them. Values do not fall below 0. The linear fits and
-// AgeSum are not reduced.
+// AgeSum are not reduced, and the request limits stay.
 func (s *Stats) Without(part *Stats) *Stats {
 	out := &Stats{}
 	out.Add(s)
@@ -91,6 +102,21 @@
 	return out
 }
 
+// newestLimits adds the notices of b to a and returns a; of two notices of an endpoint, that of the later start counts, and
+// otherwise the newer one.
+func newestLimits(a, b map[string]notice.Notice) map[string]notice.Notice {
+	for id, n := range b {
+		if a == nil {
+			a = make(map[string]notice.Notice, len(b))
+		}
+		if old, ok := a[id]; ok && (old.StartMillis > n.StartMillis || old.StartMillis == n.StartMillis && old.Age <= n.Age) {
+			continue
+		}
+		a[id] = n
+	}
+	return a
+}
+
 // addSigned adds sign times the values of b to a and returns a; values that do not stay above 0 are removed.
 func addSigned[K comparable, V int | int64 | float64](a, b map[K]V, sign V) map[K]V {
 	for k, v := range b {
--- a/state/endreg/endreg.go
+++ b/state/endreg/endreg.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/state/limits"
 	"github.com/dragonflyroute/dragonflyroute/state/target"
 )
 
@@ -30,6 +31,7 @@
 	row             roster.Row
 	leavingReported bool
 	pausedUntil     time.Time
+	limit           *limits.Limit
 }
 
 // maxRemoved bounds the endpoints whose reports are kept after their removal.
@@ -59,6 +61,7 @@
 			t.RecordLeaving()
 		}
 		t.PauseUntil(report.pausedUntil)
+		t.Limit = report.limit
 	}
 	delete(reg.removed, r.ID)
 	reg.byID[r.ID] = t
@@ -99,13 +102,14 @@
 }
 
 func (reg *Registry) keepSelfReport(t *target.Target) {
-	if !t.LeavingReported() && t.PausedUntil().IsZero() {
+	_, limited := t.Limit.PerSecond()
+	if !t.LeavingReported() && t.PausedUntil().IsZero() && !limited {
 		return
 	}
 	if reg.removed == nil || len(reg.removed) >= maxRemoved {
 		reg.removed = map[endpt.ID]selfReport{}
 	}
-	reg.removed[t.Row().ID] = selfReport{row: *t.Row(), leavingReported: t.LeavingReported(), pausedUntil: t.PausedUntil()}
+	reg.removed[t.Row().ID] = selfReport{row: *t.Row(), leavingReported: t.LeavingReported(), pausedUntil: t.PausedUntil(), limit: t.Limit}
 }
 
 // Retain removes every endpoint whose id is not in ids.
--- a/state/endreg/endreg_test.go
+++ b/state/endreg/endreg_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/pace"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/state/endreg"
 )
@@ -66,6 +67,20 @@
 		Expect(reg.RecordLeaving("e", startMillis)).To(BeFalse())
 	})
 
+	It("keeps the request limit that an endpoint named while its row was missing, and not for a later start", func() {
+		reg.Get("e").Limit.Named(2, time.Now())
+		reg.Delete("e")
+		reg.Put(row)
+		perSecond, limited := reg.Get("e").Limit.PerSecond()
+		Expect(limited).To(BeTrue())
+		Expect(perSecond).To(Equal(pace.Pace(2)))
+		restarted := row
+		restarted.StartMillis++
+		reg.Put(restarted)
+		_, limited = reg.Get("e").Limit.PerSecond()
+		Expect(limited).To(BeFalse())
+	})
+
 	It("does not shorten a pause", func() {
 		reg.Get("e").PauseUntil(until)
 		reg.Get("e").PauseUntil(time.Now().Add(time.Second))
--- a/state/target/target.go
+++ b/state/target/target.go
@@ -38,7 +38,7 @@
 // All methods may be called concurrently.
 type Target struct {
 	// Limit is the request limit that the endpoint names.
-	Limit limits.Limit
+	Limit *limits.Limit
 
 	row     atomic.Pointer[roster.Row]
 	hash    uint64
@@ -80,7 +80,7 @@
 
 // New returns a target for a row.
 func New(r roster.Row) *Target {
-	t := &Target{left: make(chan struct{}), slowdown: 1, hash: xxhash.Sum64String(string(r.ID))}
+	t := &Target{Limit: &limits.Limit{}, left: make(chan struct{}), slowdown: 1, hash: xxhash.Sum64String(string(r.ID))}
 	t.SetRow(r)
 	return t
 }
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
@@ -214,6 +215,9 @@
 // OfferCatalogue adopts a catalogue if it is newer than the current one.
 func (p *peerService) OfferCatalogue(c *catlog.Catalogue) { p.d.catalogue.Offer(c) }
 
+// Permit grants nothing: the endpoints of the product's own interface name no request limits.
+func (p *peerService) Permit(q permit.Permit) permit.Permit { return q }
+
 // Trials returns the process's own trials of a move.
 func (p *peerService) Trials(move string) []trial.Trial { return p.d.trials.ByRoute(move) }
 
--- a/transport/peers/client.go
+++ b/transport/peers/client.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
@@ -35,6 +36,13 @@
 	return got, err
 }
 
+// Permit requests a permit for one request to an endpoint that limits its requests.
+func (p *Peers) Permit(ctx context.Context, address string, req permit.Permit) (permit.Permit, error) {
+	var got permit.Permit
+	err := p.call(ctx, address, methodPermit, req, &got)
+	return got, err
+}
+
 // Fetch returns the peer's newest catalogue.
 func (p *Peers) Fetch(ctx context.Context, address string) (*catlog.Catalogue, error) {
 	c := &catlog.Catalogue{}
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -22,6 +22,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
@@ -40,6 +41,7 @@
 	methodBorrow    = "limit-borrow"
 	methodReturn    = "limit-return"
 	methodQuery     = "tables-query"
+	methodPermit    = "permit-request"
 )
 
 const (
@@ -51,8 +53,9 @@
 	// maxTrackedMoves bounds the moves for which the index of the next peer to ask is stored.
 	maxTrackedMoves = 64
 	nonceBytes      = 32
-	// maxInbound bounds the connections that peers may open to this process.
-	maxInbound = 256
+	// maxInbound bounds the connections that peers may open to this process. All hosts of a large fleet may request
+	// permits of one endpoint from the same host.
+	maxInbound = 1024
 )
 
 type service interface {
@@ -70,6 +73,8 @@
 	Lend(req loan.Loan) loan.Loan
 	// Query returns changes of the platform's tables and the sum of all hosts' load statistics.
 	Query(q query.Query) reply.Reply
+	// Permit answers a request for a permit to send one request to an endpoint that limits its requests.
+	Permit(p permit.Permit) permit.Permit
 	// Return ends a loan that its borrower returns before the end of its term.
 	Return(returned loan.Loan)
 }
@@ -261,6 +266,8 @@
 		return handleParams(r, service.Lend)
 	case methodQuery:
 		return handleParams(r, service.Query)
+	case methodPermit:
+		return handleParams(r, service.Permit)
 	case methodReturn:
 		return handleParams(r, func(returned loan.Loan) accepted {
 			service.Return(returned)
--- a/transport/peers/peers_test.go
+++ b/transport/peers/peers_test.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
@@ -36,6 +37,7 @@
 func (echo) AcceptRequest(ticket.Ticket) bool          { return true }
 func (echo) Lend(req loan.Loan) loan.Loan              { return req }
 func (echo) Return(loan.Loan)                          {}
+func (echo) Permit(p permit.Permit) permit.Permit      { return p }
 func (echo) Query(query.Query) reply.Reply             { return reply.Reply{} }
 
 var _ = Describe("Peers", func() {
--- a/transport/site/heartbeat.go
+++ b/transport/site/heartbeat.go
@@ -5,8 +5,10 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/notice"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/stats"
+	"github.com/dragonflyroute/dragonflyroute/state/target"
 )
 
 // heartbeat returns the process's next heartbeat. It carries load statistics and usage only while polls do not exchange
@@ -52,6 +54,7 @@
 		FirstTokenFit: s.speed.Own(),
 		InFlight:      map[string]int{},
 		PrefillTokens: map[string]int64{},
+		RequestLimits: map[string]notice.Notice{},
 	}
 	out.Demand, out.Admitted = s.Rates.LocalUsage(now)
 	for _, t := range s.Registry.All() {
@@ -63,10 +66,32 @@
 		if prefill > 0 {
 			out.PrefillTokens[id] = prefill
 		}
+		if n, ok := ownNotice(t, now); ok {
+			out.RequestLimits[id] = n
+		}
 	}
 	return out
 }
 
+// endedLimitReportTime is how long the end of a request limit is reported to other hosts.
+const endedLimitReportTime = 10 * time.Second
+
+// ownNotice returns what an endpoint has told this process of its request limit; ok is false if it names none, or has not
+// told this process.
+func ownNotice(t *target.Target, now time.Time) (n notice.Notice, ok bool) {
+	n, known, firstHand := t.Limit.Notice(now)
+	n.StartMillis = t.Row().StartMillis
+	return n, known && firstHand && (n.InForce || n.Age < endedLimitReportTime)
+}
+
+// mergeLimit merges what other hosts know of an endpoint's request limit.
+func (s *Site) mergeLimit(t *target.Target, n notice.Notice, now time.Time) {
+	if n.StartMillis != t.Row().StartMillis || !t.Limit.Merge(n, now) {
+		return
+	}
+	s.Log.Info("endpoint's request limit changed, by another host's report", "endpoint", t.Row().ID, "limited", n.InForce, "per-second", n.PerSecond, "age-ms", n.Age.Milliseconds())
+}
+
 // setOthers applies the sum of other hosts' load statistics. It scales sums of load to the number of hosts known: hosts
 // missing from the sum are assumed to have the average load, and hosts counted twice do not raise the total.
 func (s *Site) setOthers(others *stats.Stats, now time.Time) {
@@ -80,6 +105,9 @@
 	for _, t := range s.Registry.All() {
 		id := string(t.Row().ID)
 		t.SetOthers(scale*float64(others.InFlight[id]), scale*float64(others.PrefillTokens[id]), now)
+		if n, ok := others.RequestLimits[id]; ok {
+			s.mergeLimit(t, n, now)
+		}
 	}
 }
 
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
@@ -338,6 +339,9 @@
 // Query answers another host's query for table changes and the sum of all hosts' load statistics.
 func (p *peerService) Query(q query.Query) reply.Reply { return p.s.polls.Answer(q) }
 
+// Permit answers another host's request for a permit.
+func (p *peerService) Permit(q permit.Permit) permit.Permit { return p.s.pacer.Grant(q) }
+
 // AcceptRequest returns false: a leaving host does not hand over requests here, as callers reconnect by themselves.
 func (p *peerService) AcceptRequest(ticket.Ticket) bool { return false }
 
--- a/transport/site/polls.go
+++ b/transport/site/polls.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
+	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/stats"
@@ -38,6 +39,11 @@
 	return r, err
 }
 
+// Permit requests a permit from another host.
+func (e exchange) Permit(ctx context.Context, h beat.Heartbeat, p permit.Permit) (permit.Permit, error) {
+	return e.peers.Permit(ctx, h.PeerAddress, p)
+}
+
 // Usage returns the number of the newest window whose counts in this process are final, and the newest windows.
 func (e exchange) Usage(now time.Time) (through int64, windows []window.Window) {
 	return e.usage.WindowNumber(now) - 1, e.usage.Own()
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -17,6 +17,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
+	"github.com/dragonflyroute/dragonflyroute/coordination/pacer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/polls"
 	"github.com/dragonflyroute/dragonflyroute/coordination/proxy"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
@@ -151,6 +152,7 @@
 	gossip       *spread.Gossip
 	peers        *peers.Peers
 	syncer       *syncer.Syncer
+	pacer        *pacer.Pacer
 	// tables holds the watchers of the platform's tables, which read them from the store or get them from peers.
 	tables map[string]*watch.Watcher
 	polls  *polls.Polls
@@ -203,8 +205,10 @@
 	s.fleet = &fleet.Fleet{Self: s.Host, Timeout: heartbeatTimeout}
 	s.Rates = &rates.Rates{Hosts: s.hosts, Slack: s.RateSlack, Window: s.RateWindow, Rand: rand.Float64, Started: time.Now()}
 	s.Balancer = &choose.Balancer{Rand: rand.Float64, Speed: s.speed, DataCentre: s.DataCentre, HostCount: s.hosts}
+	s.pacer = &pacer.Pacer{Self: s.Host, Live: s.liveHosts, Known: s.hosts, Endpoints: s.Registry, Peers: exchange{s}, Now: time.Now, Log: s.Log}
 	s.Proxy = &proxy.Proxy{
 		Endpoints: s.Registry,
+		Permits:   s.pacer,
 		Balancer:  s.Balancer,
 		Retries:   &retry.Budgets{Ratio: s.RetryRatio, Extra: s.RetryExtra, Hosts: s.hosts},
 		Usage:     s.usage,
