Play request limits in the soak, with cut and added hosts

Endpoints name limits, several at once, that change and end; hosts are killed, suspended, told to stop, added, and cut off by links before the address that other hosts connect to (new optional setting advertise.peers). The stand-in records changes and arrivals; the checker counts, in each window of 4 s, the requests of hosts that the endpoint had told half a second before, without hosts with a fault.

A run of its own leaves out faults between hosts and endpoints, as they excuse the endpoint.

--- a/test/scene/limits_test.go
+++ b/test/scene/limits_test.go
@@ -36,25 +36,30 @@
 	return n, err == nil
 }
 
-// allowedRequests returns the requests that an endpoint may get in the window that ends at a time; limited is false if
-// it named no limit for a part of the window or of the time that hosts have to apply one. A lowered limit counts once
-// that time has passed.
+// allowedRequests returns the requests that an endpoint may get in the window that ends at a time; limited is false
+// until hosts have had time to apply a limit. A lowered limit counts once that time has passed.
 func allowedRequests(events []limitEvent, end time.Time) (allowed float64, limited bool) {
 	from := end.Add(-limitWindow - limitNotice)
-	highest, inForce := 0.0, false
+	highest := 0.0
+	var since time.Time
 	for _, e := range events {
 		if e.at().After(end) {
 			break
 		}
 		n, ok := e.perSecond()
-		if !e.at().After(from) {
-			highest, inForce = n, ok
+		switch {
+		case !ok:
+			highest, since = 0, time.Time{}
 			continue
+		case since.IsZero():
+			since = e.at()
+		}
+		if !e.at().After(from) {
+			highest = 0
 		}
-		inForce = inForce && ok
 		highest = max(highest, n)
 	}
-	return limitTolerance*highest*limitWindow.Seconds() + limitExtra, inForce
+	return limitTolerance*highest*limitWindow.Seconds() + limitExtra, !since.IsZero() && end.Sub(since) >= limitNotice
 }
 
 // excessAt returns the requests in the window that ends with the last of some arrivals beyond what is allowed.
--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -26,6 +26,8 @@
 	requests int
 	// idleTimeoutMs is the operator's idle timeout in milliseconds; 0 means 15 000.
 	idleTimeoutMs int
+	// linkPeers puts a link before the address that other hosts connect to.
+	linkPeers bool
 }
 
 // siteHost is one entry host; its process serves callers at address.
@@ -34,6 +36,8 @@
 	ready, directory, metrics string
 	// settings is the path of the process's settings file.
 	settings string
+	// peerLink is the link from the other hosts, nil without linkPeers.
+	peerLink *link
 }
 
 // siteRecord is what the platform's stand-in has recorded.
@@ -102,15 +106,21 @@
 func (s *site) startHostVia(i int, platform string) {
 	callers, ready, directory := freeAddress(), freeAddress(), freeAddress()
 	internal := freePair()
+	var peerLink *link
+	advertise := ""
+	if s.linkPeers {
+		peerLink = newLink(net.JoinHostPort("127.0.0.1", strconv.Itoa(internal)))
+		advertise = peerLink.address
+	}
 	settings := fmt.Sprintf(`{"node":"host-%d","ip":"127.0.0.1","zone":"here",
- "listen":{"front":%q,"ready":%q,"directory":%q},"internalPorts":[%d,%d],"limits":{"memoryMb":200,"maxFds":1000},
+ "listen":{"front":%q,"ready":%q,"directory":%q},"internalPorts":[%d,%d],"advertise":{"peers":%q},"limits":{"memoryMb":200,"maxFds":1000},
  "heartbeatMs":200,"bounds":{"graceS":4,"drainMs":2000,"configApplyMs":2000,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetExtraRetries":50,
  "leaseMs":1000,"reportWindowS":1,"usageLateS":10,"ttl_max_s":5},
  "platform":{"address":%q},"cloud":{"address":%q,"duties":["usage_report"]}}`,
-		i, callers, ready, directory, internal, internal+1, platform, platform)
+		i, callers, ready, directory, internal, internal+1, advertise, platform, platform)
 	file := filepath.Join(GinkgoT().TempDir(), "node.json")
 	Expect(os.WriteFile(file, []byte(settings), 0o600)).To(Succeed())
-	h := &siteHost{ready: ready, directory: directory, metrics: net.JoinHostPort("127.0.0.1", strconv.Itoa(internal+1)), settings: file}
+	h := &siteHost{ready: ready, directory: directory, metrics: net.JoinHostPort("127.0.0.1", strconv.Itoa(internal+1)), settings: file, peerLink: peerLink}
 	h.launch(callers)
 	s.hosts = append(s.hosts, h)
 	Eventually(func() error { return ping(ready + "/ready") }).Should(Succeed())
--- a/test/scene/soak_callers_test.go
+++ b/test/scene/soak_callers_test.go
@@ -59,7 +59,8 @@
 // sendOne sends a request of a random kind to a random host.
 func (c *soakCaller) sendOne() {
 	c.requests++
-	a := &soakAnswer{id: fmt.Sprintf("%08x%08x", 0x1000+c.index, c.requests), host: c.rand.IntN(len(c.soak.hosts))}
+	host, to := c.soak.randomCallerLink(c.rand)
+	a := &soakAnswer{id: fmt.Sprintf("%08x%08x", 0x1000+c.index, c.requests), host: host}
 	path := []string{"/call/x", "/call/slow", "/stream/x", "/open/slow", "/only"}[c.rand.IntN(5)]
 	version, restarts, newest := c.soak.checker.requestSent(a.id, strings.HasPrefix(path, "/call/"), a.host)
 	a.restarts, a.newest = restarts, newest
@@ -68,15 +69,15 @@
 		path = fmt.Sprintf("/only-%d/x", a.version)
 	}
 	a.sent = time.Now()
-	c.send(a, path)
+	c.send(a, to, path)
 	a.ended = time.Now()
 	c.soak.checker.answerReceived(a)
 }
 
-func (c *soakCaller) send(a *soakAnswer, path string) {
+func (c *soakCaller) send(a *soakAnswer, to *link, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout+2*answerSlack)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.soak.callerLinks[a.host].address+path, strings.NewReader("body"))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.address+path, strings.NewReader("body"))
 	if err != nil {
 		a.err = err
 		return
--- a/test/scene/soak_check_test.go
+++ b/test/scene/soak_check_test.go
@@ -29,6 +29,11 @@
 	version int
 	// notRun holds the status and body of the requests that were refused as not run, by request id.
 	notRun map[string]string
+	// hostOf is the host of each request, and hostFaults and endpointFaults are the times with faults that excuse a host
+	// or the requests to an endpoint from the request limits.
+	hostOf         map[string]int
+	hostFaults     map[int][]period
+	endpointFaults map[string][]period
 	// calls holds the ids of non-idempotent requests, which may run at most once; succeeded those of all served requests.
 	calls, succeeded map[string]bool
 	// sent and served count all requests and those with status 200.
@@ -36,13 +41,23 @@
 	violations   []string
 }
 
-func newChecker(hosts int) *checker {
+func newChecker() *checker {
 	return &checker{
-		openFaults: make([]int, hosts), lastFaultEnd: make([]time.Time, hosts), restarts: make([]int, hosts), newest: make([]int, hosts),
+		hostOf: map[string]int{}, hostFaults: map[int][]period{}, endpointFaults: map[string][]period{},
 		notRun: map[string]string{}, calls: map[string]bool{}, succeeded: map[string]bool{},
 	}
 }
 
+// addHost adds one more host.
+func (c *checker) addHost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.openFaults = append(c.openFaults, 0)
+	c.lastFaultEnd = append(c.lastFaultEnd, time.Time{})
+	c.restarts = append(c.restarts, 0)
+	c.newest = append(c.newest, 0)
+}
+
 func (c *checker) addViolation(format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,6 +107,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent++
+	c.hostOf[id] = host
 	if nonIdempotent {
 		c.calls[id] = true
 	}
@@ -166,10 +182,11 @@
 		}
 	}
 	k.checkUsage(seen)
+	k.checkLimits(seen)
 	if c.sent > 0 && c.served == 0 {
 		c.addViolation("none of %d requests was served", c.sent)
 	}
-	GinkgoWriter.Printf("%d of %d requests served, %d refused, %d faults\n", c.served, c.sent, len(c.notRun), len(k.faultLog))
+	GinkgoWriter.Printf("%d of %d requests served, %d refused, %d faults, %s\n", c.served, c.sent, len(c.notRun), len(k.faultLog), k.limitSummary)
 	return c.violations
 }
 
@@ -220,7 +237,8 @@
 	}
 
 	It("finds a refusal without a Retry-After, and a response without its signature", func() {
-		c := newChecker(1)
+		c := newChecker()
+		c.addHost()
 		answer(c, 503, "")
 		Expect(c.violations).To(ConsistOf(ContainSubstring("no Retry-After")))
 		answer(c, 200, "answer of mutual")
@@ -229,7 +247,7 @@
 
 	It("finds answered calls that did not run, and refused ones that ran", func() {
 		site := newSite(1)
-		k := &soak{site: site, checker: newChecker(1)}
+		k := &soak{site: site, checker: newChecker()}
 		got := site.request(0, "/call/x", "k1")
 		k.checker.notRun[got.id] = "503"
 		k.checker.succeeded["never"], k.checker.calls["never"] = true, true
--- a/test/scene/soak_faults_test.go
+++ b/test/scene/soak_faults_test.go
@@ -23,12 +23,30 @@
 
 // startFault starts one random fault.
 func (k *soak) startFault() {
-	faults := []func(){
+	faults := k.allFaults()
+	if k.limitsOnly {
+		faults = k.limitFaults()
+	}
+	faults[k.rand.IntN(len(faults))]()
+}
+
+// allFaults returns the faults of a run, those that are more likely several times.
+func (k *soak) allFaults() []func() {
+	return []func(){
 		k.storeDown, k.storeLosesResponses, k.compactStore, k.storeLink, k.storeLink,
 		k.callerLink, k.callerLink, k.endpointLink, k.endpointLink, k.endpointReset,
+		k.limitEndpoint, k.peerLink, k.addHostFault,
 		k.killEndpoint, k.addEndpointFault, k.suspendHost, k.killHost, k.stopHost, k.changeConfiguration,
 	}
-	faults[k.rand.IntN(len(faults))]()
+}
+
+// limitFaults returns the faults of a run in which endpoints limit their requests while hosts come and go. Faults between
+// hosts and endpoints are left out, as they excuse the endpoint.
+func (k *soak) limitFaults() []func() {
+	return []func(){
+		k.limitEndpoint, k.limitEndpoint, k.limitEndpoint, k.peerLink, k.addHostFault, k.suspendHost, k.killHost, k.stopHost,
+		k.storeDown, k.storeLink, k.changeConfiguration,
+	}
 }
 
 // revertLater schedules the end of a fault after a random duration.
@@ -99,9 +117,11 @@
 	k.logFault("hosts to endpoint %s: %+v", id, f)
 	k.endpointLinks[id].setFault(f)
 	k.checker.endpointFault()
+	started := time.Now()
 	k.revertLater(func() {
 		k.endpointLinks[id].setFault(linkFault{})
 		k.checker.endpointFault()
+		k.checker.excuseEndpoint(id, started)
 	})
 }
 
@@ -142,12 +162,14 @@
 		return 0, false
 	}
 	k.stopped[host] = true
+	k.stoppedAt[host] = time.Now()
 	k.checker.faultStarted(host)
 	return host, true
 }
 
 func (k *soak) releaseHost(host int) {
 	delete(k.stopped, host)
+	k.checker.excuseHost(host, k.stoppedAt[host])
 	k.checker.faultEnded(host)
 }
 
--- a/test/scene/soak_test.go
+++ b/test/scene/soak_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -36,6 +37,8 @@
 	hosts int
 	// length is the time with faults.
 	length time.Duration
+	// limitsOnly selects the faults of runs in which endpoints limit their requests.
+	limitsOnly bool
 }
 
 // soakCases are runs that have failed before.
@@ -51,16 +54,24 @@
 	rand *rand.Rand
 	// callerLinks are the links from callers to hosts, storeLinks those from hosts to the platform, both by host.
 	callerLinks, storeLinks []*link
+	// mu guards callerLinks, which callers read while hosts are added.
+	mu sync.Mutex
 	// endpointLinks are the links from hosts to the endpoints, by endpoint id.
 	endpointLinks  map[string]*link
 	endpoints      []string
 	endpointsAdded int
+	hostsAdded     int
+	limitsOnly     bool
+	// limitSummary describes the request limits that endpoints named.
+	limitSummary string
 	// version is the version of the latest configuration, and key the API key that it adds.
 	version int
 	key     string
 	checker *checker
 	// stopped holds the hosts that are suspended, killed or shutting down.
 	stopped map[int]bool
+	// stoppedAt is when each host was last suspended, killed or told to shut down.
+	stoppedAt map[int]time.Time
 	// processes holds all host processes, including those that have exited.
 	processes []*process
 	// reverts are the pending ends of faults.
@@ -83,17 +94,14 @@
 }
 
 func newSoak(seed uint64, hosts int) *soak {
-	k := &soak{site: &site{}, rand: rand.New(rand.NewPCG(seed, 1)), endpointLinks: map[string]*link{}, stopped: map[int]bool{}}
+	k := &soak{site: &site{linkPeers: true}, rand: rand.New(rand.NewPCG(seed, 1)), endpointLinks: map[string]*link{}, stopped: map[int]bool{}, stoppedAt: map[int]time.Time{}}
 	address := freeAddress()
 	k.platform = start("standin", address, "site", "--listen", address, "--endpoints", "0")
 	Eventually(func() error { return ping(address + "/seen") }).Should(Succeed())
-	for i := range hosts {
-		k.storeLinks = append(k.storeLinks, newLink(address))
-		k.startHostVia(i, k.storeLinks[i].address)
-		k.callerLinks = append(k.callerLinks, newLink(k.hosts[i].address))
-		k.processes = append(k.processes, k.hosts[i].process)
+	k.checker = newChecker()
+	for range hosts {
+		k.addHost()
 	}
-	k.checker = newChecker(hosts)
 	k.putNextConfiguration()
 	for range soakEndpoints {
 		k.addEndpoint()
@@ -102,6 +110,26 @@
 	return k
 }
 
+// addHost starts one more host, with links from callers and to the platform.
+func (k *soak) addHost() {
+	i := len(k.hosts)
+	k.storeLinks = append(k.storeLinks, newLink(k.platform.address))
+	k.startHostVia(i, k.storeLinks[i].address)
+	k.processes = append(k.processes, k.hosts[i].process)
+	k.checker.addHost()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.callerLinks = append(k.callerLinks, newLink(k.hosts[i].address))
+}
+
+// randomCallerLink returns a random host and the link of callers to it.
+func (k *soak) randomCallerLink(r *rand.Rand) (host int, l *link) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	host = r.IntN(len(k.callerLinks))
+	return host, k.callerLinks[host]
+}
+
 // putNextConfiguration stores the next configuration, with a key and a route that no other one has.
 func (k *soak) putNextConfiguration() {
 	k.version++
@@ -173,6 +201,7 @@
 
 func (c soakCase) run() {
 	k := newSoak(c.seed, c.hosts)
+	k.limitsOnly = c.limitsOnly
 	passed := false
 	defer func() {
 		if !passed {
@@ -186,15 +215,20 @@
 }
 
 var _ = Describe("the fault soak", func() {
-	It("keeps the guarantees to callers and endpoints under random faults", func() {
+	runSeeds := func(limitsOnly bool) {
 		first := envInt("SOAK_FIRST", envInt("DRAGONFLYROUTE_SEED", 1))
 		hosts := envInt("SOAK_HOSTS", soakHosts)
 		length := time.Duration(envInt("SOAK_SECONDS", int(soakDuration.Seconds()))) * time.Second
 		for n := range envInt("SOAK_SEEDS", 1) {
 			By(fmt.Sprintf("seed %d", first+n))
-			soakCase{seed: uint64(first + n), hosts: hosts, length: length}.run()
+			soakCase{seed: uint64(first + n), hosts: hosts, length: length, limitsOnly: limitsOnly}.run()
 		}
-	})
+	}
+
+	It("keeps the guarantees to callers and endpoints under random faults", func() { runSeeds(false) })
+
+	// Guards against request limits that are kept only while all hosts run and agree on who they are.
+	It("keeps the request limits of endpoints while hosts are killed, suspended, cut off and added", func() { runSeeds(true) })
 
 	It("keeps them in the cases that have failed before", func() {
 		for _, c := range soakCases {
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -3,6 +3,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -84,6 +85,8 @@
 	CallerAddress, ReadyAddress, DirectoryAddress string
 	// PeerPort and MetricsPort are the ports on IP for other entry hosts and for metrics.
 	PeerPort, MetricsPort int
+	// AdvertisedPeerAddress is the address that other entry hosts connect to, empty for IP and PeerPort.
+	AdvertisedPeerAddress string
 	// NewSystem is true when the whole system starts for the first time, not only this process.
 	NewSystem bool
 	// Grace is the grace period, from the order to stop to the kill.
@@ -326,7 +329,7 @@
 		{"callers", s.CallerAddress, &l.requests},
 		{"ready", s.ReadyAddress, &l.ready},
 		{"addresses", s.DirectoryAddress, &l.addresses},
-		{"peers", s.peerAddress(), &l.peers},
+		{"peers", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)), &l.peers},
 		{"metrics", net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)), &l.metrics},
 	} {
 		listener, err := net.Listen("tcp", part.address)
@@ -338,4 +341,7 @@
 	return &l, nil
 }
 
-func (s *Site) peerAddress() string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
+// peerAddress returns the address that other entry hosts connect to.
+func (s *Site) peerAddress() string {
+	return cmp.Or(s.AdvertisedPeerAddress, net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)))
+}
