Report request limits only of endpoints that have named one, and read them without a lock

Found while reading the change: every answer without a limit counted as the end of one, so hosts would have told each other of every endpoint in each report. Test in `state/limits` ("nothing to report"), which failed first. Endpoints without a limit, the usual case, are now passed without a lock.

--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -81,8 +81,8 @@
 
 // Pick returns the usable endpoint of least cost among those compared.
 //
-// Endpoints that are leaving, have asked for a pause or are at their request limit are never chosen; those in backoff after a failure only when
-// no other is compared.
+// Endpoints that are leaving, have asked for a pause or are at their request limit are never chosen; those in backoff
+// after a failure only when no other is compared.
 func (b *Balancer) Pick(all []*target.Target, w *work.Request, used func(*target.Target) bool, now time.Time) pick {
 	if w.PromptTokens == 0 {
 		return b.spread(all, w, used, now)
--- a/coordination/pacer/pacer.go
+++ b/coordination/pacer/pacer.go
@@ -46,8 +46,10 @@
 // Pacer grants and obtains permits for requests to endpoints that limit their requests.
 //
 // The permits of an endpoint are granted by one host, selected by rendezvous hashing, so that the limit holds however
-// many hosts send requests. Hosts may disagree on the membership; a host grants only the part of the limit that the hosts
-// it takes for live are of all that are listed, so that one that is cut off does not grant the limit once more. All methods may be called concurrently.
+// many hosts send requests. Hosts may disagree on the membership: of the limit, a host grants the fraction of the listed
+// hosts that it takes for live, so that one that is cut off does not grant the limit a second time.
+//
+// All methods may be called concurrently.
 type Pacer struct {
 	// Self names this host.
 	Self host.ID
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -72,6 +72,7 @@
 	if !p.refused[t.Row().ID] {
 		return true
 	}
+	t.Limit.Named(1, time.Now())
 	t.Limit.HoldUntil(time.Now().Add(time.Second))
 	return false
 }
--- a/state/limits/limits.go
+++ b/state/limits/limits.go
@@ -4,6 +4,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/notice"
@@ -15,9 +16,13 @@
 //
 // All methods may be called concurrently.
 type Limit struct {
+	// inForce is written under mu, and read without it on the path of requests, since few endpoints name a limit.
+	inForce atomic.Bool
+
 	mu        sync.Mutex
 	perSecond pace.Pace
-	inForce   bool
+	// everNamed is set once the endpoint has named a limit.
+	everNamed bool
 	// knownAt is when the endpoint is known to have last named the limit, or no longer named one. firstHand is set if
 	// the endpoint told this process, and not another host.
 	knownAt   time.Time
@@ -57,8 +62,10 @@
 	if !at.After(l.knownAt) {
 		return false
 	}
-	changed = inForce != l.inForce || perSecond != l.perSecond
-	l.inForce, l.perSecond, l.knownAt, l.firstHand = inForce, perSecond, at, firstHand
+	changed = inForce != l.inForce.Load() || perSecond != l.perSecond
+	l.inForce.Store(inForce)
+	l.everNamed = l.everNamed || inForce
+	l.perSecond, l.knownAt, l.firstHand = perSecond, at, firstHand
 	if changed {
 		l.heldUntil = time.Time{}
 	}
@@ -67,9 +74,12 @@
 
 // PerSecond returns the limit; ok is false while none is in force.
 func (l *Limit) PerSecond() (perSecond pace.Pace, ok bool) {
+	if !l.inForce.Load() {
+		return 0, false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.perSecond, l.inForce
+	return l.perSecond, l.inForce.Load()
 }
 
 // Notice returns what this process knows of the limit. Known is false if the endpoint has never named one, and
@@ -77,8 +87,8 @@
 func (l *Limit) Notice(now time.Time) (n notice.Notice, known, firstHand bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n = notice.Notice{InForce: l.inForce, PerSecond: l.perSecond, Age: max(0, now.Sub(l.knownAt))}
-	return n, !l.knownAt.IsZero(), l.firstHand
+	n = notice.Notice{InForce: l.inForce.Load(), PerSecond: l.perSecond, Age: max(0, now.Sub(l.knownAt))}
+	return n, l.everNamed, l.firstHand
 }
 
 // AddPermit records a permit to send one request before it expires.
@@ -92,7 +102,7 @@
 func (l *Limit) UsePermit(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.inForce {
+	if !l.inForce.Load() {
 		l.permits = nil
 		return true
 	}
@@ -111,8 +121,11 @@
 	l.heldUntil = until
 }
 
-// HeldUntil returns the time before which this process gets no permit.
+// HeldUntil returns the time before which this process gets no permit, zero if none is needed.
 func (l *Limit) HeldUntil() time.Time {
+	if !l.inForce.Load() {
+		return time.Time{}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.heldUntil
--- a/state/limits/limits_test.go
+++ b/state/limits/limits_test.go
@@ -63,6 +63,16 @@
 		Expect(n.Age).To(Equal(2 * time.Second))
 	})
 
+	It("is nothing to report of an endpoint that has never named one", func() {
+		l.NotNamed(second(1))
+		_, known, _ := l.Notice(second(2))
+		Expect(known).To(BeFalse())
+		l.Named(2, second(3))
+		l.NotNamed(second(4))
+		_, known, _ = l.Notice(second(5))
+		Expect(known).To(BeTrue())
+	})
+
 	It("lets one request pass for each permit before it expires, and all without a limit", func() {
 		Expect(l.UsePermit(second(0))).To(BeTrue())
 		l.Named(2, second(1))
--- a/test/scene/limits_test.go
+++ b/test/scene/limits_test.go
@@ -119,4 +119,32 @@
 		Expect(maxExcess(events, everything)).To(Equal(0.0))
 		Expect(len(events)).To(BeNumerically(">", limitWindow.Seconds()), "the endpoint gets requests within its limit")
 	})
+
+	// Guards against a limit that outlasts its endpoint's need, as few requests tell that it has ended.
+	It("gets as many requests as others on every host once it no longer names a limit", func() {
+		s := newSite(3)
+		s.control("/trouble?id=i-0&limit=0")
+		Expect(s.sendFor(limitNotice, 10*time.Millisecond)).To(Equal(0))
+		s.control("/trouble?id=i-0")
+		Eventually(func() int {
+			before := s.record().Arrivals["i-0"]
+			Expect(s.sendFor(time.Second, 10*time.Millisecond)).To(Equal(0))
+			return s.record().Arrivals["i-0"] - before
+		}).WithTimeout(20 * time.Second).Should(BeNumerically(">", 15))
+	})
+
+	// Guards against requests that wait for an endpoint which is known not to take them.
+	It("has requests refused at once as not run, with a time to return, while no other endpoint serves them", func() {
+		s := newSite(2)
+		for _, id := range []string{"i-0", "i-1", "i-2"} {
+			s.control("/trouble?id=" + id + "&limit=0")
+		}
+		s.sendFor(limitNotice, 10*time.Millisecond)
+		sent := time.Now()
+		answer := s.request(0, "/call/x", "k1")
+		Expect(answer.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(answer.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(time.Since(sent)).To(BeNumerically("<", time.Second))
+		Expect(s.record().Runs[answer.id]).To(Equal(0))
+	})
 })
