--- a/test/scene/limits_test.go
+++ b/test/scene/limits_test.go
@@ -92,9 +92,12 @@
 	return worst
 }
 
+// sendPause is the time between the requests of sendFor.
+const sendPause = 10 * time.Millisecond
+
 // sendFor sends requests to all hosts in turn for some time and returns how many of them were not served.
-func (s *site) sendFor(length, pause time.Duration) (failed int) {
-	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(pause) {
+func (s *site) sendFor(length time.Duration) (failed int) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(sendPause) {
 		path := "/call/x"
 		if s.requests%2 == 0 {
 			path = "/open/x"
@@ -114,7 +117,7 @@
 	It("gets no more requests from all hosts together than its limit allows", func() {
 		s := newSite(3)
 		s.control("/trouble?id=i-0&limit=1")
-		Expect(s.sendFor(limitNotice+2*limitWindow, 10*time.Millisecond)).To(Equal(0))
+		Expect(s.sendFor(limitNotice+2*limitWindow)).To(Equal(0))
 		events := s.record().Limits["i-0"]
 		Expect(maxExcess(events, everything)).To(Equal(0.0))
 		Expect(len(events)).To(BeNumerically(">", limitWindow.Seconds()), "the endpoint gets requests within its limit")
@@ -124,11 +127,11 @@
 	It("gets as many requests as others on every host once it no longer names a limit", func() {
 		s := newSite(3)
 		s.control("/trouble?id=i-0&limit=0")
-		Expect(s.sendFor(limitNotice, 10*time.Millisecond)).To(Equal(0))
+		Expect(s.sendFor(limitNotice)).To(Equal(0))
 		s.control("/trouble?id=i-0")
 		Eventually(func() int {
 			before := s.record().Arrivals["i-0"]
-			Expect(s.sendFor(time.Second, 10*time.Millisecond)).To(Equal(0))
+			Expect(s.sendFor(time.Second)).To(Equal(0))
 			return s.record().Arrivals["i-0"] - before
 		}).WithTimeout(20 * time.Second).Should(BeNumerically(">", 15))
 	})
@@ -139,7 +142,7 @@
 		for _, id := range []string{"i-0", "i-1", "i-2"} {
 			s.control("/trouble?id=" + id + "&limit=0")
 		}
-		s.sendFor(limitNotice, 10*time.Millisecond)
+		s.sendFor(limitNotice)
 		sent := time.Now()
 		answer := s.request(0, "/call/x", "k1")
 		Expect(answer.status).To(Equal(http.StatusServiceUnavailable))
