Test how fast a large fleet hears of an endpoint's request limit

One host of 9, 60 and 295 is told a limit, a lower one and its end; all others hear of each within the 3 s that hosts have.

--- a/coordination/polls/polls_test.go
+++ b/coordination/polls/polls_test.go
@@ -23,6 +23,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/notice"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/stats"
@@ -44,6 +45,8 @@
 	rateWindow = 8 * time.Second
 	excess     = 1.1
 	slack      = 140_000.0
+	// limitTime is the time in which hosts must keep to a request limit.
+	limitTime = 3 * time.Second
 )
 
 // fleet is several hosts that exchange tables and figures on a virtual clock, in front of a store with one table.
@@ -69,6 +72,10 @@
 	next  time.Time
 	// age is the average age of the other hosts' figures on last receipt.
 	age time.Duration
+	// told is what an endpoint has told this host of its request limit, at toldAt; heard is what the other hosts report.
+	told   *notice.Notice
+	toldAt time.Time
+	heard  notice.Notice
 }
 
 // rows is a host's view of the store's table.
@@ -146,11 +153,18 @@
 
 func (m *member) Own(now time.Time) *stats.Stats {
 	demand, used := m.rates.LocalUsage(now)
-	return &stats.Stats{Hosts: 1, Coverage: m.rates.Coverage(now), Demand: demand, Admitted: used, InFlight: map[string]int{"e": 1}}
+	out := &stats.Stats{Hosts: 1, Coverage: m.rates.Coverage(now), Demand: demand, Admitted: used, InFlight: map[string]int{"e": 1}}
+	if m.told != nil {
+		n := *m.told
+		n.Age = now.Sub(m.toldAt)
+		out.RequestLimits = map[string]notice.Notice{"e": n}
+	}
+	return out
 }
 
 func (m *member) SetOthers(others *stats.Stats, now time.Time) {
 	m.rates.SetOthers(others, now)
+	m.heard = others.RequestLimits["e"]
 	m.age = time.Duration(others.AgeSum / float64(others.Hosts) * float64(time.Second))
 }
 
@@ -369,3 +383,32 @@
 	*c.queries++
 	return c.member.Query(ctx, h, q)
 }
+
+var _ = Describe("A large fleet of which one host is told an endpoint's request limit", func() {
+	// tell gives one host what the endpoint says.
+	tell := func(m *member, n notice.Notice) { m.told, m.toldAt = &n, m.fleet.now }
+	// heardBy counts the other hosts that have the report.
+	heardBy := func(f *fleet, from *member) (n int) {
+		for _, m := range f.hosts {
+			if m != from && m.heard.InForce == from.told.InForce && m.heard.PerSecond == from.told.PerSecond {
+				n++
+			}
+		}
+		return n
+	}
+
+	// Guards against hosts that learn of a limit only from the endpoint itself, each with a request too many.
+	DescribeTable("tells all others in the time that hosts have to keep to it, also that it changed and ended",
+		func(n int) {
+			f := newFleet(n)
+			f.play(5 * time.Second)
+			for round, said := range []notice.Notice{{InForce: true, PerSecond: 2}, {InForce: true, PerSecond: 0.5}, {}} {
+				from := f.hosts[(round*37+5)%n]
+				tell(from, said)
+				f.play(limitTime)
+				Expect(heardBy(f, from)).To(Equal(n-1), "round %d", round)
+			}
+		},
+		Entry("9 hosts", 9), Entry("60 hosts", 60), Entry("295 hosts", 295),
+	)
+})
