Keep the connection to a peer that answers a call with an error

Found while reading the change: a host of an earlier version does not know requests for permits. Its error answer closed the connection, and with it the heartbeats in progress, so during a rolling upgrade hosts would have suspected each other at each request. Only a call without an answer shows that a connection is broken.

--- a/test/scene/limits_test.go
+++ b/test/scene/limits_test.go
@@ -117,7 +117,7 @@
 	It("gets no more requests from all hosts together than its limit allows", func() {
 		s := newSite(3)
 		s.control("/trouble?id=i-0&limit=1")
-		Expect(s.sendFor(limitNotice+2*limitWindow)).To(Equal(0))
+		Expect(s.sendFor(limitNotice + 2*limitWindow)).To(Equal(0))
 		events := s.record().Limits["i-0"]
 		Expect(maxExcess(events, everything)).To(Equal(0.0))
 		Expect(len(events)).To(BeNumerically(">", limitWindow.Seconds()), "the endpoint gets requests within its limit")
--- a/transport/peers/client.go
+++ b/transport/peers/client.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 
+	"github.com/sourcegraph/jsonrpc2"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
@@ -135,7 +137,10 @@
 	}
 	defer p.release(c)
 	if err := c.conn.Call(ctx, method, params, result); err != nil {
-		p.drop(address, c)
+		var answered *jsonrpc2.Error
+		if !errors.As(err, &answered) {
+			p.drop(address, c)
+		}
 		return fault.Wrap(kind.Unavailable, err, "call to peer %s: %s", address, method)
 	}
 	return nil
--- a/transport/peers/peers_test.go
+++ b/transport/peers/peers_test.go
@@ -1,10 +1,14 @@
 package peers_test
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -40,6 +44,44 @@
 func (echo) Permit(p permit.Permit) permit.Permit      { return p }
 func (echo) Query(query.Query) reply.Reply             { return reply.Reply{} }
 
+// serveEarlierVersion answers heartbeats like a peer that does not know any method added since, and counts its connections.
+func serveEarlierVersion(l net.Listener, conns *atomic.Int64) error {
+	var g errgroup.Group
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return g.Wait()
+		}
+		conns.Add(1)
+		g.Go(func() error {
+			answerEarlierVersion(c)
+			return nil
+		})
+	}
+}
+
+func answerEarlierVersion(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	known := map[string]string{"challenge": `{"nonce":"AAAA"}`, "hello": `{"ok":true}`, "pulse": `{"host":"old"}`}
+	lines := bufio.NewScanner(c)
+	for lines.Scan() {
+		var call struct {
+			Method string          `json:"method"`
+			ID     json.RawMessage `json:"id"`
+		}
+		if json.Unmarshal(lines.Bytes(), &call) != nil {
+			return
+		}
+		outcome := `"error":{"code":-32601,"message":"unknown method"}`
+		if result, ok := known[call.Method]; ok {
+			outcome = `"result":` + result
+		}
+		if _, err := fmt.Fprintf(c, `{"jsonrpc":"2.0","id":%s,%s}`+"\n", call.ID, outcome); err != nil {
+			return
+		}
+	}
+}
+
 var _ = Describe("Peers", func() {
 	var addresses []string
 	var ctx context.Context
@@ -96,6 +138,27 @@
 		Expect(p.OpenConnections()).To(BeNumerically("<=", maxOpen))
 	})
 
+	// Guards against a rolling upgrade in which each call that the older hosts do not know breaks their heartbeats.
+	It("keep the connection to a peer of an earlier version that does not know a method", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		var conns atomic.Int64
+		var server errgroup.Group
+		server.Go(func() error { return serveEarlierVersion(l, &conns) })
+		p := &peers.Peers{Secret: "secret", MaxOpen: 8}
+		address := l.Addr().String()
+		for range 5 {
+			_, err = p.Permit(context.Background(), address, permit.Permit{})
+			Expect(err).To(HaveOccurred())
+			_, err = p.Heartbeat(context.Background(), address, beat.Heartbeat{})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(conns.Load()).To(Equal(int64(1)))
+		p.Close()
+		Expect(l.Close()).To(Succeed())
+		Expect(server.Wait()).To(Succeed())
+	})
+
 	It("close a connection whose message never ends, and serve others meanwhile", func() {
 		listen(1)
 		c, err := net.Dial("tcp", addresses[0])
