--- a/coordination/pacer/fleet_test.go
+++ b/coordination/pacer/fleet_test.go
@@ -86,7 +86,6 @@
 // simFleet simulates hosts that send requests to one endpoint, which names a limit.
 type simFleet struct {
 	now   time.Time
-	start time.Time
 	rand  *rand.Rand
 	hosts map[host.ID]*simHost
 	ids   []host.ID
@@ -119,8 +118,7 @@
 }
 
 func newFleet(n int, limit pace.Pace) *simFleet {
-	start := time.Unix(1000, 0)
-	f := &simFleet{now: start, start: start, rand: rand.New(rand.NewPCG(uint64(n), 7)), hosts: map[host.ID]*simHost{}, limit: limit}
+	f := &simFleet{now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(uint64(n), 7)), hosts: map[host.ID]*simHost{}, limit: limit}
 	for range n {
 		f.addHost()
 	}
@@ -184,8 +182,10 @@
 	f.setLive(h, !cut)
 }
 
-// granter returns the host that the process of any other host takes for the granter of the endpoint's permits: the one
-// that granted most recently.
+// otherGranterWait is the wait in the answer of a host that does not grant the endpoint's permits.
+const otherGranterWait = 200 * time.Millisecond
+
+// granter returns the host that grants the permits, found by a request to each host in turn, which may use up a permit.
 func (f *simFleet) granter() *simHost {
 	for _, id := range f.ids {
 		h := f.hosts[id]
@@ -193,7 +193,7 @@
 			continue
 		}
 		answer := h.pacer.Grant(permit.Permit{Endpoint: endpoint})
-		if answer.Granted || answer.Wait != 200*time.Millisecond {
+		if answer.Granted || answer.Wait != otherGranterWait {
 			return h
 		}
 	}
@@ -264,7 +264,7 @@
 	})
 }
 
-// worst returns the largest number of requests beyond what is allowed in a window, and all requests since a step.
+// worst returns the largest number of requests beyond what is allowed in a window.
 func (f *simFleet) worst() float64 {
 	worst := 0.0
 	for end := range f.arrivals {
