Ask for a request limit's presence and notice in one place, and age none where there is none

- stats.AgedBy made a map for each host's report each time, though almost none has a request limit.
- Whether a limit is in force was taken from PerSecond, with its lock, in seven places that do not need the figure: Limit.InForce.
- Three callers added the start of the endpoint's process to a notice: target.LimitNotice does.

--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -135,8 +135,7 @@
 // canDonate reports whether other endpoints may fetch KV cache from an endpoint: a fetch is work too, so not from one that
 // limits its requests.
 func canDonate(t *target.Target, now time.Time) bool {
-	_, limited := t.Limit.PerSecond()
-	return !limited && accepts(t, now)
+	return !t.Limit.InForce() && accepts(t, now)
 }
 
 // untilAccepting returns the time until the first endpoint accepts requests, zero when one of them does now.
--- a/coordination/pacer/pacer.go
+++ b/coordination/pacer/pacer.go
@@ -75,7 +75,7 @@
 // Take obtains a permit for one request to an endpoint and reports whether it got one; none is needed while the endpoint
 // names no limit. After a refusal the endpoint is held for this process, for as long as no permit is to be had.
 func (p *Pacer) Take(ctx context.Context, t *target.Target) bool {
-	if _, limited := t.Limit.PerSecond(); !limited {
+	if !t.Limit.InForce() {
 		return true
 	}
 	answer := p.ask(ctx, t)
@@ -94,8 +94,7 @@
 	row := t.Row()
 	now := p.Now()
 	q := permit.Permit{Endpoint: row.ID}
-	q.Notice, _, _ = t.Limit.Notice(now)
-	q.Notice.StartMillis = row.StartMillis
+	q.Notice, _, _ = t.LimitNotice(now)
 	granter := p.granter(row.ID, now).host
 	if granter.Host == p.Self {
 		return p.Grant(q)
@@ -151,8 +150,7 @@
 	}
 	t.Limit.Merge(q.Notice, now)
 	answer := permit.Permit{Endpoint: q.Endpoint}
-	answer.Notice, _, _ = t.Limit.Notice(now)
-	answer.Notice.StartMillis = q.Notice.StartMillis
+	answer.Notice, _, _ = t.LimitNotice(now)
 	if !answer.Notice.InForce {
 		answer.Granted = true
 		return answer
--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -226,12 +226,7 @@
 // excluded reports whether the job must not be sent to an endpoint: it was sent there before, or permits for other ones
 // were refused so often that another refusal would cost too much time.
 func (j *job) excluded(t *target.Target) bool {
-	if j.refusedPermits >= maxRefusedPermits {
-		if _, limited := t.Limit.PerSecond(); limited {
-			return true
-		}
-	}
-	return j.attempted[t]
+	return j.attempted[t] || j.refusedPermits >= maxRefusedPermits && t.Limit.InForce()
 }
 
 // deadlineError returns the error to answer with once the request's context has ended, and nil before.
@@ -271,13 +266,10 @@
 
 // countLimited counts an attempt that uses an endpoint with a request limit, itself or as a donor of KV cache.
 func (p *Proxy) countLimited(t, donor *target.Target) {
-	if _, limited := t.Limit.PerSecond(); limited {
+	if t.Limit.InForce() {
 		p.Count("limited_requests_total", 1)
 	}
-	if donor == nil {
-		return
-	}
-	if _, limited := donor.Limit.PerSecond(); limited {
+	if donor != nil && donor.Limit.InForce() {
 		p.Count("limited_donors_total", 1)
 	}
 }
--- a/protocol/stats/stats.go
+++ b/protocol/stats/stats.go
@@ -78,7 +78,9 @@
 func (s *Stats) AgedBy(age time.Duration) *Stats {
 	out := *s
 	out.AgeSum += float64(s.Hosts) * max(0, age.Seconds())
-	out.RequestLimits = make(map[string]notice.Notice, len(s.RequestLimits))
+	if len(s.RequestLimits) > 0 {
+		out.RequestLimits = make(map[string]notice.Notice, len(s.RequestLimits))
+	}
 	for id, n := range s.RequestLimits {
 		n.Age += max(0, age)
 		out.RequestLimits[id] = n
--- a/state/endreg/endreg.go
+++ b/state/endreg/endreg.go
@@ -102,8 +102,7 @@
 }
 
 func (reg *Registry) keepSelfReport(t *target.Target) {
-	_, limited := t.Limit.PerSecond()
-	if !t.LeavingReported() && t.PausedUntil().IsZero() && !limited {
+	if !t.LeavingReported() && t.PausedUntil().IsZero() && !t.Limit.InForce() {
 		return
 	}
 	if reg.removed == nil || len(reg.removed) >= maxRemoved {
--- a/state/limits/limits.go
+++ b/state/limits/limits.go
@@ -72,6 +72,9 @@
 	return changed
 }
 
+// InForce reports whether the endpoint names a limit.
+func (l *Limit) InForce() bool { return l.inForce.Load() }
+
 // PerSecond returns the limit; ok is false while none is in force.
 func (l *Limit) PerSecond() (perSecond pace.Pace, ok bool) {
 	if !l.inForce.Load() {
--- a/state/target/target.go
+++ b/state/target/target.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/notice"
 	"github.com/dragonflyroute/dragonflyroute/protocol/result"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/work"
@@ -144,6 +145,14 @@
 // Paused reports whether the endpoint has asked for no requests from this process at now.
 func (t *Target) Paused(now time.Time) bool { return now.Before(t.PausedUntil()) }
 
+// LimitNotice returns what this process knows of the request limit of the endpoint's present process. Known is false if
+// it has never named one, and firstHand is set if it told this process itself.
+func (t *Target) LimitNotice(now time.Time) (n notice.Notice, known, firstHand bool) {
+	n, known, firstHand = t.Limit.Notice(now)
+	n.StartMillis = t.Row().StartMillis
+	return n, known, firstHand
+}
+
 // Left returns a channel that is closed when the endpoint is known to be leaving.
 func (t *Target) Left() <-chan struct{} { return t.left }
 
--- a/transport/site/heartbeat.go
+++ b/transport/site/heartbeat.go
@@ -79,8 +79,7 @@
 // ownNotice returns what an endpoint has told this process of its request limit; ok is false if it names none, or has not
 // told this process.
 func ownNotice(t *target.Target, now time.Time) (n notice.Notice, ok bool) {
-	n, known, firstHand := t.Limit.Notice(now)
-	n.StartMillis = t.Row().StartMillis
+	n, known, firstHand := t.LimitNotice(now)
 	return n, known && firstHand && (n.InForce || n.Age < endedLimitReportTime)
 }
 
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -311,7 +311,7 @@
 func (s *Site) limitedEndpoints() int {
 	n := 0
 	for _, t := range s.Registry.All() {
-		if _, limited := t.Limit.PerSecond(); limited {
+		if t.Limit.InForce() {
 			n++
 		}
 	}
