Read the settings again on SIGHUP instead of ending

Cause: no command handled SIGHUP, whose default action ends a process at once, whatever it is doing. Class: a signal left at its default action.

Now a command that serves callers receives the signal from its first instruction on, reads the file again, and applies what a running process can: the memory limit, the grace period and how long address answers may be kept. What needs a restart is named in the log line, an invalid file leaves the settings as they are. Commands for operators end on SIGHUP as before.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -1,11 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"os"
 	"runtime"
-	"runtime/debug"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -23,6 +23,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/transport/dial"
 	"github.com/dragonflyroute/dragonflyroute/transport/outlog"
+	"github.com/dragonflyroute/dragonflyroute/transport/reload"
 	"github.com/dragonflyroute/dragonflyroute/transport/site"
 )
 
@@ -46,15 +47,10 @@
 	// responses.
 	maxIdleConns           = 8
 	maxResponseHeaderBytes = 64 << 10
-	// memoryLimitFraction is the Go runtime's soft memory limit as a fraction of the process's memory limit; the
-	// garbage collector runs more often close to it.
-	memoryLimitFraction = 0.7
 	// bodyMemoryFraction is the fraction of the memory limit that buffered request bodies may use, and
 	// defaultBodyMemory what they may use when the settings have no limit, in bytes.
 	bodyMemoryFraction = 0.2
 	defaultBodyMemory  = 64 << 20
-	// addressTTL is how long callers may cache an address answer, unless the platform's maximum is lower.
-	addressTTL = 2 * time.Second
 )
 
 type hostArgs struct {
@@ -62,51 +58,50 @@
 	LogLevel string `default:"info" help:"Minimum log level."`
 }
 
-var hostCommand = command{name: "host", help: "Runs an entry host on the users' platform until it is stopped by a signal.", args: &hostArgs{}}
+var hostCommand = command{name: "host", help: "Runs an entry host on the users' platform until it is stopped by a signal.", args: &hostArgs{}, serves: true}
 
-// Run serves until ctx ends on SIGTERM or SIGINT, then drains. The log is written until the drain is complete.
-func (a *hostArgs) Run(ctx context.Context) error {
-	cfg, err := a.read()
+// Run serves until ctx ends on SIGTERM or SIGINT, then drains. The log is written until the drain is complete. A signal on
+// reloads makes it read the settings file again.
+func (a *hostArgs) Run(ctx context.Context, reloads hangups) error {
+	file := a.file()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fault.Wrap(kind.BadRequest, err, "read settings file")
+	}
+	cfg, err := conf.Parse(data)
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryBytes)))
 	out := outlog.New(os.Stdout)
 	log := hclog.New(&hclog.LoggerOptions{Name: "dragonflyroute", Level: hclog.LevelFromString(a.LogLevel), JSONFormat: true, Output: out})
-	s := newSite(cfg, log)
+	current := newSettings(cfg, log)
+	s := newSite(current, log)
+	reloader := &reload.Reloader{Path: file, Data: data, Signals: reloads, Apply: current.apply, Log: log}
 	var g errgroup.Group
-	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
-	g.Go(func() error { return out.Run(logCtx) })
+	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	g.Go(func() error { return out.Run(taskCtx) })
+	g.Go(func() error { return reloader.Run(taskCtx) })
 	g.Go(func() error {
-		defer stopLog()
+		defer stop()
 		return s.Run(ctx)
 	})
 	return g.Wait()
 }
 
-// read parses the settings file given by flag, by environment variable or at the default path, in this order.
-func (a *hostArgs) read() (*conf.Conf, error) {
-	file := a.Settings
-	if file == "" {
-		file = os.Getenv(conf.PathVariable)
-	}
-	if file == "" {
-		file = conf.DefaultPath
-	}
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fault.Wrap(kind.BadRequest, err, "read settings file")
-	}
-	return conf.Parse(data)
+// file returns the path of the settings file: the flag, the environment variable or the default, in this order.
+func (a *hostArgs) file() string {
+	return cmp.Or(a.Settings, os.Getenv(conf.PathVariable), conf.DefaultPath)
 }
 
 // newSite creates the process from the settings and the platform's adapters.
-func newSite(cfg *conf.Conf, log hclog.Logger) *site.Site {
+func newSite(current *settings, log hclog.Logger) *site.Site {
+	cfg := current.load()
 	transport := &http.Transport{DialContext: dial.Context, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	cloudTransport := transport.Clone()
 	cloudTransport.DialContext = dial.ResetOnClose
 	s := siteFromConfig(cfg, log)
+	s.Grace = current.grace
 	tableClient := func(table string) *store.Store {
 		return &store.Store{Address: cfg.Store, Table: table, Transport: transport, Timeout: storeTimeout}
 	}
@@ -126,7 +121,7 @@
 		s.PlatformCalls = &cloud.Client{Address: cfg.Cloud, Self: cfg.Host, HoldsLease: s.HoldsLease, Transport: cloudTransport, Timeout: min(storeTimeout, cfg.LeaseTerm/callsPerTerm)}
 	}
 	s.Prepare()
-	s.DirectoryHandler = &lookup.Handler{Addresses: s.EntryAddresses, TTL: min(addressTTL, cfg.MaxAddressTTL), Ready: s.IsReady, Log: log}
+	s.DirectoryHandler = &lookup.Handler{Addresses: s.EntryAddresses, TTL: current.addressTTL, Ready: s.IsReady, Log: log}
 	sender := send.New()
 	sender.Log = log
 	s.RequestHandler = &httpin.Handler{
@@ -166,7 +161,6 @@
 		MetricsPort:           cfg.MetricsPort,
 		AdvertisedPeerAddress: cfg.AdvertisedPeerAddress,
 		NewSystem:             cfg.NewSystem,
-		Grace:                 cfg.Grace,
 		RetryRatio:            cfg.RetryRatio,
 		RetryExtra:            cfg.RetryExtra,
 		RateSlack:             cfg.RateSlack,
--- a/commands.go
+++ b/commands.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -28,8 +29,13 @@
 	name string
 	help string
 	args any
+	// serves is set for commands that serve callers until they are told to stop.
+	serves bool
 }
 
+// hangups receives the SIGHUPs of a command that serves callers; they announce that its settings file has changed.
+type hangups chan os.Signal
+
 var commands = []command{
 	serveCommand,
 	hostCommand,
@@ -44,6 +50,9 @@
 
 // run parses the arguments, runs the selected command until it ends or a signal arrives, and returns the exit code.
 func run(args []string) int {
+	// SIGHUP ends the process by default, and may arrive as soon as it runs.
+	reloads := make(hangups, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	options := []kong.Option{
 		kong.Name("dragonflyroute"),
 		kong.Description("Serves model answers and application calls on reclaimable hosts."),
@@ -61,10 +70,18 @@
 		fmt.Fprintf(os.Stderr, "dragonflyroute: %s\n", err)
 		return exitBadInput
 	}
+	if !serves(parsed.Command()) {
+		signal.Reset(syscall.SIGHUP)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	parsed.BindTo(ctx, (*context.Context)(nil))
-	return report(parsed.Run())
+	return report(parsed.Run(reloads))
+}
+
+// serves reports whether a command serves callers until it is told to stop.
+func serves(name string) bool {
+	return slices.ContainsFunc(commands, func(c command) bool { return c.name == name && c.serves })
 }
 
 // report prints an error, if any, to standard error and returns the exit code.
--- a/test/scene/signals_test.go
+++ b/test/scene/signals_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -89,6 +90,25 @@
 		Expect(strings.Count(s.hosts[0].output(), `"started"`)).To(Equal(1))
 	})
 
+	// Guards against settings that a signal announces and that no running process applies.
+	It("applies a changed grace period without a restart, and keeps the previous settings if the new ones are invalid", func() {
+		s := newSite(1)
+		h := s.hosts[0]
+		before, err := os.ReadFile(h.settings)
+		Expect(err).NotTo(HaveOccurred())
+		reload := func(text, logged string) {
+			Expect(os.WriteFile(h.settings, []byte(text), 0o600)).To(Succeed())
+			h.signal(syscall.SIGHUP)
+			Eventually(h.output).Should(ContainSubstring(logged))
+		}
+		reload("{}", "settings rejected")
+		Expect(s.callStatus(0)).To(Equal(http.StatusOK))
+		reload(strings.Replace(string(before), `"graceS":4`, `"graceS":3`, 1), "settings reloaded")
+		h.signal(syscall.SIGTERM)
+		Expect(h.wait()).To(Succeed())
+		Expect(h.output()).To(ContainSubstring(`"grace-ms":3000`))
+	})
+
 	// Guards against the same on several hosts, also those that are told to stop in the middle of a series.
 	It("answers every request on kept connections through series on all hosts that overlap with a stop", func() {
 		s := newSite(3)
--- a/transport/site/serve.go
+++ b/transport/site/serve.go
@@ -100,9 +100,10 @@
 // drain stops the process. Address answers omit this host at once. It then notifies its peers, releases its leases and
 // writes its row concurrently, and closes callers' connections last, shortly before the kill.
 func (s *Site) drain(ctx context.Context, server *http.Server) {
-	kill := time.Now().Add(s.Grace)
+	grace := s.Grace()
+	kill := time.Now().Add(grace)
 	s.killAt.Store(kill.UnixNano())
-	s.Log.Info("draining", "active-requests", s.inFlight.Load(), "grace-ms", s.Grace.Milliseconds())
+	s.Log.Info("draining", "active-requests", s.inFlight.Load(), "grace-ms", grace.Milliseconds())
 	ctx, cancel := context.WithDeadline(ctx, kill.Add(-exitLead))
 	defer cancel()
 	var g errgroup.Group
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -89,8 +89,8 @@
 	AdvertisedPeerAddress string
 	// NewSystem is true when the whole system starts for the first time, not only this process.
 	NewSystem bool
-	// Grace is the grace period, from the order to stop to the kill.
-	Grace time.Duration
+	// Grace returns the grace period, from the order to stop to the kill.
+	Grace func() time.Duration
 	// RetryRatio and RetryExtra set the retry budget of back ends: retries in proportion to requests, and a fixed number
 	// more.
 	RetryRatio, RetryExtra float64
