Keep serving when nobody reads the log any more

An entry host whose log collector goes away would end with requests in flight. The scene "whose log is no longer read" failed before (no answer within 60 s) and passes now. Commands for operators end on SIGPIPE as before.

Ruled out for other signals: the runtime ignores SIGUSR1 and SIGUSR2 by default, SIGTERM and SIGINT start the drain, SIGQUIT is for a stack trace.

--- a/commands.go
+++ b/commands.go
@@ -50,9 +50,11 @@
 
 // run parses the arguments, runs the selected command until it ends or a signal arrives, and returns the exit code.
 func run(args []string) int {
-	// SIGHUP ends the process by default, and may arrive as soon as it runs.
+	// SIGHUP ends the process by default, and so does SIGPIPE when nobody reads its output any more. Both may come as soon
+	// as it runs.
 	reloads := make(hangups, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	options := []kong.Option{
 		kong.Name("dragonflyroute"),
 		kong.Description("Serves model answers and application calls on reclaimable hosts."),
@@ -71,7 +73,7 @@
 		return exitBadInput
 	}
 	if !serves(parsed.Command()) {
-		signal.Reset(syscall.SIGHUP)
+		signal.Reset(syscall.SIGHUP, syscall.SIGPIPE)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/test/scene/signals_test.go
+++ b/test/scene/signals_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -136,3 +138,28 @@
 		Consistently(func() error { return ping(s.entryHosts[0].address + "/v1/entries") }, "500ms").Should(Succeed())
 	})
 })
+
+var _ = Describe("a host of the users' platform whose log is no longer read", func() {
+	// Guards against the signal that a write to a closed pipe raises on standard output, which ends a process by default.
+	It("keeps serving", func() {
+		s := newSite(1)
+		h := s.hosts[0]
+		h.signal(syscall.SIGTERM)
+		Expect(h.wait()).To(Succeed())
+		reader, writer, err := os.Pipe()
+		Expect(err).NotTo(HaveOccurred())
+		cmd := exec.Command(filepath.Join(binDir, "dragonflyroute"), "host", "--settings", h.settings)
+		cmd.Stdout = writer
+		Expect(cmd.Start()).To(Succeed())
+		DeferCleanup(func() {
+			_ = cmd.Process.Kill()
+			_ = cmd.Wait()
+		})
+		Expect(writer.Close()).To(Succeed())
+		Expect(reader.Close()).To(Succeed())
+		for range 5 {
+			Eventually(func() int { return s.readiness(h.ready) }).Should(Equal(http.StatusOK))
+			Expect(s.callStatus(0)).To(Equal(http.StatusOK))
+		}
+	})
+})
