--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -378,11 +380,20 @@
 	}
 	line = append(line, endpointFields(j, now)...)
 	if err != nil {
-		line = append(line, "reason", err.Error())
+		line = append(line, "reason", err.Error(), "broken-off", j.lastResult.Broken, "shared-parts", partNames(j.work.SharedParts()))
 	}
 	p.Log.Info("request ended", line...)
 }
 
+// partNames returns the hashes of prompt parts in hexadecimal, separated by spaces.
+func partNames(hashes []uint64) string {
+	names := make([]string, 0, len(hashes))
+	for _, hash := range hashes {
+		names = append(names, strconv.FormatUint(hash, 16))
+	}
+	return strings.Join(names, " ")
+}
+
 // endpointFields returns the fields of a request's log line that describe the endpoint of its last attempt.
 func endpointFields(j *job, now time.Time) []any {
 	if j.lastEndpoint == nil {
--- a/protocol/result/result.go
+++ b/protocol/result/result.go
@@ -16,6 +16,8 @@
 	// Withheld is set when nothing was sent because the endpoint was found to accept no more requests: it is leaving, has
 	// asked for a pause, or limits its requests and there was no permit.
 	Withheld bool
+	// Broken is set when the endpoint closed or reset the connection before its answer was complete.
+	Broken bool
 	// Status is the endpoint's HTTP status code, 0 when there is none.
 	Status int
 	// LastEventID is the id of the last event that was delivered to the caller completely, empty for none.
--- a/protocol/work/work.go
+++ b/protocol/work/work.go
@@ -47,6 +47,15 @@
 	w.Parts = append(w.Parts, part{Hash: hash, Tokens: tokens})
 }
 
+// SharedParts returns the hashes of the parts that other requests may share: all but the last.
+func (w *Request) SharedParts() []uint64 {
+	var out []uint64
+	for i := 0; i < len(w.Parts)-1; i++ {
+		out = append(out, w.Parts[i].Hash)
+	}
+	return out
+}
+
 // SharedTokens returns the number of tokens in the parts that other requests may share: all but the last.
 func (w *Request) SharedTokens() int64 {
 	sum := int64(0)
