Add failing scenes of a prompt part that crashes endpoints

The stand-in's endpoints write the head of an answer to a request with the part, crash, and start again two seconds later.

--- a/standin/site.go
+++ b/standin/site.go
@@ -67,6 +67,14 @@
 	reports     map[int64][]json.RawMessage
 	// fence is the highest fencing number of a usage report.
 	fence int64
+	// crashingPart is the prompt part that crashes endpoints, empty for none, and restartTime how long they are down.
+	crashingPart string
+	restartTime  time.Duration
+	// crashEvents holds the arrivals of requests with a crashing part, and the crashes.
+	crashEvents []crashEvent
+	// group runs the endpoints until ctx ends.
+	group *errgroup.Group
+	ctx   context.Context
 }
 
 // Run serves the simulated platform until ctx ends.
@@ -85,18 +93,20 @@
 	mux.HandleFunc("POST /trouble", p.setEndpointFaults)
 	mux.HandleFunc("POST /usage", p.recordUsage)
 	mux.HandleFunc("POST /scale", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST /poison", p.setCrashingPart)
 	mux.HandleFunc("GET /seen", p.getObserved)
 	g, ctx := errgroup.WithContext(ctx)
+	p.group, p.ctx = g, ctx
 	mux.HandleFunc("POST /add", func(w http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
 		failPercent, _ := strconv.Atoi(q.Get("bad"))
 		s := &siteServer{site: p, id: q.Get("id"), version: q.Get("version"), failPercent: failPercent, listen: q.Get("listen"), address: q.Get("via")}
-		if p.start(ctx, g, s) != nil {
+		if p.start(s) != nil {
 			w.WriteHeader(http.StatusInternalServerError)
 		}
 	})
 	for i := range c.Endpoints {
-		if err := p.start(ctx, g, &siteServer{site: p, id: fmt.Sprintf("i-%d", i), version: "v1"}); err != nil {
+		if err := p.start(&siteServer{site: p, id: fmt.Sprintf("i-%d", i), version: "v1"}); err != nil {
 			return err
 		}
 	}
@@ -105,12 +115,12 @@
 }
 
 // start starts one endpoint, which serves requests and writes its row periodically until it is killed.
-func (p *sitePlatform) start(ctx context.Context, g *errgroup.Group, s *siteServer) error {
+func (p *sitePlatform) start(s *siteServer) error {
 	l, err := net.Listen("tcp", cmp.Or(s.listen, "127.0.0.1:0"))
 	if err != nil {
 		return fault.Wrap(kind.Unavailable, err, "listen for endpoint %s", s.id)
 	}
-	inner, stop := context.WithCancel(ctx)
+	inner, stop := context.WithCancel(p.ctx)
 	s.stop = stop
 	s.startMillis = time.Now().UnixMilli()
 	s.address = cmp.Or(s.address, l.Addr().String())
@@ -118,11 +128,11 @@
 	p.servers[s.id] = s
 	p.mu.Unlock()
 	server := &http.Server{Handler: s, ReadHeaderTimeout: requestTimeout}
-	g.Go(func() error {
+	p.group.Go(func() error {
 		_ = server.Serve(l)
 		return nil
 	})
-	g.Go(func() error {
+	p.group.Go(func() error {
 		defer func() { _ = server.Close() }()
 		for n := 0; inner.Err() == nil; n++ {
 			p.store.put("servers", s.id, s.row(n))
@@ -165,6 +175,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	poisoned := s.recordPrompt(r, false)
 	if s.countArrival(id).apply(w) {
 		return
 	}
@@ -181,6 +192,10 @@
 	if strings.HasSuffix(r.URL.Path, "/slow") {
 		time.Sleep(slowAnswerDelay)
 	}
+	if poisoned {
+		s.crash(w, r)
+		return
+	}
 	if !strings.Contains(r.URL.Path, "/stream/") {
 		_, _ = io.WriteString(w, "answer of "+r.Header.Get("Dragonflyroute-Tenant"))
 		return
@@ -216,6 +231,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reply(w, map[string]any{
-		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "status": p.store.statuses(),
+		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "crashes": p.crashEvents, "status": p.store.statuses(),
 	})
 }
--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -52,6 +52,8 @@
 	Reads   map[string]int                      `json:"reads"`
 	Status  map[string]string                   `json:"status"`
 	Reports map[string][]map[string]json.Number `json:"reports"`
+	// Crashes holds the arrivals of requests with a part that crashes endpoints, and the crashes.
+	Crashes []crashEvent `json:"crashes"`
 }
 
 const siteConfig = `{"version":%d,"routes":[
