--- a/coordination/polls/polls_test.go
+++ b/coordination/polls/polls_test.go
@@ -28,6 +28,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/stats"
 	"github.com/dragonflyroute/dragonflyroute/protocol/window"
+	"github.com/dragonflyroute/dragonflyroute/state/blame"
 )
 
 func TestPolls(t *testing.T) {
@@ -76,6 +77,8 @@
 	told   *notice.Notice
 	toldAt time.Time
 	heard  notice.Notice
+	// blame is what this host knows of prompt parts.
+	blame *blame.Blame
 }
 
 // rows is a host's view of the store's table.
@@ -133,6 +136,7 @@
 
 func (f *fleet) member(h beat.Heartbeat) *member {
 	m := &member{fleet: f, self: h, rows: &rows{fleet: f}, next: f.now.Add(time.Duration(f.random.Int64N(int64(time.Second))))}
+	m.blame = &blame.Blame{Settle: func() time.Duration { return 3 * m.Schedule().PollInterval() }}
 	m.rates = &rates.Rates{Hosts: func() int { return len(f.live) }, Slack: slack, Window: rateWindow, Rand: f.random.Float64, Started: f.now}
 	m.polls = &polls.Polls{
 		Reader: reader.Reader{Self: h.Host, DataCentre: h.DataCentre}, Site: m, ProbeTable: rowsTable,
@@ -154,6 +158,7 @@
 func (m *member) Own(now time.Time) *stats.Stats {
 	demand, used := m.rates.LocalUsage(now)
 	out := &stats.Stats{Hosts: 1, Coverage: m.rates.Coverage(now), Demand: demand, Admitted: used, InFlight: map[string]int{"e": 1}}
+	out.Prompts = m.blame.Reports(now)
 	if m.told != nil {
 		n := *m.told
 		n.Age = now.Sub(m.toldAt)
@@ -165,6 +170,9 @@
 func (m *member) SetOthers(others *stats.Stats, now time.Time) {
 	m.rates.SetOthers(others, now)
 	m.heard = others.RequestLimits["e"]
+	for hash, r := range others.Prompts {
+		m.blame.Merge(hash, r, now)
+	}
 	m.age = time.Duration(others.AgeSum / float64(others.Hosts) * float64(time.Second))
 }
 
@@ -412,3 +420,49 @@
 		Entry("9 hosts", 9), Entry("60 hosts", 60), Entry("295 hosts", 295),
 	)
 })
+
+var _ = Describe("A large fleet in which each crash under a prompt part is seen by another host", func() {
+	const bad, common = 0xbad, 0xc0
+	const crashes, apart = 5, 600 * time.Millisecond
+
+	// crash makes one host see the crash of an endpoint with both parts, and another one an answer with the common part.
+	crash := func(f *fleet, n int) {
+		at := func(i int) *member { return f.hosts[(i*37+5)%len(f.hosts)] }
+		at(n).blame.Crashed([]uint64{common, bad}, fmt.Sprint("e", n), 1, f.now)
+		f.play(apart / 2)
+		at(n+len(f.hosts)/2).blame.Answered([]uint64{common}, f.now)
+		f.play(apart / 2)
+		for _, m := range f.hosts {
+			m.blame.Decide(f.now)
+		}
+	}
+	admitting := func(f *fleet, hash uint64) (n int) {
+		for _, m := range f.hosts {
+			if _, ok := m.blame.Admit([]uint64{hash}, func(uint64) bool { return false }, f.now); ok {
+				n++
+			}
+		}
+		return n
+	}
+
+	// Guards against hosts that count only the crashes of their own requests, and against a sound part that is blocked where
+	// its answers are not known.
+	DescribeTable("refuses the part on all hosts in the time after the fifth crash, and not the one that was answered",
+		func(n int) {
+			f := newFleet(n)
+			f.play(5 * time.Second)
+			for i := range crashes {
+				crash(f, i)
+			}
+			for range 10 {
+				f.play(limitTime / 10)
+				for _, m := range f.hosts {
+					m.blame.Decide(f.now)
+				}
+			}
+			Expect(admitting(f, bad)).To(Equal(0))
+			Expect(admitting(f, common)).To(Equal(n))
+		},
+		Entry("9 hosts", 9), Entry("60 hosts", 60), Entry("295 hosts", 295),
+	)
+})
