--- a/cmd_host.go
+++ b/cmd_host.go
@@ -97,11 +97,33 @@
 // newSite creates the process from the settings and the platform's adapters.
 func newSite(current *settings, log hclog.Logger) *site.Site {
 	cfg := current.load()
+	s := siteFromConfig(cfg, log)
+	s.Grace = current.grace
+	connectPlatform(s, cfg)
+	s.Prepare()
+	s.DirectoryHandler = &lookup.Handler{Addresses: s.EntryAddresses, TTL: current.addressTTL, Ready: s.IsReady, Log: log}
+	sender := send.New()
+	sender.Log = log
+	s.RequestHandler = &httpin.Handler{
+		Policy:        s.Policy,
+		Rates:         s.Rates,
+		PickBackend:   s.Balancer.PickBackend,
+		Proxy:         s.Proxy,
+		Sender:        sender,
+		BodyMemory:    semaphore.NewWeighted(bodyMemory(cfg)),
+		Draining:      s.Leaving,
+		RecordOutcome: s.Meter.RecordAnswer,
+		Now:           time.Now,
+		Log:           log,
+	}
+	return s
+}
+
+// connectPlatform sets the clients of the platform and the decoders of its rows.
+func connectPlatform(s *site.Site, cfg *conf.Conf) {
 	transport := &http.Transport{DialContext: dial.Context, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	cloudTransport := transport.Clone()
 	cloudTransport.DialContext = dial.ResetOnClose
-	s := siteFromConfig(cfg, log)
-	s.Grace = current.grace
 	tableClient := func(table string) *store.Store {
 		return &store.Store{Address: cfg.Store, Table: table, Transport: transport, Timeout: storeTimeout}
 	}
@@ -120,23 +142,6 @@
 	if cfg.Cloud != "" {
 		s.PlatformCalls = &cloud.Client{Address: cfg.Cloud, Self: cfg.Host, HoldsLease: s.HoldsLease, Transport: cloudTransport, Timeout: min(storeTimeout, cfg.LeaseTerm/callsPerTerm)}
 	}
-	s.Prepare()
-	s.DirectoryHandler = &lookup.Handler{Addresses: s.EntryAddresses, TTL: current.addressTTL, Ready: s.IsReady, Log: log}
-	sender := send.New()
-	sender.Log = log
-	s.RequestHandler = &httpin.Handler{
-		Policy:        s.Policy,
-		Rates:         s.Rates,
-		PickBackend:   s.Balancer.PickBackend,
-		Proxy:         s.Proxy,
-		Sender:        sender,
-		BodyMemory:    semaphore.NewWeighted(bodyMemory(cfg)),
-		Draining:      s.Leaving,
-		RecordOutcome: s.Meter.RecordAnswer,
-		Now:           time.Now,
-		Log:           log,
-	}
-	return s
 }
 
 // bodyMemory returns the memory that buffered request bodies may use, in bytes.
