Give up a model request after three endpoints that broke off its answer before the first token

The test ran into its deadline of 30 s before and counts three attempts now. Endpoints that refuse, stall or do not answer at all are not counted, and a token resets the count. What other requests of the same prompt crash is not counted together on this interface; its prompts have no parts.

--- a/coordination/relay/job.go
+++ b/coordination/relay/job.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/entry"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/need"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
@@ -20,7 +22,9 @@
 	firstTokenAt time.Time
 	// kvSource is the address of the leaving endpoint that holds the KV cache of the tokens so far; empty for none.
 	kvSource string
-	emit     func(offset int, version label.Name, token string) error
+	// brokenStarts counts the attempts in a row that an endpoint broke off after it had begun its answer and before a token.
+	brokenStarts int
+	emit         func(offset int, version label.Name, token string) error
 }
 
 func (j *job) snapshot() ticket.Ticket {
@@ -96,3 +100,13 @@
 	defer j.mu.Unlock()
 	j.ticket.Version = version
 }
+
+// countBrokenStart counts an attempt that ended with an error and without a token, if the endpoint had begun its answer.
+func (j *job) countBrokenStart(err error, gotTokens bool) {
+	switch {
+	case gotTokens:
+		j.brokenStarts = 0
+	case fault.KindOf(err) == kind.OutcomeUnknown:
+		j.brokenStarts++
+	}
+}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -32,6 +32,9 @@
 	minRetryAfter = time.Second
 	// retryWait is the mean delay before a retry when there is no endpoint or no retry budget.
 	retryWait = 25 * time.Millisecond
+	// maxBrokenStarts is the number of endpoints in a row that may break off a request's answer before its first token: the
+	// request itself may crash them.
+	maxBrokenStarts = 3
 )
 
 type engine interface {
@@ -169,8 +172,10 @@
 		return nil, r.waitRetry(ctx, j)
 	}
 	j.setVersion(to.server.Row().Version)
+	before := j.remainingTokens()
 	err := r.attempt(ctx, j, to.server)
 	result := r.classify(err)
+	j.countBrokenStart(err, j.remainingTokens() < before)
 	if to.move != "" && result != moved && result != callerGone {
 		r.Trials.Record(to.move, string(j.entry.Name), to.isNew, result == failed || r.late(j))
 	}
@@ -182,6 +187,9 @@
 		return nil, err
 	case failed:
 		to.server.RecordFailure(r.Now())
+		if j.brokenStarts >= maxBrokenStarts {
+			return nil, fault.Wrap(kind.OutcomeUnknown, err, "%d endpoints broke off the answer before its first token", j.brokenStarts)
+		}
 		return to.server, r.backOff(ctx, j)
 	default:
 		return to.server, nil
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -150,6 +150,14 @@
 	}, e
 }
 
+// crashingEngine begins each answer and breaks it off before the first token.
+type crashingEngine struct{ attempts int }
+
+func (e *crashingEngine) Generate(context.Context, *server.Server, infer.Request, func(string) error) error {
+	e.attempts++
+	return fault.New(kind.OutcomeUnknown, "", "completion stream interrupted")
+}
+
 // discardOutcomes ignores the outcomes of attempts.
 type discardOutcomes struct{}
 
@@ -225,6 +233,18 @@
 		}
 	})
 
+	// Guards against a request that crashes each endpoint which begins to answer it, and is sent to the next one until its
+	// deadline.
+	It("gives a request up after three endpoints that began its answer and broke it off before the first token", func() {
+		r, _ := newRelay(1, false)
+		e := &crashingEngine{}
+		r.Engine = e
+		t := ticket.Ticket{ID: "r", Prompt: "p", MaxTokens: 8}
+		err := r.Run(context.Background(), t, model, ignoreSnapshot, func(int, label.Name, string) error { return nil })
+		Expect(fault.KindOf(err)).To(Equal(kind.OutcomeUnknown))
+		Expect(e.attempts).To(Equal(3))
+	})
+
 	It("ends after one attempt with the error of emit when the caller leaves", func() {
 		r, e := newRelay(1, false)
 		gone := fault.New(kind.OutcomeUnknown, "", "gone")
--- a/transport/engine/engine.go
+++ b/transport/engine/engine.go
@@ -68,7 +68,8 @@
 
 // Generate performs one attempt and calls emit for each token; it returns at the end of the stream.
 //
-// Each chunk of the stream is one token. A stream that ends without the [DONE] event is an error.
+// Each chunk of the stream is one token. A stream that ends without the [DONE] event is an error of kind OutcomeUnknown,
+// as the engine had begun to answer.
 func (c *Client) Generate(ctx context.Context, s *server.Server, req infer.Request, emit func(token string) error) error {
 	r, err := request(ctx, s.Row().Address, req)
 	if err != nil {
@@ -147,9 +148,9 @@
 		}
 	}
 	if err := lines.Err(); err != nil {
-		return fault.Wrap(kind.Unavailable, err, "completion stream interrupted")
+		return fault.Wrap(kind.OutcomeUnknown, err, "completion stream interrupted")
 	}
-	return fault.New(kind.Unavailable, "", "completion stream ended without the [DONE] event")
+	return fault.New(kind.OutcomeUnknown, "", "completion stream ended without the [DONE] event")
 }
 
 // readChunk decodes one event of a completion stream and emits its tokens.
