Store decisions on prompt parts in a form that earlier versions ignore

A host of 0.6.0 takes an object in the hosts' table for the row of an entry host, without id and address.

--- a/transport/site/prompts.go
+++ b/transport/site/prompts.go
@@ -64,7 +64,7 @@
 func (s *Site) savePrompt(ctx context.Context, hash uint64, r ruling.Ruling) error {
 	txn := table.Txn{}.Delete(promptKey(hash))
 	if r.InForce() {
-		value, err := json.Marshal(r)
+		value, err := json.Marshal(storedRuling{r})
 		if err != nil {
 			return err
 		}
@@ -74,6 +74,10 @@
 	return err
 }
 
+// storedRuling is the value of such a row. It is an array, since hosts of versions before 0.7 take an object for the row of
+// an entry host, and ignore what they can't decode.
+type storedRuling [1]ruling.Ruling
+
 func isPromptRow(key string) bool { return strings.HasPrefix(key, promptPrefix) }
 
 // applyPrompt applies the row of the decision on a prompt part.
@@ -87,11 +91,11 @@
 		s.prompts.Blame.Lift(hash)
 		return
 	}
-	var decision ruling.Ruling
-	if err := json.Unmarshal(r.Value, &decision); err != nil {
+	var stored storedRuling
+	if err := json.Unmarshal(r.Value, &stored); err != nil {
 		s.Log.Error("cannot decode the decision on a prompt part; it is ignored", "key", r.Key, "version", r.Version, "error", err)
 		return
 	}
-	s.prompts.Blame.Restore(hash, decision)
-	s.Log.Info("decision on a prompt part received", "part", strings.TrimPrefix(r.Key, promptPrefix), "strikes", decision.Strikes, "version", r.Version)
+	s.prompts.Blame.Restore(hash, stored[0])
+	s.Log.Info("decision on a prompt part received", "part", strings.TrimPrefix(r.Key, promptPrefix), "strikes", stored[0].Strikes, "version", r.Version)
 }
