Keep persisted usage reports for an hour

Cause: the row that fixes a window's counts is deleted with the report of a window 20 s later, by the holder's wall clock. A holder whose clock was 22 s ahead deleted the row of a window whose report had got no answer; with its clock back it summed the counts anew and sent them. Class: a deadline taken from a clock that may step. The test "by seconds" failed before (3 and 5 requests reported).

Rows now stay for an hour, one row a window. A step of an hour or more is not covered. The log line of a failed report has its counts.

--- a/coordination/report/report.go
+++ b/coordination/report/report.go
@@ -21,9 +21,10 @@
 	settleDelay = 1500 * time.Millisecond
 	// waitFraction is the fraction of Deadline for which a report waits for hosts that have not sent their counts.
 	waitFraction = 0.75
-	// retentionFactor is how long a persisted report stays in the table, in multiples of Deadline: until no lease holder
-	// may send it any more.
+	// retentionFactor is how long a persisted report stays in the table at least, in multiples of Deadline: until no lease
+	// holder may send it any more. minRetention is longer, as a holder's wall clock may be ahead for a while.
 	retentionFactor = 2
+	minRetention    = time.Hour
 	// keyPrefix begins the keys of persisted reports.
 	keyPrefix = "usage/"
 )
@@ -122,7 +123,7 @@
 	}
 	err = r.Platform.ReportUsage(ctx, fence, number, counts)
 	if err != nil {
-		r.Log.Warn("usage report failed; retried while the lease is held and the report not overdue", "window", number, "fence", fence, "error", err)
+		r.Log.Warn("usage report failed; retried while the lease is held and the report not overdue", "window", number, "fence", fence, "counts", counts, "error", err)
 		if fault.KindOf(err) == kind.Conflict {
 			r.OnStaleFence()
 		}
@@ -162,7 +163,7 @@
 // outdated returns the window whose persisted report is deleted with the given one: no lease holder may send it any
 // more.
 func (r *Report) outdated(number int64) int64 {
-	return r.Usage.WindowNumber(r.Usage.WindowEnd(number).Add(-retentionFactor*r.Deadline)) - 1
+	return r.Usage.WindowNumber(r.Usage.WindowEnd(number).Add(-max(minRetention, retentionFactor*r.Deadline))) - 1
 }
 
 // key returns the key of the row that persists a window's report.
--- a/coordination/report/report_test.go
+++ b/coordination/report/report_test.go
@@ -142,6 +142,23 @@
 		Expect(cloud.reports[start.Unix()]).To(Equal([]int64{3, 3}))
 	})
 
+	// Guards against a persisted report that is deleted by a holder whose wall clock is ahead for a while, and is then sent
+	// with other counts.
+	DescribeTable("repeats a report exactly after a holder's clock was ahead",
+		func(ahead time.Duration) {
+			cloud.fail = true
+			newReport(3).Step(context.Background(), end.Add(2*time.Second))
+			holder := newReport(0)
+			for n := range 30 {
+				holder.Step(context.Background(), end.Add(ahead+time.Duration(n)*time.Second))
+			}
+			cloud.fail = false
+			newReport(5).Step(context.Background(), end.Add(4*time.Second))
+			Expect(cloud.reports[number]).To(Equal([]int64{3, 3}))
+		},
+		Entry("by seconds", 11*time.Second), Entry("by half a minute", 30*time.Second), Entry("by minutes", 5*time.Minute),
+	)
+
 	It("waits for hosts that have not sent their counts, but not until the report is overdue", func() {
 		complete := false
 		r := newReport(3)
