Acknowledge a host's usage once the store has taken it

In a large fleet a reader took other hosts' usage rows from its queue to write them; when the write failed, or the reader ended first, they were gone, though it had acknowledged them and the hosts sent them no more. Usage is part of what is reported once and exactly.

Rows now wait in state/outbox until the store has taken them, come back after a failed write, and are acknowledged only then; until then the hosts send them again, and write them by themselves if no reader does in time.

--- a/coordination/polls/answer.go
+++ b/coordination/polls/answer.go
@@ -25,8 +25,7 @@
 	p.tally.Update(q.Host, &q.Stats, now)
 	r.Total = requested(q, p.total(now))
 	if q.FinalWindow > 0 {
-		p.Site.AcceptUsage(q)
-		r.AckedWindow = q.FinalWindow
+		r.AckedWindow = p.Site.AcceptUsage(q)
 	}
 	return r
 }
--- a/coordination/polls/polls.go
+++ b/coordination/polls/polls.go
@@ -72,8 +72,9 @@
 	Query(ctx context.Context, h beat.Heartbeat, q query.Query) (reply.Reply, error)
 	// Usage returns the newest window for which the host's counts are final, and its newest windows.
 	Usage(now time.Time) (through int64, windows []window.Window)
-	// AcceptUsage accepts another host's usage, to be written to the store.
-	AcceptUsage(q query.Query)
+	// AcceptUsage accepts another host's usage, to be written to the store, and returns the newest window of that host that
+	// the store has taken, 0 for none.
+	AcceptUsage(q query.Query) (stored int64)
 }
 
 // Polls is one host's side of the exchange.
@@ -100,7 +101,7 @@
 	role atomic.Uint32
 	// totals holds the figures of all other hosts as last received from a reader.
 	totals atomic.Pointer[receivedTotals]
-	// ackedWindow is the newest window whose final counts a reader has accepted.
+	// ackedWindow is the newest window whose final counts a reader has written to the store.
 	ackedWindow atomic.Int64
 	// nextFull is when the next full poll is due. This field and those below are only used by Poll.
 	nextFull time.Time
@@ -131,7 +132,7 @@
 // IsReader reports whether the host reads the tables for others.
 func (p *Polls) IsReader() bool { return p.Role() != roles.Other }
 
-// UsageAcked returns the newest window for which a reader has accepted the host's usage.
+// UsageAcked returns the newest window for which a reader has written the host's usage to the store.
 func (p *Polls) UsageAcked() int64 { return p.ackedWindow.Load() }
 
 // Poll polls once and returns the time until the next call is due. In a small fleet it polls only while the store
@@ -293,7 +294,7 @@
 		d, ok := r.Deltas[name]
 		useful = ok && p.tables[name].Merge(&d, sent) && useful
 	}
-	if r.AckedWindow > 0 {
+	if r.AckedWindow > p.ackedWindow.Load() {
 		p.ackedWindow.Store(r.AckedWindow)
 	}
 	if r.IsReader && r.Total != nil && own != nil {
--- a/coordination/polls/polls_test.go
+++ b/coordination/polls/polls_test.go
@@ -186,7 +186,7 @@
 }
 
 func (m *member) Usage(time.Time) (int64, []window.Window) { return 0, nil }
-func (m *member) AcceptUsage(query.Query)                  {}
+func (m *member) AcceptUsage(query.Query) int64            { return 0 }
 
 // step runs what is due on each host, then advances the clock by a tick.
 func (f *fleet) step() {
--- a/coordination/sched/sched.go
+++ b/coordination/sched/sched.go
@@ -190,10 +190,10 @@
 }
 
 // UsageDelay returns the time from a window's end until its usage is written in a large fleet: readers wait for one
-// poll of the other hosts, and these for two.
+// poll of the other hosts, and these for the poll that tells them that a reader's write succeeded.
 func (s Schedule) UsageDelay() time.Duration {
 	if s.Role == roles.Other {
-		return 2 * (s.PollInterval() + usageSlack)
+		return 2*s.PollInterval() + 3*usageSlack
 	}
 	return s.PollInterval() + usageSlack
 }
--- a/protocol/reply/reply.go
+++ b/protocol/reply/reply.go
@@ -18,6 +18,6 @@
 	// Total holds the statistics of all hosts, or for a query with FromReader those of the hosts that report to the
 	// responding host.
 	Total *stats.Stats `json:"total,omitempty"`
-	// AckedWindow is the newest usage window whose final counts from the sender of the query were accepted.
+	// AckedWindow is the newest usage window whose final counts from the sender of the query the store has taken.
 	AckedWindow int64 `json:"through,omitempty"`
 }
--- a/transport/site/polls.go
+++ b/transport/site/polls.go
@@ -49,8 +49,11 @@
 	return e.usage.WindowNumber(now) - 1, e.usage.Own()
 }
 
-// AcceptUsage adds another host's usage to those that this host writes into the store.
-func (e exchange) AcceptUsage(q query.Query) { e.peerUsage.put(q) }
+// AcceptUsage adds another host's usage to those that this host writes into the store, and returns the newest window of that
+// host that the store has taken.
+func (e exchange) AcceptUsage(q query.Query) (stored int64) {
+	return e.peerUsage.Put(q.Host, q.FinalWindow, usageRow{Incarnation: q.Incarnation, FinalWindow: q.FinalWindow, Windows: q.Usage})
+}
 
 // pollLoop polls for table changes and load statistics until ctx ends.
 func (s *Site) pollLoop(ctx context.Context) error {
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -46,6 +46,7 @@
 	"github.com/dragonflyroute/dragonflyroute/state/endreg"
 	"github.com/dragonflyroute/dragonflyroute/state/fleet"
 	"github.com/dragonflyroute/dragonflyroute/state/flow"
+	"github.com/dragonflyroute/dragonflyroute/state/outbox"
 	"github.com/dragonflyroute/dragonflyroute/state/policy"
 	"github.com/dragonflyroute/dragonflyroute/state/speed"
 	"github.com/dragonflyroute/dragonflyroute/state/timing"
@@ -162,7 +163,7 @@
 	tables map[string]*watch.Watcher
 	polls  *polls.Polls
 	// peerUsage holds the usage of the hosts that poll this one for the tables.
-	peerUsage usageBatch
+	peerUsage outbox.Outbox[usageRow]
 	usage     *usage.Usage
 	flow      *flow.Flow
 	speed     *speed.Speed
--- a/transport/site/usage.go
+++ b/transport/site/usage.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
-	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/table"
 	"github.com/dragonflyroute/dragonflyroute/protocol/window"
 	"github.com/dragonflyroute/dragonflyroute/transport/ticks"
@@ -28,37 +26,6 @@
 	Windows     []window.Window `json:"windows"`
 }
 
-// usageBatch collects the usage of other hosts until it is written in one call.
-type usageBatch struct {
-	mu   sync.Mutex
-	rows map[host.ID]usageRow
-}
-
-// put stores a host's usage and replaces what the host had sent before.
-func (b *usageBatch) put(q query.Query) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.rows == nil {
-		b.rows = map[host.ID]usageRow{}
-	}
-	b.rows[q.Host] = usageRow{Incarnation: q.Incarnation, FinalWindow: q.FinalWindow, Windows: q.Usage}
-}
-
-// drain removes and returns at most limit rows.
-func (b *usageBatch) drain(limit int) map[host.ID]usageRow {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := map[host.ID]usageRow{}
-	for id, row := range b.rows {
-		if len(out) == limit {
-			break
-		}
-		out[id] = row
-		delete(b.rows, id)
-	}
-	return out
-}
-
 // writeUsage writes usage into the store after each window if the fleet is large, as its heartbeats are too rare to carry
 // usage. A reader writes its own usage and that of the hosts that poll it; another host writes its own only if no reader
 // has acknowledged it.
@@ -76,17 +43,31 @@
 			lastWritten = current
 			return
 		}
-		rows := map[host.ID]usageRow{}
-		if isReader {
-			rows = s.peerUsage.drain(maxUsageRows)
-		}
-		rows[s.Host] = usageRow{Incarnation: s.incarnation, FinalWindow: current - 1, Windows: s.usage.Own()}
-		if s.commitUsage(ctx, rows) {
+		if s.writeUsageRows(ctx, current-1, isReader) {
 			lastWritten = current
 		}
 	})(ctx)
 }
 
+// writeUsageRows writes the host's own usage, and at a reader that of the hosts that poll it, and reports whether the store
+// took them. Rows that it did not take are written with the next call.
+func (s *Site) writeUsageRows(ctx context.Context, final int64, isReader bool) bool {
+	rows := map[host.ID]usageRow{s.Host: {Incarnation: s.incarnation, FinalWindow: final, Windows: s.usage.Own()}}
+	if !isReader {
+		return s.commitUsage(ctx, rows)
+	}
+	taken := s.peerUsage.Take(maxUsageRows)
+	for id, item := range taken {
+		rows[id] = item.Row
+	}
+	if !s.commitUsage(ctx, rows) {
+		s.peerUsage.Return(taken)
+		return false
+	}
+	s.peerUsage.Written(taken)
+	return true
+}
+
 // commitUsage writes hosts' usage in one call and reports whether that succeeded.
 func (s *Site) commitUsage(ctx context.Context, rows map[host.ID]usageRow) bool {
 	txn := table.Txn{}
