Do not pass on rewritten endpoint rows that can't be decoded

Two values of a row that both can't be decoded counted as a change for other hosts. A long one (above 64 KiB with the others) that is written again at each heartbeat would have made every host of a large fleet read the table from the store each time, since changes that long are left out of a reader's answers. Found by reading; neither value names an endpoint, so nothing is to be passed on.

The comparison is moved from the site to the syncer, where it can be tested. "takes two rows that can't be decoded for equivalent" fails with the former result (false) in that place.

--- a/coordination/syncer/syncer.go
+++ b/coordination/syncer/syncer.go
@@ -93,6 +93,16 @@
 	s.missing = nil
 }
 
+// Equivalent reports whether two values of an endpoint's row decode to the same, or neither can be decoded.
+func (s *Syncer) Equivalent(key string, a, b []byte) bool {
+	old, oldErr := s.Decode(key, a)
+	updated, err := s.Decode(key, b)
+	if oldErr != nil || err != nil {
+		return oldErr != nil && err != nil
+	}
+	return old == updated
+}
+
 // put applies one row and reports whether it holds an endpoint.
 func (s *Syncer) put(r record.Record) bool {
 	if r.Deleted {
--- a/coordination/syncer/syncer_test.go
+++ b/coordination/syncer/syncer_test.go
@@ -86,4 +86,14 @@
 		Expect(reclaims).To(Equal(1))
 		Expect(registry.Get("a").Leaving()).To(BeTrue())
 	})
+
+	// Guards against a long row that can't be decoded being sent to all hosts each time its writer writes it again, on which
+	// each of them read the whole table from the store.
+	It("takes two rows that can't be decoded for equivalent, and otherwise rows that decode to the same", func() {
+		Expect(s.Equivalent("a", []byte("?"), []byte("?"))).To(BeTrue())
+		Expect(s.Equivalent("a", []byte("x"), []byte("y"))).To(BeTrue())
+		Expect(s.Equivalent("a", []byte("x"), []byte("leaving"))).To(BeFalse())
+		Expect(s.Equivalent("a", []byte("x"), []byte("?"))).To(BeFalse())
+		Expect(s.Equivalent("a", []byte("?"), []byte("x"))).To(BeFalse())
+	})
 })
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -115,7 +115,7 @@
 		t.Now, t.Log, t.Mirror = clock.Boot, s.Log, &mirror.Mirror{}
 		s.polls.Add(name, t)
 	}
-	s.tables[endpointsTable].Mirror.Equivalent = s.sameEndpoint
+	s.tables[endpointsTable].Mirror.Equivalent = s.syncer.Equivalent
 }
 
 // Schedule returns how often this host reads tables, polls and sends heartbeats at the present size of the fleet.
@@ -136,16 +136,6 @@
 	return func(age time.Duration, known bool) time.Duration { return s.Schedule().ReadDelay(within, age, known) }
 }
 
-// sameEndpoint reports whether two rows of an endpoint decode to the same value.
-func (s *Site) sameEndpoint(key string, a, b []byte) bool {
-	old, err := s.DecodeEndpoint(key, a)
-	if err != nil {
-		return false
-	}
-	updated, err := s.DecodeEndpoint(key, b)
-	return err == nil && old == updated
-}
-
 // endpointsInterval returns the time until the next read of the endpoints' rows; it is shorter after an outage.
 func (s *Site) endpointsInterval() time.Duration {
 	pause := s.Schedule().EndpointsPause()
