Follow no row of an entry host with an odd address or weight

A row that could not be decoded was left out already. One with an address without port, a port out of range, an id that is not its key or a weight of 10^308 or below 0 was taken for a host: its address was told to callers, hosts sent heartbeats to it, and the weight drew all picks by rendezvous hash (readers, address answers).

Rows are now decoded by roster.Decode, which checks them.

--- a/protocol/roster/roster.go
+++ b/protocol/roster/roster.go
@@ -2,8 +2,14 @@
 package roster
 
 import (
+	"encoding/json"
+	"net"
+	"strconv"
+
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 )
 
@@ -46,3 +52,35 @@
 	// Weight is an entry host's relative weight in address answers, at most 1; 0 when not reported.
 	Weight float64 `json:"weight,omitempty"`
 }
+
+// Decode decodes the row that an entry host wrote under its id. A BadRequest error means that the row describes no usable
+// host; it names the field, if there is one.
+func Decode(id string, data []byte) (Row, error) {
+	var r Row
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Row{}, fault.Wrap(kind.BadRequest, err, "row is not valid JSON")
+	}
+	switch {
+	case id == "" || string(r.ID) != id:
+		return Row{}, fault.New(kind.BadRequest, "id", "is %q in the row of %q", r.ID, id)
+	case !isAddress(r.Address):
+		return Row{}, fault.New(kind.BadRequest, "address", "is not a host with a port")
+	case !isAddress(r.PeerAddress):
+		return Row{}, fault.New(kind.BadRequest, "peers", "is not a host with a port")
+	case r.State != Live && r.State != Leaving:
+		return Row{}, fault.New(kind.BadRequest, "state", "is %q", r.State)
+	case r.Weight < 0 || r.Weight > 1:
+		return Row{}, fault.New(kind.BadRequest, "weight", "is not between 0 and 1")
+	}
+	return r, nil
+}
+
+// isAddress reports whether an address is a host with a port from 1 up.
+func isAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -192,8 +192,8 @@
 			s.setMoveState(r)
 			continue
 		}
-		var row roster.Row
-		if err := json.Unmarshal(r.Value, &row); err != nil {
+		row, err := roster.Decode(r.Key, r.Value)
+		if err != nil {
 			s.Log.Warn("cannot decode the row of an entry host; it is ignored", "key", r.Key, "version", r.Version, "error", err)
 			continue
 		}
