Decide on a prompt part at once, whatever its stored number of decisions

The wait before the next test of a prompt part that crashes endpoints was computed in as many steps as decisions are stored for it. The loop now ends at the longest wait, which is reached after a few steps.

--- a/state/blame/blame.go
+++ b/state/blame/blame.go
@@ -317,7 +317,7 @@
 // block refuses the part's requests until the next test.
 func (s *suspect) block(now time.Time) {
 	wait := firstProbe
-	for range s.ruling.Strikes {
+	for i := 0; i < s.ruling.Strikes && wait < maxProbe; i++ {
 		wait = min(maxProbe, wait*probeFactor)
 	}
 	s.ruling = ruling.Ruling{BlockedAt: now, ProbeAt: now.Add(wait), Strikes: s.ruling.Strikes + 1}
--- a/state/blame/blame_test.go
+++ b/state/blame/blame_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -172,6 +174,26 @@
 		Expect(admitted(b, bad, 43)).To(BeTrue())
 	})
 
+	// Guards against an odd row of a decision that keeps the process busy without end, with all requests waiting.
+	DescribeTable("decides on a part at once, whatever number of decisions is stored for it",
+		func(strikes int) {
+			b := newBlame()
+			b.Restore(bad, ruling.Ruling{BlockedAt: at(0), ProbeAt: at(1), Strikes: strikes})
+			_, ok := b.Admit([]uint64{bad}, anyone, at(2))
+			Expect(ok).To(BeTrue())
+			b.Crashed([]uint64{bad}, "e", 1, at(2.1))
+			decided := make(chan struct{})
+			var g sync.WaitGroup
+			g.Go(func() {
+				b.Decide(at(2.2))
+				close(decided)
+			})
+			Eventually(decided, "2s").Should(BeClosed())
+			Expect(admitted(b, bad, 3)).To(BeFalse())
+		},
+		Entry("a huge one", math.MaxInt), Entry("a negative one", -1),
+	)
+
 	It("forgets parts that are no longer suspected", func() {
 		b := newBlame()
 		b.Crashed(badParts, "e", 1, at(0))
