Continue a stream only with what follows it

Another operator reports: a stream had begun and broke off, and clients found the next server's error in their stream, or the stream ended as if it were complete.

A JSON document, a text, a stream's text without the end of an event, an encoded stream and an empty 204 were written behind the caller's events and the stream ended as complete; so were an event without an id and events with a gap. A stream whose events had no ids was run again from its start behind the events that the caller had ("is not run again from its start").

Where no event had an id, no other endpoint is asked (result.Final).

--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -359,7 +359,7 @@
 		}
 		return false, p.finalError(ctx, j, x, j.lastResult.Reason, refusedRetryAfter)
 	case ending.Truncated:
-		if ctx.Err() == nil && j.work.Route.Mode == mode.Resumable && j.arrivals < j.work.Route.MaxAttempts {
+		if ctx.Err() == nil && !j.lastResult.Final && j.work.Route.Mode == mode.Resumable && j.arrivals < j.work.Route.MaxAttempts {
 			return true, nil
 		}
 		return false, p.finalError(ctx, j, x, j.lastResult.Reason, 0)
--- a/protocol/result/result.go
+++ b/protocol/result/result.go
@@ -18,6 +18,8 @@
 	Withheld bool
 	// Broken is set when the endpoint closed or reset the connection before its answer was complete.
 	Broken bool
+	// Final is set when no other endpoint can continue the answer.
+	Final bool
 	// Status is the endpoint's HTTP status code, 0 when there is none.
 	Status int
 	// LastEventID is the id of the last event that was delivered to the caller completely, empty for none.
