--- a/transport/reload/reload.go
+++ b/transport/reload/reload.go
@@ -29,7 +29,8 @@
 	// Log receives a line for each signal, and for each content that was applied or rejected.
 	Log hclog.Logger
 
-	// checked describes the file at the last check for a change without a signal.
+	// checked describes the file at the last check for a change without a signal, nil before the first: the file may have
+	// changed since Data was read.
 	checked os.FileInfo
 }
 
@@ -37,7 +38,6 @@
 func (r *Reloader) Run(ctx context.Context) error {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
-	r.checked = r.stat()
 	for {
 		select {
 		case <-ctx.Done():
--- a/transport/reload/reload_test.go
+++ b/transport/reload/reload_test.go
@@ -66,6 +66,20 @@
 		Eventually(applied, "8s").Should(Receive(Equal("second, longer")))
 	})
 
+	// Guards against a change between the start of the process, which reads the file, and that of its watch.
+	It("applies a file that has changed before the first check", func() {
+		late := &reload.Reloader{Path: path, Data: []byte("older"), Signals: signals, Log: hclog.NewNullLogger(), Apply: func(data []byte) error {
+			applied <- string(data)
+			return nil
+		}}
+		ctx, stop := context.WithCancel(context.Background())
+		var g errgroup.Group
+		g.Go(func() error { return late.Run(ctx) })
+		Eventually(applied, "8s").Should(Receive(Equal("first")))
+		stop()
+		Expect(g.Wait()).To(Succeed())
+	})
+
 	It("keeps running when the file is invalid or missing, and applies the next valid one", func() {
 		write("invalid")
 		signals <- syscall.SIGHUP
