Take a stream for broken that ends with its connection before its first event

An empty whole answer of that form is passed on, as it is complete as far as the protocol tells, and marked, so that it does not count as an answer to its prompt.

--- a/protocol/result/result.go
+++ b/protocol/result/result.go
@@ -16,7 +16,8 @@
 	// Withheld is set when nothing was sent because the endpoint was found to accept no more requests: it is leaving, has
 	// asked for a pause, or limits its requests and there was no permit.
 	Withheld bool
-	// Broken is set when the endpoint closed or reset the connection before its answer was complete.
+	// Broken is set when the endpoint closed or reset the connection before its answer was complete, or after the head of an
+	// answer that is empty and ends with its connection.
 	Broken bool
 	// Final is set when no other endpoint can continue the answer.
 	Final bool
