Mend what the review of the guard against crashing prompts found

The next test is now put off when one begins, whatever comes of it, and is a decision that others hear of. - A slot for a test was used up by requests that were then refused or not sent. It is taken right before an attempt. - A malformed or overlong id, or a second header line, hid parts from the guard. It has its own list of all parts but the last. - A response head, or an empty answer that ends with its connection, cleared a part. Only streams with events and whole answers do. - Endpoints that accept connections again when they are checked never counted; they count by half if the answer had begun. One whose new row is not known yet counted once; its later crashes count too. - Bursts counted as one crash. Requests whose answer has just begun are rarely under way by chance, so their crashes all count; of the others those at the same moment count as one. - A decision that had ended came back from a host that had missed it, and crashes from before an answer blocked a part again. The time of an ended decision is remembered, and such a host is told of the answer. - A part that a host has answered since the last crash is not refused there on another host's decision, and five crashes no longer skip the time for others' answers. - A rare part was tested late on large fleets, as one host could do it: one more host may every two seconds. - Suspected parts, reports and remembered answers are bounded.

Not mended: tests by hosts that are cut from each other, suspected parts of half weight while answers were recent, clocks that are far ahead.

--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	// begunWeight and waitingWeight are how likely a request caused its endpoint's crash if its response had just begun, and
-	// if it had not.
-	begunWeight   = 1.0
-	waitingWeight = 0.5
+	// begunWeight is how likely a request caused its endpoint's crash if its response had just begun. It is lesserWeight if
+	// its response had not begun, or if the endpoint accepts connections again.
+	begunWeight  = 1.0
+	lesserWeight = 0.5
 	// soundAfter is the time from the first part of an answer after which its request did not cause a crash.
 	soundAfter = time.Second
 	// decideInterval is the time between checks of whether a part is to be blocked.
@@ -49,8 +49,9 @@
 	// the whole system started then, so that there are none.
 	Known   func() bool
 	Started time.Time
-	// MayProbe reports whether this process may test a blocked part; one process of the fleet may.
-	MayProbe func(hash uint64) bool
+	// MayProbe reports whether this process may test a blocked part whose test is overdue by a time. At first one process of
+	// the fleet may, then more of them, as it may get no such request.
+	MayProbe func(hash uint64, overdue time.Duration) bool
 	// Save writes the decision on a part to the store, or deletes it if none is in force.
 	Save func(ctx context.Context, hash uint64, r ruling.Ruling) error
 	// Now returns the time.
@@ -67,9 +68,11 @@
 // broken is an attempt that its endpoint broke off.
 type broken struct {
 	endpoint *target.Target
-	request  *work.Request
-	weight   float64
-	at       time.Time
+	// process identifies the endpoint's process at the attempt, and address is where it accepted connections.
+	process, address string
+	request          *work.Request
+	weight           float64
+	at               time.Time
 }
 
 // Prepare creates the queues; call it before any other method.
@@ -78,48 +81,61 @@
 	g.changed = make(chan uint64, maxWaiting)
 }
 
-// Admit reports whether an attempt of a request may be made, and otherwise the time until it may be worth a retry.
+// Admit reports whether a request may be sent at present, and otherwise the time until it may be worth a retry.
 func (g *Guard) Admit(w *work.Request) (wait time.Duration, ok bool) {
-	if len(w.Parts) < 2 {
+	if len(w.Shared) == 0 {
 		return 0, true
 	}
 	now := g.Now()
 	if now.Sub(g.Started) < startWait && !g.Known() {
 		return startRetryAfter, false
 	}
-	return g.Blame.Admit(w.SharedParts(), g.MayProbe, now)
+	return g.Blame.Admit(w.Shared, g.MayProbe, now)
+}
+
+// Begin is Admit for an attempt that is about to be made.
+func (g *Guard) Begin(w *work.Request) (wait time.Duration, ok bool) {
+	if len(w.Shared) == 0 {
+		return 0, true
+	}
+	tested, wait, ok := g.Blame.Begin(w.Shared, g.MayProbe, g.Now())
+	for _, hash := range tested {
+		g.Log.Info("request tests a prompt part that has crashed endpoints", "part", name(hash), "id", w.ID)
+		g.store(hash)
+	}
+	return wait, ok
 }
 
 // Ended records the result of an attempt; begun is when the first part of its answer arrived, zero if none did.
 func (g *Guard) Ended(w *work.Request, t *target.Target, r result.Result, begun time.Time) {
-	if len(w.Parts) < 2 {
+	if len(w.Shared) == 0 {
 		return
 	}
 	now := g.Now()
-	sound := !begun.IsZero() && now.Sub(begun) > soundAfter
+	streamed := r.LastEventID != "" || r.Ending == ending.Truncated
 	switch {
-	case r.Ending == ending.Delivered && r.Status < 300:
+	case r.Ending == ending.Delivered && r.Status/100 == 2 && !begun.IsZero() && !r.Broken:
 		g.answered(w, now)
-	case sound:
+	case streamed && !begun.IsZero() && now.Sub(begun) > soundAfter:
 		g.answered(w, begun.Add(soundAfter))
 	case r.Broken && !t.Leaving():
-		g.suspect(broken{endpoint: t, request: w, weight: weight(r, begun), at: now})
-	default:
-		g.Blame.ProbeEnded(w.SharedParts())
+		row := t.Row()
+		process := string(row.ID) + "@" + strconv.FormatInt(row.StartMillis, 10)
+		g.suspect(broken{endpoint: t, process: process, address: row.Address, request: w, weight: weight(r, begun), at: now})
 	}
 }
 
 // weight returns how likely a request caused the crash that ended its attempt.
 func weight(r result.Result, begun time.Time) float64 {
-	if r.Status/100 == 2 && (begun.IsZero() || r.Ending == ending.Unknown) {
+	if r.Status/100 == 2 && (begun.IsZero() || r.Ending == ending.Unknown || r.Ending == ending.Delivered) {
 		return begunWeight
 	}
-	return waitingWeight
+	return lesserWeight
 }
 
 // answered records an answer, which ends the block of its parts.
 func (g *Guard) answered(w *work.Request, at time.Time) {
-	for _, hash := range g.Blame.Answered(w.SharedParts(), at) {
+	for _, hash := range g.Blame.Answered(w.Shared, at) {
 		g.Log.Info("prompt part was answered; its requests are sent again", "part", name(hash), "id", w.ID)
 		g.store(hash)
 	}
@@ -180,17 +196,22 @@
 	}
 }
 
-// check records a crash if an endpoint no longer accepts connections. An endpoint that does has lost one answer only.
+// check records a crash if an endpoint no longer accepts connections. One that does may have lost one answer only, or have
+// started again; only a request whose response had just begun counts then, and less.
 func (g *Guard) check(ctx context.Context, b broken) {
-	row := b.endpoint.Row()
-	if b.endpoint.Leaving() || g.Alive(ctx, row.Address) {
-		g.Blame.ProbeEnded(b.request.SharedParts())
+	if b.endpoint.Leaving() {
 		return
 	}
-	process := string(row.ID) + "@" + strconv.FormatInt(row.StartMillis, 10)
-	g.Blame.Crashed(b.request.SharedParts(), process, b.weight, b.at)
+	alive := g.Alive(ctx, b.address)
+	if alive && b.weight < begunWeight {
+		return
+	}
+	if alive {
+		b.weight = lesserWeight
+	}
+	g.Blame.Crashed(b.request.Shared, b.process, b.weight, b.at)
 	g.Count("crashed_attempts_total", 1)
-	g.Log.Info("endpoint crashed during a request", "endpoint", row.ID, "id", b.request.ID, "weight", b.weight)
+	g.Log.Info("endpoint crashed during a request", "endpoint", b.endpoint.Row().ID, "id", b.request.ID, "weight", b.weight, "accepts-connections", alive)
 	g.decide()
 }
 
--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -92,8 +92,10 @@
 }
 
 type prompts interface {
-	// Admit reports whether an attempt of a request may be made, and otherwise the time until it may be worth a retry.
+	// Admit reports whether a request may be sent at present, and otherwise the time until it may be worth a retry.
 	Admit(w *work.Request) (wait time.Duration, ok bool)
+	// Begin is Admit for an attempt that is about to be made.
+	Begin(w *work.Request) (wait time.Duration, ok bool)
 	// Ended records the result of an attempt; begun is when the first part of its answer arrived, zero if none did.
 	Ended(w *work.Request, t *target.Target, r result.Result, begun time.Time)
 }
@@ -196,10 +198,13 @@
 	return max(stream, p.Durations.Longest(w.Route.Name))
 }
 
+// crashingPrompt is the reason of requests that are refused for their prompt.
+const crashingPrompt = "a part of the prompt has crashed endpoints"
+
 // step makes one attempt and reports whether to make another.
 func (p *Proxy) step(ctx context.Context, j *job, x exchange) (again bool, err error) {
 	if wait, ok := p.Prompts.Admit(j.work); !ok {
-		return false, p.finalError(ctx, j, x, "a part of the prompt has crashed endpoints", wait)
+		return false, p.finalError(ctx, j, x, crashingPrompt, wait)
 	}
 	now := p.Now()
 	version := p.Canary.Choose(j.work)
@@ -221,6 +226,9 @@
 	if j.arrivals > 0 && !p.Retries.Take(j.work.Backend) {
 		return false, p.finalError(ctx, j, x, "the back end's retry budget is exhausted", refusedRetryAfter)
 	}
+	if wait, ok := p.Prompts.Begin(j.work); !ok {
+		return false, p.finalError(ctx, j, x, crashingPrompt, wait)
+	}
 	j.attempted[t] = true
 	j.lastEndpoint, j.lastDonor = t, to.Donor
 	j.lastResult = p.attempt(ctx, j, t, to.Donor, to.PrefillTokens, x)
@@ -397,7 +405,7 @@
 	}
 	line = append(line, endpointFields(j, now)...)
 	if err != nil {
-		line = append(line, "reason", err.Error(), "broken-off", j.lastResult.Broken, "shared-parts", partNames(j.work.SharedParts()))
+		line = append(line, "reason", err.Error(), "broken-off", j.lastResult.Broken, "shared-parts", partNames(j.work.Shared))
 	}
 	p.Log.Info("request ended", line...)
 }
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -85,6 +85,8 @@
 
 func (p *fakePrompts) Admit(*work.Request) (time.Duration, bool) { return p.wait, p.wait == 0 }
 
+func (p *fakePrompts) Begin(w *work.Request) (time.Duration, bool) { return p.Admit(w) }
+
 func (p *fakePrompts) Ended(_ *work.Request, _ *target.Target, r result.Result, _ time.Time) {
 	p.results = append(p.results, r)
 }
--- a/protocol/crash/crash.go
+++ b/protocol/crash/crash.go
@@ -2,19 +2,21 @@
 package crash
 
 import (
-	"maps"
+	"slices"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/ruling"
 )
 
+// oneCrash is the time within which reports on the same endpoint process are about the same crash. A process that starts
+// again in the same place takes longer.
+const oneCrash = 500 * time.Millisecond
+
 // Report is what one or more hosts know of a prompt part.
 type Report struct {
-	// Crashes holds the endpoint processes that crashed when they had begun, or were about to begin, to answer a request
-	// with the part, by process.
-	Crashes map[string]sighting `json:"crashes,omitempty"`
-	// Answered is set when a request with the part was answered after such a crash, and AnsweredAge is the time since the
-	// last answer.
+	// Crashes holds the crashes of endpoints that had begun, or were about to begin, to answer a request with the part.
+	Crashes []sighting `json:"crashes,omitempty"`
+	// Answered is set when a request with the part was answered, and AnsweredAge is the time since the last answer.
 	Answered    bool          `json:"answered,omitempty"`
 	AnsweredAge time.Duration `json:"answered-age-ns,omitempty"`
 	// Ruling is the decision to refuse requests with the part, nil for none.
@@ -23,28 +25,34 @@
 
 // sighting is one crash.
 type sighting struct {
+	// Process identifies the endpoint's process.
+	Process string `json:"process"`
 	// Weight is how likely the part caused it, from 0 to 1.
 	Weight float64 `json:"weight"`
 	// Age is the time since the crash.
 	Age time.Duration `json:"age-ns"`
 }
 
-// AddCrash adds the crash of an endpoint process. Of several reports on a process, the one of the greatest weight counts.
+// AddCrash adds the crash of an endpoint process. Of several reports on a crash, the one of the greatest weight counts.
 func (r *Report) AddCrash(process string, weight float64, age time.Duration) {
-	if r.Crashes == nil {
-		r.Crashes = map[string]sighting{}
-	}
-	if old, ok := r.Crashes[process]; !ok || weight > old.Weight {
-		r.Crashes[process] = sighting{Weight: weight, Age: age}
+	i := slices.IndexFunc(r.Crashes, func(c sighting) bool { return c.Process == process && SameCrash(c.Age, age) })
+	switch {
+	case i < 0:
+		r.Crashes = append(r.Crashes, sighting{Process: process, Weight: weight, Age: age})
+	case weight > r.Crashes[i].Weight:
+		r.Crashes[i].Weight = weight
 	}
 }
 
+// SameCrash reports whether two reports on an endpoint process, of the given ages, are about the same crash.
+func SameCrash(a, b time.Duration) bool { return (a - b).Abs() < oneCrash }
+
 // Plus returns the report of both: all crashes, the latest answer and the latest decision.
 func (r Report) Plus(other Report) Report {
 	out := r
-	out.Crashes = maps.Clone(r.Crashes)
-	for process, c := range other.Crashes {
-		out.AddCrash(process, c.Weight, c.Age)
+	out.Crashes = slices.Clone(r.Crashes)
+	for _, c := range other.Crashes {
+		out.AddCrash(c.Process, c.Weight, c.Age)
 	}
 	if other.Answered && (!r.Answered || other.AnsweredAge < r.AnsweredAge) {
 		out.Answered, out.AnsweredAge = true, other.AnsweredAge
@@ -58,10 +66,9 @@
 // AgedBy returns the report as it is some time later.
 func (r Report) AgedBy(d time.Duration) Report {
 	out := r
-	out.Crashes = make(map[string]sighting, len(r.Crashes))
-	for process, c := range r.Crashes {
-		c.Age += d
-		out.Crashes[process] = c
+	out.Crashes = slices.Clone(r.Crashes)
+	for i := range out.Crashes {
+		out.Crashes[i].Age += d
 	}
 	out.AnsweredAge += d
 	return out
--- a/protocol/ruling/ruling.go
+++ b/protocol/ruling/ruling.go
@@ -9,7 +9,9 @@
 	// BlockedAt is when it was decided, and ProbeAt when one request may test the part again.
 	BlockedAt time.Time `json:"blocked-at"`
 	ProbeAt   time.Time `json:"probe-at"`
-	// Strikes is the number of decisions on the part without an answer in between.
+	// CrashedAt is when the last of the crashes that led to it was.
+	CrashedAt time.Time `json:"crashed-at"`
+	// Strikes is the number of decisions on the part, and of tests, without an answer in between.
 	Strikes int `json:"strikes"`
 }
 
--- a/protocol/work/work.go
+++ b/protocol/work/work.go
@@ -33,6 +33,9 @@
 	OutTokens int64
 	// Parts holds the parts of the prompt in order; requests with a common prefix have the same leading parts.
 	Parts []part
+	// Shared holds the hashes of all parts but the last, also of those that Parts lacks since they could not be parsed
+	// completely. Requests may share them.
+	Shared []uint64
 }
 
 type part struct {
@@ -47,15 +50,6 @@
 	w.Parts = append(w.Parts, part{Hash: hash, Tokens: tokens})
 }
 
-// SharedParts returns the hashes of the parts that other requests may share: all but the last.
-func (w *Request) SharedParts() []uint64 {
-	var out []uint64
-	for i := 0; i < len(w.Parts)-1; i++ {
-		out = append(out, w.Parts[i].Hash)
-	}
-	return out
-}
-
 // SharedTokens returns the number of tokens in the parts that other requests may share: all but the last.
 func (w *Request) SharedTokens() int64 {
 	sum := int64(0)
--- a/state/blame/blame.go
+++ b/state/blame/blame.go
@@ -2,8 +2,6 @@
 package blame
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -13,33 +11,16 @@
 )
 
 const (
-	// blockScore is the number of crashes without an answer in between after which a part is blocked.
-	blockScore = 3
-	// certainCrashes is the number of crashed processes from which a part is blocked without waiting for other hosts'
-	// answers.
-	certainCrashes = 5
-	// sameCause is the time within which crashes count as one: several endpoints may fail together for another reason.
-	sameCause = 250 * time.Millisecond
-	// crashLifetime is how long a crash counts.
-	crashLifetime = 2 * time.Minute
-	// answerLifetime is how long an answer is remembered in case other hosts suspect one of its parts.
-	answerLifetime = 30 * time.Second
-	// soundTime is how long an answer excludes a part from being suspected at a crash, for a request of weight 1; for lesser
-	// ones it is answerLifetime.
+	// certain is the weight of a crash that counts fully.
+	certain = 1.0
+	// soundTime is how long an answer excludes a part from being suspected at a crash that counts fully; for others it is
+	// answerLifetime.
 	soundTime = 3 * time.Second
-	// reportTime is how long a crash, or an answer after it, is reported to other hosts.
-	reportTime = 4 * time.Second
-	// maxAnswered bounds the parts with a remembered answer.
-	maxAnswered = 1 << 14
-	// firstProbe is the time from the first decision to block a part until a request may test it; each further decision
-	// multiplies it by probeFactor, up to maxProbe.
-	firstProbe  = 30 * time.Second
-	probeFactor = 4
-	maxProbe    = time.Hour
-	// probeTimeout is how long a test may take before another request may test the part.
-	probeTimeout = 20 * time.Second
-	// blockLifetime is how long a part stays blocked after the time of its next test, if no request comes that could test it.
-	blockLifetime = time.Hour
+	// answerLifetime is how long an answer is remembered at least, in case other hosts suspect one of its parts.
+	answerLifetime = 30 * time.Second
+	// maxSuspects bounds the parts that are suspected, and maxReports those that are reported to other hosts at a time.
+	maxSuspects = 1024
+	maxReports  = 64
 )
 
 // Blame holds what a process knows of prompt parts.
@@ -51,50 +32,27 @@
 	// Settle returns the time that other hosts have to report an answer before a suspected part is blocked.
 	Settle func() time.Duration
 
-	mu sync.Mutex
-	// answered holds when this process last had a complete answer to a request with a part.
-	answered map[uint64]time.Time
+	mu       sync.Mutex
+	answered answers
 	suspects map[uint64]*suspect
 }
 
-// suspect is a part that was under way at a crash, or is blocked.
-type suspect struct {
-	// crashes holds the crashes by endpoint process.
-	crashes map[string]sighting
-	// answeredAt is the last answer known, of any host.
-	answeredAt time.Time
-	// changedAt is when a crash was last recorded, or an answer ended a block.
-	changedAt time.Time
-	// reachedAt is when the score first reached blockScore, zero below it.
-	reachedAt time.Time
-	// ruling is the decision in force, if any.
-	ruling ruling.Ruling
-	// probing is when a test began, zero if none is under way.
-	probing time.Time
-}
-
-// sighting is a crash with a part.
-type sighting struct {
-	weight float64
-	at     time.Time
-	// firstHand is set if this process had the request.
-	firstHand bool
-}
-
 // Crashed records that an endpoint process crashed at a time with a request that has the parts. The weight, from 0 to 1,
 // is how likely the request caused it.
 func (b *Blame) Crashed(parts []uint64, process string, weight float64, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sound := answerLifetime
-	if weight >= 1 {
-		sound = soundTime
+	excluded := answerLifetime
+	if weight >= certain {
+		excluded = soundTime
 	}
 	for _, hash := range parts {
-		if answered, ok := b.answered[hash]; ok && at.Sub(answered) < sound {
+		if answered, ok := b.answered.last(hash); ok && at.Sub(answered) < excluded {
 			continue
 		}
-		b.suspect(hash).addCrash(process, sighting{weight: weight, at: at, firstHand: true}, at)
+		if s := b.suspect(hash); s != nil {
+			s.addCrash(sighting{process: process, weight: weight, at: at, firstHand: true}, at)
+		}
 	}
 }
 
@@ -102,15 +60,9 @@
 func (b *Blame) Answered(parts []uint64, at time.Time) (unblocked []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.answered == nil {
-		b.answered = map[uint64]time.Time{}
-	}
-	if len(b.answered) > maxAnswered {
-		maps.DeleteFunc(b.answered, func(_ uint64, t time.Time) bool { return at.Sub(t) > answerLifetime })
-	}
 	for _, hash := range parts {
-		b.answered[hash] = at
-		if s := b.suspects[hash]; s != nil && s.clear(at) {
+		b.answered.record(hash, at)
+		if s := b.suspects[hash]; s != nil && s.clear(at, at) {
 			unblocked = append(unblocked, hash)
 		}
 	}
@@ -125,47 +77,63 @@
 		return
 	}
 	s := b.suspect(hash)
-	for process, c := range r.Crashes {
-		s.addCrash(process, sighting{weight: c.Weight, at: now.Add(-c.Age)}, now)
+	if s == nil {
+		return
+	}
+	for _, c := range r.Crashes {
+		s.addCrash(sighting{process: c.Process, weight: c.Weight, at: now.Add(-c.Age)}, now)
 	}
 	if r.Ruling != nil {
-		s.merge(*r.Ruling)
+		s.adopt(*r.Ruling, now)
 	}
 	if r.Answered {
-		s.clear(now.Add(-r.AnsweredAge))
+		s.clear(now.Add(-r.AnsweredAge), now)
 	}
 }
 
 // Restore records a decision on a part that was read from the store.
-func (b *Blame) Restore(hash uint64, r ruling.Ruling) {
+func (b *Blame) Restore(hash uint64, r ruling.Ruling, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.suspect(hash).merge(r)
+	s := b.suspect(hash)
+	if s == nil {
+		return
+	}
+	s.storedAt = r.BlockedAt
+	s.adopt(r, now)
 }
 
-// Lift ends the block of a part whose decision is no longer in the store.
-func (b *Blame) Lift(hash uint64) {
+// Lift ends the block of a part whose decision is no longer in the store: another host has had an answer. A decision that
+// the store has not had stays.
+func (b *Blame) Lift(hash uint64, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.suspects[hash]; s != nil && s.ruling.InForce() {
-		s.answeredAt = s.ruling.BlockedAt
-		s.ruling = ruling.Ruling{}
+	if s := b.suspects[hash]; s != nil && s.ruling.InForce() && !s.ruling.BlockedAt.After(s.storedAt) {
+		s.clear(now, now)
 	}
 }
 
-// Reports returns what this process knows of parts that are suspected or blocked.
+// Reports returns what this process knows of parts that are blocked or have lately been suspected, at most maxReports.
 func (b *Blame) Reports(now time.Time) map[uint64]crash.Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.suspects) == 0 {
 		return nil
 	}
-	out := map[uint64]crash.Report{}
+	var hashes []uint64
 	for hash, s := range b.suspects {
 		if s.ruling.InForce() || now.Sub(s.changedAt) < reportTime {
-			out[hash] = s.report(now)
+			hashes = append(hashes, hash)
 		}
 	}
+	if len(hashes) > maxReports {
+		slices.SortFunc(hashes, func(x, y uint64) int { return b.suspects[y].changedAt.Compare(b.suspects[x].changedAt) })
+		hashes = hashes[:maxReports]
+	}
+	out := make(map[uint64]crash.Report, len(hashes))
+	for _, hash := range hashes {
+		out[hash] = b.suspects[hash].report(now)
+	}
 	return out
 }
 
@@ -189,12 +157,33 @@
 	return blocked, lifted
 }
 
-// Admit reports whether a request with the parts may be sent, and otherwise the time until it may be worth a retry. A
-// request may be sent as a test of a blocked part once that is due; mayProbe reports whether this process may test a
-// part.
-func (b *Blame) Admit(parts []uint64, mayProbe func(hash uint64) bool, now time.Time) (wait time.Duration, ok bool) {
+// Admit reports whether a request with the parts may be sent at present, and otherwise the time until it may be worth a
+// retry. mayProbe reports whether this process may test a part whose test is overdue by a time.
+func (b *Blame) Admit(parts []uint64, mayProbe func(hash uint64, overdue time.Duration) bool, now time.Time) (wait time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.admit(parts, mayProbe, now)
+}
+
+// Begin is Admit for a request that is about to be sent. If that is a test of blocked parts, the next test of each is put
+// off at once, whatever comes of this one but an answer; tested holds these parts.
+func (b *Blame) Begin(parts []uint64, mayProbe func(hash uint64, overdue time.Duration) bool, now time.Time) (tested []uint64, wait time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if wait, ok := b.admit(parts, mayProbe, now); !ok {
+		return nil, wait, false
+	}
+	for _, hash := range parts {
+		if s := b.suspects[hash]; s != nil && s.ruling.InForce() {
+			s.block(now)
+			tested = append(tested, hash)
+		}
+	}
+	return tested, 0, true
+}
+
+// admit implements Admit. The caller holds b.mu.
+func (b *Blame) admit(parts []uint64, mayProbe func(hash uint64, overdue time.Duration) bool, now time.Time) (wait time.Duration, ok bool) {
 	if len(b.suspects) == 0 {
 		return 0, true
 	}
@@ -203,25 +192,16 @@
 		if s == nil || !s.ruling.InForce() {
 			continue
 		}
-		if s.probeDue(now) && mayProbe(hash) {
-			s.probing = now
-			continue
+		overdue := now.Sub(s.ruling.ProbeAt)
+		if overdue < 0 || !mayProbe(hash, overdue) {
+			return max(minWait, -overdue), false
 		}
-		return max(time.Second, s.ruling.ProbeAt.Sub(now)), false
 	}
 	return 0, true
 }
 
-// ProbeEnded records that a request with the parts has ended without showing anything about them.
-func (b *Blame) ProbeEnded(parts []uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, hash := range parts {
-		if s := b.suspects[hash]; s != nil {
-			s.probing = time.Time{}
-		}
-	}
-}
+// minWait is the shortest time after which a refused request is worth a retry.
+const minWait = time.Second
 
 // Ruling returns the decision on a part, one that is not in force if its requests are sent.
 func (b *Blame) Ruling(hash uint64) ruling.Ruling {
@@ -233,138 +213,40 @@
 	return ruling.Ruling{}
 }
 
-// suspect returns the state of a part and creates it if there is none. The caller holds b.mu.
+// suspect returns the state of a part, created if there is none, or nil if there are too many. The caller holds b.mu.
 func (b *Blame) suspect(hash uint64) *suspect {
 	if b.suspects == nil {
 		b.suspects = map[uint64]*suspect{}
 	}
 	s := b.suspects[hash]
-	if s == nil {
-		s = &suspect{crashes: map[string]sighting{}, answeredAt: b.answered[hash]}
+	if s == nil && len(b.suspects) < maxSuspects {
+		s = &suspect{}
+		s.answeredAt, _ = b.answered.last(hash)
 		b.suspects[hash] = s
 	}
 	return s
 }
 
-// addCrash adds a crash, learnt of now, unless an answer came after it.
-func (s *suspect) addCrash(process string, c sighting, now time.Time) {
-	old, known := s.crashes[process]
-	if known && c.weight <= old.weight {
-		return
-	}
-	s.changedAt = now
-	if c.at.After(s.answeredAt) {
-		s.crashes[process] = c
-	}
-}
-
-// clear records an answer, before which no crash counts, and reports whether that ended a block.
-func (s *suspect) clear(at time.Time) (unblocked bool) {
-	if !at.After(s.answeredAt) {
-		return false
-	}
-	s.answeredAt = at
-	s.probing = time.Time{}
-	maps.DeleteFunc(s.crashes, func(_ string, c sighting) bool { return !c.at.After(at) })
-	if !s.ruling.InForce() || !at.After(s.ruling.BlockedAt) {
-		return false
-	}
-	s.ruling, s.changedAt = ruling.Ruling{}, at
-	return true
-}
-
-// merge applies a decision unless a later one or a later answer is known.
-func (s *suspect) merge(r ruling.Ruling) {
-	if r.BlockedAt.After(s.answeredAt) && r.Supersedes(s.ruling) {
-		s.ruling = r
-	}
+// answers holds when parts were last answered, for answerLifetime at least and twice that at most.
+type answers struct {
+	// current holds the answers since, previous those of the time before.
+	current, previous map[uint64]time.Time
+	since             time.Time
 }
 
-// decide blocks the part if its crashes call for it, and reports whether it did.
-func (s *suspect) decide(settle time.Duration, now time.Time) bool {
-	maps.DeleteFunc(s.crashes, func(_ string, c sighting) bool { return now.Sub(c.at) > crashLifetime })
-	if s.ruling.InForce() {
-		return s.decideAgain(now)
-	}
-	if s.score() < blockScore {
-		s.reachedAt = time.Time{}
-		return false
-	}
-	if s.reachedAt.IsZero() {
-		s.reachedAt = now
-	}
-	if now.Sub(s.reachedAt) < settle && len(s.crashes) < certainCrashes {
-		return false
+func (a *answers) record(hash uint64, at time.Time) {
+	if a.current == nil || at.Sub(a.since) > answerLifetime {
+		a.previous = a.current
+		a.current = make(map[uint64]time.Time, len(a.previous))
+		a.since = at
 	}
-	s.block(now)
-	return true
+	a.current[hash] = at
 }
 
-// decideAgain extends the block after a test that ended in a crash.
-func (s *suspect) decideAgain(now time.Time) bool {
-	if s.probing.IsZero() {
-		return false
-	}
-	for _, c := range s.crashes {
-		if c.at.After(s.probing) {
-			s.block(now)
-			return true
-		}
-	}
-	return false
-}
-
-// block refuses the part's requests until the next test.
-func (s *suspect) block(now time.Time) {
-	wait := firstProbe
-	for i := 0; i < s.ruling.Strikes && wait < maxProbe; i++ {
-		wait = min(maxProbe, wait*probeFactor)
-	}
-	s.ruling = ruling.Ruling{BlockedAt: now, ProbeAt: now.Add(wait), Strikes: s.ruling.Strikes + 1}
-	s.probing = time.Time{}
-}
-
-// score returns the number of crashes, weighted, where those within sameCause count as one.
-func (s *suspect) score() float64 {
-	all := slices.SortedFunc(maps.Values(s.crashes), func(a, b sighting) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
-	sum, weight := 0.0, 0.0
-	var from time.Time
-	for _, c := range all {
-		if from.IsZero() || c.at.Sub(from) > sameCause {
-			sum += weight
-			from, weight = c.at, 0
-		}
-		weight = max(weight, c.weight)
-	}
-	return sum + weight
-}
-
-// probeDue reports whether a request may test the part.
-func (s *suspect) probeDue(now time.Time) bool {
-	return !now.Before(s.ruling.ProbeAt) && (s.probing.IsZero() || now.Sub(s.probing) > probeTimeout)
-}
-
-// expired reports whether nothing about the part matters any more.
-func (s *suspect) expired(now time.Time) bool {
-	if s.ruling.InForce() {
-		return now.Sub(s.ruling.ProbeAt) > blockLifetime
-	}
-	return len(s.crashes) == 0 && now.Sub(s.changedAt) > reportTime
-}
-
-// report returns what is known of the part.
-func (s *suspect) report(now time.Time) crash.Report {
-	r := crash.Report{}
-	for process, c := range s.crashes {
-		if c.firstHand && now.Sub(c.at) < reportTime {
-			r.AddCrash(process, c.weight, now.Sub(c.at))
-		}
-	}
-	if !s.answeredAt.IsZero() {
-		r.Answered, r.AnsweredAge = true, now.Sub(s.answeredAt)
-	}
-	if s.ruling.InForce() {
-		r.Ruling = &ruling.Ruling{BlockedAt: s.ruling.BlockedAt, ProbeAt: s.ruling.ProbeAt, Strikes: s.ruling.Strikes}
+func (a *answers) last(hash uint64) (at time.Time, ok bool) {
+	if at, ok = a.current[hash]; ok {
+		return at, true
 	}
-	return r
+	at, ok = a.previous[hash]
+	return at, ok
 }
--- a/transport/site/prompts.go
+++ b/transport/site/prompts.go
@@ -52,10 +52,14 @@
 	return settleHops * schedule.HeartbeatInterval()
 }
 
-// mayProbe reports whether this host may test a prompt part: it ranks first for it among the live hosts.
-func (s *Site) mayProbe(hash uint64) bool {
+// probeRankTime is the time for which a test of a prompt part must be overdue for one more host to be allowed to make it.
+const probeRankTime = 2 * time.Second
+
+// mayProbe reports whether this host may test a prompt part whose test is overdue by a time: at first the live host that
+// ranks first for it, and one more after each probeRankTime.
+func (s *Site) mayProbe(hash uint64, overdue time.Duration) bool {
 	leaving, _ := s.Leaving()
-	return !leaving && s.fleet.InTopRanks(promptKey(hash), 1, time.Now())
+	return !leaving && s.fleet.InTopRanks(promptKey(hash), 1+int(overdue/probeRankTime), time.Now())
 }
 
 func promptKey(hash uint64) string { return promptPrefix + strconv.FormatUint(hash, hexadecimal) }
@@ -88,7 +92,7 @@
 		return
 	}
 	if r.Deleted {
-		s.prompts.Blame.Lift(hash)
+		s.prompts.Blame.Lift(hash, time.Now())
 		return
 	}
 	var stored storedRuling
@@ -96,6 +100,6 @@
 		s.Log.Error("cannot decode the decision on a prompt part; it is ignored", "key", r.Key, "version", r.Version, "error", err)
 		return
 	}
-	s.prompts.Blame.Restore(hash, stored[0])
+	s.prompts.Blame.Restore(hash, stored[0], time.Now())
 	s.Log.Info("decision on a prompt part received", "part", strings.TrimPrefix(r.Key, promptPrefix), "strikes", stored[0].Strikes, "version", r.Version)
 }
