Do not blame what crashing prompts share with sound ones while no endpoint is left to answer

The scene with all hosts killed failed on the code before: all endpoints were down at once, no sound request was answered, and the parts that sound requests share with the crashing ones were refused as well (none of the sound requests served). Of the parts of a request, those without a remembered answer are blamed first; a part that was answered once needs five crashes instead of three; and of parts that the same crashes speak against, the one answered longest ago is blocked, which takes the crashes off the others.

--- a/state/blame/blame.go
+++ b/state/blame/blame.go
@@ -2,6 +2,7 @@
 package blame
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -15,7 +16,7 @@
 	certain = 1.0
 	// soundTime is how long an answer excludes a part from being suspected at a crash that counts fully; for others it is
 	// answerLifetime.
-	soundTime = 3 * time.Second
+	soundTime = time.Second
 	// answerLifetime is how long an answer is remembered at least, in case other hosts suspect one of its parts.
 	answerLifetime = 30 * time.Second
 	// maxSuspects bounds the parts that are suspected, and maxReports those that are reported to other hosts at a time.
@@ -42,18 +43,34 @@
 func (b *Blame) Crashed(parts []uint64, process string, weight float64, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for _, hash := range b.suspicious(parts, weight, at) {
+		if s := b.suspect(hash); s != nil {
+			s.addCrash(sighting{process: process, weight: weight, at: at, firstHand: true}, at)
+		}
+	}
+}
+
+// suspicious returns the parts of a request that may have caused a crash: those without a remembered answer, if there are
+// any, and otherwise those whose last answer was some time ago. The caller holds b.mu.
+func (b *Blame) suspicious(parts []uint64, weight float64, at time.Time) []uint64 {
 	excluded := answerLifetime
 	if weight >= certain {
 		excluded = soundTime
 	}
+	var unanswered, stale []uint64
 	for _, hash := range parts {
-		if answered, ok := b.answered.last(hash); ok && at.Sub(answered) < excluded {
-			continue
-		}
-		if s := b.suspect(hash); s != nil {
-			s.addCrash(sighting{process: process, weight: weight, at: at, firstHand: true}, at)
+		answered, ok := b.answered.last(hash)
+		switch {
+		case !ok:
+			unanswered = append(unanswered, hash)
+		case at.Sub(answered) >= excluded:
+			stale = append(stale, hash)
 		}
 	}
+	if len(unanswered) > 0 {
+		return unanswered
+	}
+	return stale
 }
 
 // Answered records a complete answer to a request with the parts, and returns those that were blocked until then.
@@ -142,10 +159,14 @@
 func (b *Blame) Decide(now time.Time) (blocked, lifted []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for hash, s := range b.suspects {
+	for _, hash := range b.byLastAnswer() {
+		s := b.suspects[hash]
 		if s.decide(b.Settle(), now) {
 			blocked = append(blocked, hash)
 		}
+		if s.ruling.InForce() {
+			b.explain(s)
+		}
 		if !s.expired(now) {
 			continue
 		}
@@ -157,6 +178,23 @@
 	return blocked, lifted
 }
 
+// byLastAnswer returns the suspects, those never answered and those answered longest ago first. The caller holds b.mu.
+func (b *Blame) byLastAnswer() []uint64 {
+	return slices.SortedFunc(maps.Keys(b.suspects), func(x, y uint64) int {
+		return b.suspects[x].answeredAt.Compare(b.suspects[y].answeredAt)
+	})
+}
+
+// explain removes the crashes under a blocked part from the parts that were answered after it: the requests
+// that caused them had both. The caller holds b.mu.
+func (b *Blame) explain(blocked *suspect) {
+	for _, s := range b.suspects {
+		if s.answeredAt.After(blocked.answeredAt) {
+			s.removeCrashes(blocked.crashes)
+		}
+	}
+}
+
 // Admit reports whether a request with the parts may be sent at present, and otherwise the time until it may be worth a
 // retry. mayProbe reports whether this process may test a part whose test is overdue by a time.
 func (b *Blame) Admit(parts []uint64, mayProbe func(hash uint64, overdue time.Duration) bool, now time.Time) (wait time.Duration, ok bool) {
--- a/state/blame/blame_test.go
+++ b/state/blame/blame_test.go
@@ -109,6 +109,28 @@
 		Expect(admitted(b, common, 20)).To(BeTrue())
 	})
 
+	// Guards against blocking what sound requests share with crashing ones while so many endpoints are down that none of them
+	// is answered.
+	It("does not block parts that were answered before, while another part explains the crashes", func() {
+		b, other := newBlame(), newBlame()
+		b.Answered([]uint64{common}, at(0))
+		other.Answered([]uint64{common, 7}, at(0))
+		for i := range 30 {
+			now := 5 + 0.2*float64(i)
+			b.Crashed([]uint64{common, 7, bad}, fmt.Sprint("e", i), 1, at(now))
+			b.Crashed([]uint64{common, 7}, fmt.Sprint("e", i), 0.5, at(now))
+			tell(b, other, now+0.05)
+			tell(other, b, now+0.1)
+			b.Decide(at(now))
+			other.Decide(at(now))
+		}
+		for _, b := range []*blame.Blame{b, other} {
+			Expect(admitted(b, bad, 11)).To(BeFalse())
+			Expect(admitted(b, common, 11)).To(BeTrue())
+			Expect(admitted(b, 7, 11)).To(BeTrue())
+		}
+	})
+
 	// Guards against endpoints that fail together for another reason.
 	It("counts crashes at the same moment as one if the requests had not begun to be answered", func() {
 		b := newBlame()
--- a/state/blame/suspect.go
+++ b/state/blame/suspect.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// blockScore is the number of crashes without an answer in between after which a part is blocked.
-	blockScore = 3
+	// blockScore is the number of crashes after which a part is blocked that was never answered, and answeredBlockScore the
+	// number of crashes since the last answer of one that was.
+	blockScore         = 3
+	answeredBlockScore = 5
 	// sameCause is the time within which crashes that do not count fully count as one: several endpoints may fail together
 	// for another reason.
 	sameCause = 250 * time.Millisecond
@@ -38,7 +40,7 @@
 	answeredAt time.Time
 	// changedAt is when a crash was last recorded, or other hosts last needed to hear of an answer.
 	changedAt time.Time
-	// reachedAt is when the score first reached blockScore, zero below it.
+	// reachedAt is when the score first reached that which blocks the part, zero below it.
 	reachedAt time.Time
 	// ruling is the decision in force, if any, and ruledAt its time by this process's clock.
 	ruling  ruling.Ruling
@@ -113,7 +115,7 @@
 // decide blocks the part if its crashes call for it, and reports whether it did.
 func (s *suspect) decide(settle time.Duration, now time.Time) bool {
 	s.crashes = slices.DeleteFunc(s.crashes, func(c sighting) bool { return now.Sub(c.at) > crashLifetime })
-	if s.ruling.InForce() || s.score() < blockScore {
+	if s.ruling.InForce() || s.score() < s.neededScore() {
 		s.reachedAt = time.Time{}
 		return false
 	}
@@ -127,6 +129,23 @@
 	return true
 }
 
+// neededScore returns the score at which the part is blocked.
+func (s *suspect) neededScore() float64 {
+	if s.answeredAt.IsZero() {
+		return blockScore
+	}
+	return answeredBlockScore
+}
+
+// removeCrashes removes crashes that another part explains.
+func (s *suspect) removeCrashes(explained []sighting) {
+	s.crashes = slices.DeleteFunc(s.crashes, func(c sighting) bool {
+		return slices.ContainsFunc(explained, func(e sighting) bool {
+			return e.process == c.process && crash.SameCrash(e.at.Sub(c.at), 0)
+		})
+	})
+}
+
 // block refuses the part's requests until the next test.
 func (s *suspect) block(now time.Time) {
 	wait := firstProbe
