Play SIGHUPs, settings files, overlapping stops and the loss of all hosts in the soak

Cause: the soak sent no SIGHUP and changed no settings file, stopped and killed one host at a time, and excused all that a host did once it was told to stop. A process that ends on SIGHUP passed it.

Now SIGHUPs go to one or all hosts, once or in series that overlap with the other faults, also while a host shuts down or is suspended; settings files are rewritten with changed values and with invalid content, in place or by a rename, with and without a signal; several hosts, up to all but one, are told to stop, and all are killed at once. A host starts again when it has exited, not after its whole grace period. The ledger excuses nothing for a SIGHUP; for a planned stop it excuses a request only if no endpoint had it and it had not waited for a second. A process that ends by itself is a violation, and at the end each host must apply a changed file without a signal. What the end of a fault schedules is no longer dropped (a changed request limit never ended). Each run with all faults begins with a series of SIGHUPs on all hosts.

Ruled out: a check of processes through their probes only; a suspended host looks the same.

--- a/test/scene/soak_check_test.go
+++ b/test/scene/soak_check_test.go
@@ -14,6 +14,9 @@
 // maxPrintedViolations is the number of violations that are printed for a failed seed.
 const maxPrintedViolations = 20
 
+// cutSlack is the time within which a host that stops may close a connection on which a request arrives.
+const cutSlack = time.Second
+
 // checker records requests and their responses, and the violations of the guarantees to callers and endpoints.
 type checker struct {
 	mu sync.Mutex
@@ -21,8 +24,16 @@
 	// both by host.
 	openFaults   []int
 	lastFaultEnd []time.Time
-	// lastEndpointFault is when an endpoint was last killed, or its connections were last reset, delayed or stalled.
-	lastEndpointFault time.Time
+	// stops holds the state of the hosts that planned stops and faults have stopped, and lastStopEnd is when a host last ran
+	// again after a planned stop, both by host.
+	stops       []stopState
+	lastStopEnd []time.Time
+	// openEndpointFaults counts the endpoints whose connections are delayed or stalled, and lastEndpointFault is when that
+	// last began or ended, or when an endpoint was last killed or its connections reset.
+	openEndpointFaults int
+	lastEndpointFault  time.Time
+	// cut holds the requests without a complete response at hosts with a planned stop and no fault.
+	cut []*soakAnswer
 	// restarts counts the restarts by host, and newest is the newest configuration that was observed on the host since.
 	restarts, newest []int
 	// version is the version of the latest configuration.
@@ -41,6 +52,18 @@
 	violations   []string
 }
 
+// stopState tells why a host does not run.
+type stopState int
+
+const (
+	// running is the state of a host that is to run.
+	running stopState = iota
+	// stopping is the state of a host that was told to stop.
+	stopping
+	// lost is the state of a host that was killed or suspended.
+	lost
+)
+
 func newChecker() *checker {
 	return &checker{
 		hostOf: map[string]int{}, hostFaults: map[int][]period{}, endpointFaults: map[string][]period{},
@@ -54,6 +77,8 @@
 	defer c.mu.Unlock()
 	c.openFaults = append(c.openFaults, 0)
 	c.lastFaultEnd = append(c.lastFaultEnd, time.Time{})
+	c.stops = append(c.stops, running)
+	c.lastStopEnd = append(c.lastStopEnd, time.Time{})
 	c.restarts = append(c.restarts, 0)
 	c.newest = append(c.newest, 0)
 }
@@ -81,6 +106,49 @@
 	c.lastFaultEnd[host] = time.Now()
 }
 
+// hostStops records that a host was told to stop.
+func (c *checker) hostStops(host int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stops[host] = stopping
+}
+
+// hostLost records that a host was killed or suspended.
+func (c *checker) hostLost(host int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stops[host] != lost {
+		c.openFaults[host]++
+	}
+	c.stops[host] = lost
+}
+
+// hostRuns records that a host runs again.
+func (c *checker) hostRuns(host int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stops[host] == lost {
+		c.openFaults[host]--
+		c.lastFaultEnd[host] = time.Now()
+	}
+	c.stops[host] = running
+	c.lastStopEnd[host] = time.Now()
+}
+
+func (c *checker) endpointFaultStarted() {
+	c.endpointFault()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.openEndpointFaults++
+}
+
+func (c *checker) endpointFaultEnded() {
+	c.endpointFault()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.openEndpointFaults--
+}
+
 // endpointFault records that streams may have lost their endpoint.
 func (c *checker) endpointFault() {
 	c.mu.Lock()
@@ -119,9 +187,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	disturbed := c.openFaults[a.host] > 0 || !c.lastFaultEnd[a.host].Before(a.sent)
+	stopped := c.stops[a.host] == stopping || !c.lastStopEnd[a.host].Before(a.sent)
 	switch {
 	case a.err != nil && a.events != nil && !c.lastEndpointFault.Before(a.sent):
 		// A stream that has begun may be cut only when its attempts or the retry budget are exhausted.
+	case a.err != nil && !disturbed && stopped:
+		if c.openEndpointFaults == 0 && c.lastEndpointFault.Before(a.sent) {
+			c.cut = append(c.cut, a)
+		}
 	case a.err != nil && !disturbed:
 		c.addViolationLocked("request %s to host %d: no complete response without a fault: %v", a.id, a.host, a.err)
 	case a.err != nil:
@@ -183,6 +256,7 @@
 	}
 	k.checkUsage(seen)
 	k.checkLimits(seen)
+	c.checkCut(seen)
 	if c.sent > 0 && c.served == 0 {
 		c.addViolation("none of %d requests was served", c.sent)
 	}
@@ -190,6 +264,16 @@
 	return c.violations
 }
 
+// checkCut checks that no host has cut a request because it was told to stop, once an endpoint had the request or the host
+// had it for longer than cutSlack. A request that crosses the close of its connection may go unanswered.
+func (c *checker) checkCut(seen siteRecord) {
+	for _, a := range c.cut {
+		if n := seen.Runs[a.id]; n > 0 || a.ended.Sub(a.sent) > cutSlack {
+			c.addViolation("request %s to host %d, which was told to stop, ran %d times and has no complete response after %s: %v", a.id, a.host, n, a.ended.Sub(a.sent), a.err)
+		}
+	}
+}
+
 // checkUsage checks that repeated reports of a window are equal, and that no more requests are reported than were sent.
 func (k *soak) checkUsage(seen siteRecord) {
 	total := int64(0)
--- a/test/scene/soak_faults_test.go
+++ b/test/scene/soak_faults_test.go
@@ -21,17 +21,12 @@
 	exitSlack   = 3 * time.Second
 )
 
-// startFault starts one random fault.
-func (k *soak) startFault() {
-	faults := k.allFaults()
-	if k.limitsOnly {
-		faults = k.limitFaults()
-	}
-	faults[k.rand.IntN(len(faults))]()
-}
-
 // allFaults returns the faults of a run, those that are more likely several times.
-func (k *soak) allFaults() []func() {
+func (k *soak) allFaults() []func() { return append(k.oldFaults(), k.reloadFaults()...) }
+
+// oldFaults returns the faults that there were when seeds of soakCases failed; a seed names the same faults for as long as
+// the list stays.
+func (k *soak) oldFaults() []func() {
 	return []func(){
 		k.storeDown, k.storeLosesResponses, k.compactStore, k.storeLink, k.storeLink,
 		k.callerLink, k.callerLink, k.endpointLink, k.endpointLink, k.endpointReset,
@@ -116,11 +111,11 @@
 	f := k.randomLinkFault()
 	k.logFault("hosts to endpoint %s: %+v", id, f)
 	k.endpointLinks[id].setFault(f)
-	k.checker.endpointFault()
+	k.checker.endpointFaultStarted()
 	started := time.Now()
 	k.revertLater(func() {
 		k.endpointLinks[id].setFault(linkFault{})
-		k.checker.endpointFault()
+		k.checker.endpointFaultEnded()
 		k.checker.excuseEndpoint(id, started)
 	})
 }
@@ -158,19 +153,24 @@
 // pickHost marks a random host as stopped and returns it; ok is false if a fault already stops it.
 func (k *soak) pickHost() (host int, ok bool) {
 	host = k.rand.IntN(len(k.hosts))
+	return host, k.markStopped(host)
+}
+
+// markStopped marks a host as stopped, and reports whether none of the faults has stopped it already.
+func (k *soak) markStopped(host int) bool {
 	if k.stopped[host] {
-		return 0, false
+		return false
 	}
 	k.stopped[host] = true
 	k.stoppedAt[host] = time.Now()
-	k.checker.faultStarted(host)
-	return host, true
+	return true
 }
 
+// releaseHost ends the faults of a host that runs again.
 func (k *soak) releaseHost(host int) {
 	delete(k.stopped, host)
 	k.checker.excuseHost(host, k.stoppedAt[host])
-	k.checker.faultEnded(host)
+	k.checker.hostRuns(host)
 }
 
 func (k *soak) suspendHost() {
@@ -179,8 +179,13 @@
 		return
 	}
 	k.logFault("host %d suspended", i)
+	k.checker.hostLost(i)
 	suspend(k.hosts[i].process)
 	k.revertLater(func() {
+		if k.hosts[i].hasEnded() {
+			k.restartHost(i)
+			return
+		}
 		resume(k.hosts[i].process)
 		k.releaseHost(i)
 	})
@@ -191,10 +196,17 @@
 	if !ok {
 		return
 	}
+	k.kill(i)
+	k.revertLater(func() { k.restartHost(i) })
+}
+
+// kill kills a host, whatever other fault it has.
+func (k *soak) kill(i int) {
 	k.logFault("host %d killed", i)
+	k.checker.hostLost(i)
+	k.killed[i] = true
 	k.hosts[i].signal(os.Kill)
 	_ = k.hosts[i].wait()
-	k.revertLater(func() { k.restartHost(i) })
 }
 
 // stopHost sends SIGTERM to a host, sometimes twice; the process must exit within its grace period.
@@ -203,16 +215,23 @@
 	if !ok {
 		return
 	}
-	k.logFault("host %d terminated", i)
-	k.hosts[i].signal(syscall.SIGTERM)
+	k.terminate(i)
 	if k.rand.IntN(3) == 0 {
 		k.hosts[i].signal(syscall.SIGTERM)
 	}
-	k.reverts = append(k.reverts, soakRevert{due: time.Now().Add(gracePeriod + exitSlack), revert: func() {
-		timer := time.AfterFunc(time.Millisecond, func() { _ = k.hosts[i].cmd.Process.Kill() })
-		err := k.hosts[i].wait()
+}
+
+// terminate sends SIGTERM to a host that is marked as stopped, and starts it again once it has exited.
+func (k *soak) terminate(i int) {
+	k.logFault("host %d terminated", i)
+	k.checker.hostStops(i)
+	h := k.hosts[i]
+	h.signal(syscall.SIGTERM)
+	k.reverts = append(k.reverts, soakRevert{due: time.Now().Add(gracePeriod + exitSlack), early: h.hasEnded, revert: func() {
+		timer := time.AfterFunc(time.Millisecond, func() { _ = h.cmd.Process.Kill() })
+		err := h.wait()
 		timer.Stop()
-		if err != nil {
+		if err != nil && !k.killed[i] {
 			k.checker.addViolation("host %d did not exit cleanly after SIGTERM: %v", i, err)
 		}
 		k.restartHost(i)
@@ -222,9 +241,21 @@
 func (k *soak) restartHost(i int) {
 	k.logFault("host %d restarted", i)
 	h := k.hosts[i]
+	k.writeSettings(i)
 	h.launch(h.address)
+	delete(k.killed, i)
 	k.processes = append(k.processes, h.process)
 	k.checker.hostRestarted(i)
 	Eventually(func() error { return ping(h.ready + "/ready") }).Should(Succeed())
 	k.releaseHost(i)
 }
+
+// checkProcesses finds the hosts whose process has ended without a fault that ends it.
+func (k *soak) checkProcesses() {
+	for i, h := range k.hosts {
+		if h.hasEnded() && k.markStopped(i) {
+			k.checker.addViolation("the process of host %d ended by itself: %v", i, h.wait())
+			k.restartHost(i)
+		}
+	}
+}
--- a/test/scene/soak_limits_test.go
+++ b/test/scene/soak_limits_test.go
@@ -52,7 +52,7 @@
 	k.control("/trouble?id=" + id + "&limit=" + limit)
 	due := time.Now().Add(minLimitTime + time.Duration(k.rand.Int64N(int64(maxLimitTime-minLimitTime))))
 	k.reverts = append(k.reverts, soakRevert{due: due, revert: func() {
-		if k.rand.IntN(2) == 0 {
+		if k.rand.IntN(2) == 0 && !k.ending {
 			k.setLimit(id)
 			return
 		}
--- a/test/scene/soak_test.go
+++ b/test/scene/soak_test.go
@@ -29,6 +29,8 @@
 	// minPause and maxPause bound the pause between the starts of two faults.
 	minPause = 100 * time.Millisecond
 	maxPause = 900 * time.Millisecond
+	// revertInterval is the time between checks for faults that are due to end.
+	revertInterval = 20 * time.Millisecond
 )
 
 // soakCase is the configuration of one soak run.
@@ -37,15 +39,17 @@
 	hosts int
 	// length is the time with faults.
 	length time.Duration
-	// limitsOnly selects the faults of runs in which endpoints limit their requests.
-	limitsOnly bool
+	// faults returns the faults of the run.
+	faults func(*soak) []func()
+	// first starts what every run of the kind must play; nil starts nothing.
+	first func(*soak)
 }
 
 // soakCases are runs that have failed before.
 var soakCases = []soakCase{
 	// The stored reports of usage windows were deleted too early, so that a new holder of the duties' lease counted the
 	// windows again.
-	{seed: 3, hosts: 4, length: 10 * time.Second},
+	{seed: 3, hosts: 4, length: 10 * time.Second, faults: (*soak).oldFaults},
 }
 
 // soak injects random faults into a site while callers send requests.
@@ -61,7 +65,6 @@
 	endpoints      []string
 	endpointsAdded int
 	hostsAdded     int
-	limitsOnly     bool
 	// limitSummary describes the request limits that endpoints named.
 	limitSummary string
 	// version is the version of the latest configuration, and key the API key that it adds.
@@ -72,16 +75,24 @@
 	stopped map[int]bool
 	// stoppedAt is when each host was last suspended, killed or told to shut down.
 	stoppedAt map[int]time.Time
+	// killed holds the hosts whose process was killed and has not been started again.
+	killed map[int]bool
+	// settings are the valid settings of each host that were written last.
+	settings []string
 	// processes holds all host processes, including those that have exited.
 	processes []*process
 	// reverts are the pending ends of faults.
-	reverts  []soakRevert
+	reverts []soakRevert
+	// ending is set once no more faults are started.
+	ending   bool
 	faultLog []string
 }
 
-// soakRevert ends a fault at its due time.
+// soakRevert ends a fault, or goes on with it, at its due time.
 type soakRevert struct {
-	due    time.Time
+	due time.Time
+	// early reports whether the time has come before that; nil means that it has not.
+	early  func() bool
 	revert func()
 }
 
@@ -94,7 +105,7 @@
 }
 
 func newSoak(seed uint64, hosts int) *soak {
-	k := &soak{site: &site{linkPeers: true}, rand: rand.New(rand.NewPCG(seed, 1)), endpointLinks: map[string]*link{}, stopped: map[int]bool{}, stoppedAt: map[int]time.Time{}}
+	k := &soak{site: &site{linkPeers: true}, rand: rand.New(rand.NewPCG(seed, 1)), endpointLinks: map[string]*link{}, stopped: map[int]bool{}, stoppedAt: map[int]time.Time{}, killed: map[int]bool{}}
 	address := freeAddress()
 	k.platform = start("standin", address, "site", "--listen", address, "--endpoints", "0")
 	Eventually(func() error { return ping(address + "/seen") }).Should(Succeed())
@@ -116,6 +127,7 @@
 	k.storeLinks = append(k.storeLinks, newLink(k.platform.address))
 	k.startHostVia(i, k.storeLinks[i].address)
 	k.processes = append(k.processes, k.hosts[i].process)
+	k.readSettings(i)
 	k.checker.addHost()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -160,39 +172,48 @@
 	}
 }
 
-// run runs faults and callers for the given time, then ends all faults.
-func (k *soak) run(length time.Duration) {
+// run runs the faults of a case while callers send requests, then ends all faults.
+func (k *soak) run(c soakCase) {
 	ctx, stop := context.WithCancel(context.Background())
 	var callers errgroup.Group
 	for n := range soakCallers {
-		c := &soakCaller{soak: k, index: n, rand: rand.New(rand.NewPCG(uint64(n), k.rand.Uint64()))}
-		callers.Go(func() error { return c.run(ctx) })
+		caller := &soakCaller{soak: k, index: n, rand: rand.New(rand.NewPCG(uint64(n), k.rand.Uint64()))}
+		callers.Go(func() error { return caller.run(ctx) })
 	}
-	end := time.Now().Add(length)
-	for time.Now().Before(end) {
-		k.revertDue(time.Now())
-		k.startFault()
-		time.Sleep(minPause + time.Duration(k.rand.Int64N(int64(maxPause-minPause))))
+	if c.first != nil {
+		c.first(k)
 	}
-	for len(k.reverts) > 0 {
-		k.revertDue(time.Now())
-		time.Sleep(minPause)
+	faults := c.faults(k)
+	for end := time.Now().Add(c.length); time.Now().Before(end); {
+		faults[k.rand.IntN(len(faults))]()
+		k.pause(minPause + time.Duration(k.rand.Int64N(int64(maxPause-minPause))))
+	}
+	for k.ending = true; len(k.reverts) > 0; {
+		k.pause(revertInterval)
 	}
 	stop()
 	Expect(callers.Wait()).To(Succeed())
 }
 
-// revertDue ends the faults that are due.
+// pause ends the faults that become due in some time, and checks that no process has ended by itself.
+func (k *soak) pause(length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(revertInterval) {
+		k.revertDue(time.Now())
+		k.checkProcesses()
+	}
+}
+
+// revertDue ends the faults that are due. What they schedule is kept for later.
 func (k *soak) revertDue(now time.Time) {
-	var remaining []soakRevert
-	for _, r := range k.reverts {
-		if now.Before(r.due) {
-			remaining = append(remaining, r)
+	all := k.reverts
+	k.reverts = nil
+	for _, r := range all {
+		if now.Before(r.due) && (r.early == nil || !r.early()) {
+			k.reverts = append(k.reverts, r)
 			continue
 		}
 		r.revert()
 	}
-	k.reverts = remaining
 }
 
 func (k *soak) logFault(format string, args ...any) {
@@ -201,34 +222,38 @@
 
 func (c soakCase) run() {
 	k := newSoak(c.seed, c.hosts)
-	k.limitsOnly = c.limitsOnly
 	passed := false
 	defer func() {
 		if !passed {
 			k.printFailure(c.seed)
 		}
 	}()
-	k.run(c.length)
+	k.run(c)
 	k.waitRecovered()
+	k.checkSettings()
 	Expect(k.check()).To(BeEmpty(), "seed %d", c.seed)
 	passed = true
 }
 
 var _ = Describe("the fault soak", func() {
-	runSeeds := func(limitsOnly bool) {
+	runSeeds := func(c soakCase) {
 		first := envInt("SOAK_FIRST", envInt("DRAGONFLYROUTE_SEED", 1))
-		hosts := envInt("SOAK_HOSTS", soakHosts)
-		length := time.Duration(envInt("SOAK_SECONDS", int(soakDuration.Seconds()))) * time.Second
+		c.hosts = envInt("SOAK_HOSTS", soakHosts)
+		c.length = time.Duration(envInt("SOAK_SECONDS", int(soakDuration.Seconds()))) * time.Second
 		for n := range envInt("SOAK_SEEDS", 1) {
 			By(fmt.Sprintf("seed %d", first+n))
-			soakCase{seed: uint64(first + n), hosts: hosts, length: length, limitsOnly: limitsOnly}.run()
+			c.seed = uint64(first + n)
+			c.run()
 		}
 	}
 
-	It("keeps the guarantees to callers and endpoints under random faults", func() { runSeeds(false) })
+	// Guards against signals, stops, restarts and other faults that each are handled, and together are not.
+	It("keeps the guarantees to callers and endpoints under random faults", func() {
+		runSeeds(soakCase{faults: (*soak).allFaults, first: (*soak).hangUpAll})
+	})
 
 	// Guards against request limits that are kept only while all hosts run and agree on who they are.
-	It("keeps the request limits of endpoints while hosts are killed, suspended, cut off and added", func() { runSeeds(true) })
+	It("keeps the request limits of endpoints while hosts are killed, suspended, cut off and added", func() { runSeeds(soakCase{faults: (*soak).limitFaults}) })
 
 	It("keeps them in the cases that have failed before", func() {
 		for _, c := range soakCases {
--- a/test/scene/system_test.go
+++ b/test/scene/system_test.go
@@ -21,6 +21,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflyroute/dragonflyroute/transport/caller"
 )
@@ -58,13 +59,28 @@
 	address string
 	logFile string
 	exited  bool
+	// waiter waits for the process, and ended is closed once it has ended.
+	waiter errgroup.Group
+	ended  chan struct{}
 }
 
-func (p *process) signal(s os.Signal) { Expect(p.cmd.Process.Signal(s)).To(Succeed()) }
+// signal sends a signal, which has no effect if the process has ended.
+func (p *process) signal(s os.Signal) {
+	Expect(p.cmd.Process.Signal(s)).To(Or(Succeed(), MatchError(os.ErrProcessDone)))
+}
 
 func (p *process) wait() error {
 	p.exited = true
-	return p.cmd.Wait()
+	return p.waiter.Wait()
+}
+
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // system is a platform stand-in with engines, application services and entry hosts, as processes on loopback.
@@ -102,13 +118,17 @@
 }
 
 func start(program, address string, args ...string) *process {
-	p := &process{cmd: exec.Command(filepath.Join(binDir, program), args...), address: address}
+	p := &process{cmd: exec.Command(filepath.Join(binDir, program), args...), address: address, ended: make(chan struct{})}
 	log, err := os.CreateTemp(GinkgoT().TempDir(), program)
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = log.Close() }()
 	p.logFile = log.Name()
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	Expect(p.cmd.Start()).To(Succeed())
+	p.waiter.Go(func() error {
+		defer close(p.ended)
+		return p.cmd.Wait()
+	})
 	DeferCleanup(func() {
 		Expect(p.output()).NotTo(ContainSubstring("DATA RACE"))
 		Expect(p.output()).NotTo(ContainSubstring("superfluous"))
@@ -116,7 +136,7 @@
 			return
 		}
 		_ = p.cmd.Process.Kill()
-		_ = p.cmd.Wait()
+		_ = p.waiter.Wait()
 		if CurrentSpecReport().Failed() {
 			GinkgoWriter.Printf("--- %s %v\n%s\n", program, args, tail(p.output()))
 		}
