Play prompt parts that crash endpoints in the soak

The scenes play one part on three calm hosts.

The stand-in keeps several crashing parts, and no longer starts an endpoint again that was killed, or one twice.

Ruled out: links that accept connections on behalf of a crashed endpoint.

--- a/standin/site.go
+++ b/standin/site.go
@@ -48,7 +48,9 @@
 	stop        context.CancelFunc
 	// startMillis is its start time in Unix milliseconds.
 	startMillis int64
-	faults      siteFaults
+	// ended is set once it was killed or has crashed.
+	ended  bool
+	faults siteFaults
 }
 
 // sitePlatform simulates the users' platform: store, platform calls and endpoints.
@@ -67,9 +69,11 @@
 	reports     map[int64][]json.RawMessage
 	// fence is the highest fencing number of a usage report.
 	fence int64
-	// crashingPart is the prompt part that crashes endpoints, empty for none, and restartTime how long they are down.
-	crashingPart string
-	restartTime  time.Duration
+	// crashingParts are the prompt parts that crash endpoints, and restartTime is how long they are down.
+	crashingParts map[string]bool
+	restartTime   time.Duration
+	// killed holds the endpoints that do not start again.
+	killed map[string]bool
 	// crashEvents holds the arrivals of requests with a crashing part, and the crashes.
 	crashEvents []crashEvent
 	// group runs the endpoints until ctx ends.
@@ -82,6 +86,7 @@
 	p := &sitePlatform{
 		store:   &rowStore{rows: map[[2]string]siteRow{}, reads: map[string]int{}},
 		servers: map[string]*siteServer{}, runs: map[string]int{}, arrivals: map[string]int{}, limitEvents: map[string][]limitEvent{}, versions: map[string]int{}, reports: map[int64][]json.RawMessage{},
+		crashingParts: map[string]bool{}, killed: map[string]bool{},
 	}
 	mux := http.NewServeMux()
 	p.store.handle(mux)
@@ -93,7 +98,7 @@
 	mux.HandleFunc("POST /trouble", p.setEndpointFaults)
 	mux.HandleFunc("POST /usage", p.recordUsage)
 	mux.HandleFunc("POST /scale", func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("POST /poison", p.setCrashingPart)
+	mux.HandleFunc("POST /poison", p.addCrashingPart)
 	mux.HandleFunc("GET /seen", p.getObserved)
 	g, ctx := errgroup.WithContext(ctx)
 	p.group, p.ctx = g, ctx
@@ -126,7 +131,12 @@
 	s.address = cmp.Or(s.address, l.Addr().String())
 	p.mu.Lock()
 	p.servers[s.id] = s
+	killed := p.killed[s.id]
 	p.mu.Unlock()
+	if killed {
+		stop()
+		return l.Close()
+	}
 	server := &http.Server{Handler: s, ReadHeaderTimeout: requestTimeout}
 	p.group.Go(func() error {
 		_ = server.Serve(l)
@@ -158,11 +168,12 @@
 func (p *sitePlatform) kill(id string) {
 	p.mu.Lock()
 	s := p.servers[id]
+	p.killed[id] = true
 	p.mu.Unlock()
 	if s == nil {
 		return
 	}
-	s.stop()
+	s.end(func() {})
 	time.Sleep(heartbeatPeriod)
 	p.store.remove("servers", id)
 }
--- a/test/scene/poison_test.go
+++ b/test/scene/poison_test.go
@@ -27,6 +27,7 @@
 // crashEvent is the arrival of a request with a part that crashes endpoints, or a crash.
 type crashEvent struct {
 	AtMillis int64  `json:"at"`
+	Part     string `json:"part"`
 	Request  string `json:"request"`
 	Endpoint string `json:"endpoint"`
 	Crashed  bool   `json:"crashed"`
