Blame the deeper one of prompt parts that were never answered

Of two parts with the same crashes and no answer, the deeper one is shared by fewer requests and is blocked; the crashes under it no longer count against the other one. If the first part is the cause after all, other requests with it go on to crash endpoints, and it is blocked next.

--- a/protocol/crash/crash.go
+++ b/protocol/crash/crash.go
@@ -14,6 +14,8 @@
 
 // Report is what one or more hosts know of a prompt part.
 type Report struct {
+	// Depth is the position of the part in its prompts, 0 for the first part: the deeper, the fewer requests share it.
+	Depth int `json:"depth,omitempty"`
 	// Crashes holds the crashes of endpoints that had begun, or were about to begin, to answer a request with the part.
 	Crashes []sighting `json:"crashes,omitempty"`
 	// Answered is set when a request with the part was answered, and AnsweredAge is the time since the last answer.
@@ -50,6 +52,7 @@
 // Plus returns the report of both: all crashes, the latest answer and the latest decision.
 func (r Report) Plus(other Report) Report {
 	out := r
+	out.Depth = max(r.Depth, other.Depth)
 	out.Crashes = slices.Clone(r.Crashes)
 	for _, c := range other.Crashes {
 		out.AddCrash(c.Process, c.Weight, c.Age)
--- a/state/blame/blame.go
+++ b/state/blame/blame.go
@@ -45,6 +45,7 @@
 	defer b.mu.Unlock()
 	for _, hash := range b.suspicious(parts, weight, at) {
 		if s := b.suspect(hash); s != nil {
+			s.depth = max(s.depth, slices.Index(parts, hash))
 			s.addCrash(sighting{process: process, weight: weight, at: at, firstHand: true}, at)
 		}
 	}
@@ -97,6 +98,7 @@
 	if s == nil {
 		return
 	}
+	s.depth = max(s.depth, r.Depth)
 	for _, c := range r.Crashes {
 		s.addCrash(sighting{process: c.Process, weight: c.Weight, at: now.Add(-c.Age)}, now)
 	}
@@ -159,7 +161,7 @@
 func (b *Blame) Decide(now time.Time) (blocked, lifted []uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, hash := range b.byLastAnswer() {
+	for _, hash := range b.bySuspicion() {
 		s := b.suspects[hash]
 		if s.decide(b.Settle(), now) {
 			blocked = append(blocked, hash)
@@ -178,18 +180,18 @@
 	return blocked, lifted
 }
 
-// byLastAnswer returns the suspects, those never answered and those answered longest ago first. The caller holds b.mu.
-func (b *Blame) byLastAnswer() []uint64 {
+// bySuspicion returns the suspects, the likelier cause of the same crashes first. The caller holds b.mu.
+func (b *Blame) bySuspicion() []uint64 {
 	return slices.SortedFunc(maps.Keys(b.suspects), func(x, y uint64) int {
-		return b.suspects[x].answeredAt.Compare(b.suspects[y].answeredAt)
+		return b.suspects[x].compare(b.suspects[y])
 	})
 }
 
-// explain removes the crashes under a blocked part from the parts that were answered after it: the requests
-// that caused them had both. The caller holds b.mu.
+// explain removes the crashes under a blocked part from the less likely ones: the requests that caused them had both. The
+// caller holds b.mu.
 func (b *Blame) explain(blocked *suspect) {
 	for _, s := range b.suspects {
-		if s.answeredAt.After(blocked.answeredAt) {
+		if blocked.compare(s) < 0 {
 			s.removeCrashes(blocked.crashes)
 		}
 	}
--- a/state/blame/blame_test.go
+++ b/state/blame/blame_test.go
@@ -131,6 +131,20 @@
 		}
 	})
 
+	// Guards against blocking the part that all prompts share when endpoints crash before any of them was answered.
+	It("blocks the deeper of two parts that were never answered, and the first one only if other requests with it crash endpoints", func() {
+		b := newBlame()
+		now := crashEvery(b, badParts, 4, 0, 0.6, 1) + 1.2
+		b.Decide(at(now))
+		Expect(admitted(b, bad, now)).To(BeFalse())
+		Expect(admitted(b, common, now)).To(BeTrue())
+		now = crashEvery(b, []uint64{common, 7}, 2, now+1, 0.6, 1)
+		now = crashEvery(b, []uint64{common, 8}, 2, now+1, 0.6, 1) + 1.2
+		b.Decide(at(now))
+		Expect(admitted(b, common, now)).To(BeFalse())
+		Expect(admitted(b, 8, now)).To(BeTrue())
+	})
+
 	// Guards against endpoints that fail together for another reason.
 	It("counts crashes at the same moment as one if the requests had not begun to be answered", func() {
 		b := newBlame()
--- a/state/blame/suspect.go
+++ b/state/blame/suspect.go
@@ -1,6 +1,7 @@
 package blame
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -36,6 +37,8 @@
 type suspect struct {
 	// crashes holds the crashes since the last answer.
 	crashes []sighting
+	// depth is the position of the part in its prompts, 0 for the first part.
+	depth int
 	// answeredAt is the last answer known, of any host.
 	answeredAt time.Time
 	// changedAt is when a crash was last recorded, or other hosts last needed to hear of an answer.
@@ -129,6 +132,12 @@
 	return true
 }
 
+// compare returns a negative number if the part is a likelier cause than another one of crashes under both: it was never
+// answered, or longer ago, or fewer requests share it.
+func (s *suspect) compare(other *suspect) int {
+	return cmp.Or(s.answeredAt.Compare(other.answeredAt), cmp.Compare(other.depth, s.depth))
+}
+
 // neededScore returns the score at which the part is blocked.
 func (s *suspect) neededScore() float64 {
 	if s.answeredAt.IsZero() {
@@ -193,7 +202,7 @@
 
 // report returns what is known of the part.
 func (s *suspect) report(now time.Time) crash.Report {
-	r := crash.Report{}
+	r := crash.Report{Depth: s.depth}
 	for _, c := range s.crashes {
 		if c.firstHand && now.Sub(c.at) < reportTime {
 			r.AddCrash(c.process, c.weight, now.Sub(c.at))
