--- a/test/scene/signals_test.go
+++ b/test/scene/signals_test.go
@@ -161,5 +161,7 @@
 			Eventually(func() int { return s.readiness(h.ready) }).Should(Equal(http.StatusOK))
 			Expect(s.callStatus(0)).To(Equal(http.StatusOK))
 		}
+		Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Expect(cmd.Wait()).To(Succeed(), "a planned stop")
 	})
 })
--- a/transport/outlog/outlog.go
+++ b/transport/outlog/outlog.go
@@ -4,9 +4,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
+	"syscall"
 )
 
 // queueLines is the capacity of the queue of lines to be written.
@@ -37,7 +39,7 @@
 // Dropped returns the number of lines dropped so far.
 func (o *Writer) Dropped() int64 { return o.dropped.Load() }
 
-// Run writes queued lines until ctx ends, and then those that are left in the queue.
+// Run writes queued lines until ctx ends, and then those that are left in the queue. It is no error that nobody reads them.
 func (o *Writer) Run(ctx context.Context) error {
 	w := bufio.NewWriter(o.to)
 	reported := int64(0)
@@ -50,7 +52,10 @@
 			_ = w.Flush()
 		case <-ctx.Done():
 			o.drain(w)
-			return w.Flush()
+			if err := w.Flush(); !errors.Is(err, syscall.EPIPE) {
+				return err
+			}
+			return nil
 		}
 	}
 }
