Refuse without a Location when no other host takes a request over

A caller of an unstreamed answer on a host that stops was referred to http:///v1/completions when no peer took the request within a second. It is refused now as draining, without Location and with the time after which address answers name other hosts. The scene failed before with that Location; its peers are suspended at the stop.

--- a/test/scene/failures_test.go
+++ b/test/scene/failures_test.go
@@ -159,6 +159,31 @@
 		Expect(second.body).To(ContainSubstring(`"completion_tokens":1000`))
 	})
 
+	// Guards against a refusal that refers its caller to an address without a host.
+	It("is refused without a Location, with a time to return, when its entry host stops and no other one takes it over", func() {
+		for _, e := range s.entryHosts[1:] {
+			suspend(e)
+			DeferCleanup(func() { resume(e) })
+		}
+		body := fmt.Sprintf(`{"model":"contrat-long","prompt":%q,"max_tokens":1000}`, longPrompt)
+		header := map[string]string{"Content-Type": "application/json", "X-Account": string(account), "X-Request-Id": "alone-1"}
+		refused := make(chan answer, 1)
+		var g errgroup.Group
+		g.Go(func() error {
+			defer GinkgoRecover()
+			refused <- send(http.MethodPost, s.entryHosts[0].address+"/v1/completions", header, body)
+			return nil
+		})
+		Eventually(func() int { return s.runningRequests(s.entryHosts[0]) }).Should(Equal(1))
+		s.entryHosts[0].signal(syscall.SIGTERM)
+		var first answer
+		Eventually(refused).Should(Receive(&first))
+		Expect(g.Wait()).To(Succeed())
+		Expect(first.status).To(Equal(503), first.body)
+		Expect(first.header.Values("Location")).To(BeEmpty())
+		Expect(first.header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
 	It("is complete through an outage of the platform", func() {
 		text, _ := s.stream(s.newCaller(), atToken(20, func() { s.setFaults(s.platform, `{"outage":true}`) }))
 		Expect(text).To(Equal(expected))
--- a/transport/front/models.go
+++ b/transport/front/models.go
@@ -5,6 +5,7 @@
 	"mime"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/kataras/iris/v12"
 	"go.opentelemetry.io/otel"
@@ -27,6 +28,9 @@
 // errReconnect ends a model request on a draining entry host so that its caller reconnects to another one.
 var errReconnect = fault.New(kind.Draining, "", "this entry host is draining; reconnect to another one with "+lastEventHeader)
 
+// returnAfter is the time after which a caller finds other entry hosts in address answers than one that drains.
+const returnAfter = time.Second
+
 type choice struct {
 	Index        int     `json:"index"`
 	Text         string  `json:"text"`
@@ -177,7 +181,12 @@
 	})
 	if to != nil {
 		c.ResponseWriter().Header().Set(requestIDHeader, t.ID)
+	}
+	switch {
+	case to != nil && to.Address != "":
 		c.ResponseWriter().Header().Set("Location", "http://"+to.Address+c.Path())
+	case to != nil:
+		err = fault.New(kind.Draining, "", "this entry host is draining, and no other one took the request over; send it to another one").WithRetryAfter(returnAfter)
 	}
 	if err != nil {
 		f.refuse(c, err)
