Keep a handed-over request for its caller when another one claims it

The test describes this; before, Take had no claimant to compare with, and removed the ticket at any claim.

--- a/state/runs/runs.go
+++ b/state/runs/runs.go
@@ -90,15 +90,15 @@
 	return true
 }
 
-// Take removes and returns the ticket of a request that was handed over. It reports false when there is none or it has
-// expired.
-func (r *Runs) Take(id string, now time.Time) (ticket.Ticket, bool) {
+// Take removes and returns the ticket of a request that was handed over, if it is that of the claimant. It reports false
+// when there is none, it has expired, or it belongs to another claimant, for whom it stays.
+func (r *Runs) Take(id string, now time.Time, claimed func(t ticket.Ticket) bool) (ticket.Ticket, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a, ok := r.accepted[id]
-	delete(r.accepted, id)
-	if !ok || now.After(a.expires) {
+	if !ok || now.After(a.expires) || !claimed(a.ticket) {
 		return ticket.Ticket{}, false
 	}
+	delete(r.accepted, id)
 	return a.ticket, true
 }
--- a/transport/front/models.go
+++ b/transport/front/models.go
@@ -138,18 +138,19 @@
 	if last != "" {
 		return f.resume(c, t, last)
 	}
-	if handed, ok := f.takeHandedOver(c, t); ok {
+	if handed, ok := f.takeHandedOver(c, t, 0); ok {
 		return handed, len(p.Partial), nil
 	}
 	return t, len(p.Partial), nil
 }
 
-// takeHandedOver removes and returns the ticket that a draining peer handed over. It returns false when there is none
-// or it is not of the same account and request.
-func (f *Front) takeHandedOver(c iris.Context, t ticket.Ticket) (ticket.Ticket, bool) {
-	h, ok := f.Runs.Take(t.ID, f.Now())
-	same := h.Prompt == t.Prompt && h.Entry == t.Entry && h.MaxTokens == t.MaxTokens && string(h.Account) == c.GetHeader(accountHeader)
-	return h, ok && same
+// takeHandedOver removes and returns the ticket that a draining peer handed over. It returns false when there is none, or
+// it is not of the same account and request with at least the tokens that the caller has.
+func (f *Front) takeHandedOver(c iris.Context, t ticket.Ticket, received int) (ticket.Ticket, bool) {
+	return f.Runs.Take(t.ID, f.Now(), func(h ticket.Ticket) bool {
+		same := h.Prompt == t.Prompt && h.Entry == t.Entry && h.MaxTokens == t.MaxTokens && string(h.Account) == c.GetHeader(accountHeader)
+		return same && len(h.Tokens) >= received
+	})
 }
 
 func (f *Front) resume(c iris.Context, t ticket.Ticket, last string) (ticket.Ticket, int, error) {
@@ -158,7 +159,7 @@
 		return t, 0, fault.New(kind.BadRequest, lastEventHeader, "%q is not a token offset below %d", last, t.MaxTokens)
 	}
 	skip := offset + 1
-	if handed, ok := f.takeHandedOver(c, t); ok && len(handed.Tokens) >= skip {
+	if handed, ok := f.takeHandedOver(c, t, skip); ok {
 		return handed, skip, nil
 	}
 	if len(t.Tokens) == skip {
