--- a/test/scene/system_test.go
+++ b/test/scene/system_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -105,6 +106,10 @@
 	portCount = 15_000
 )
 
+// usedAddresses holds the addresses that freeAddress has returned. Their process may be down for a while.
+var usedAddresses sync.Map
+
+// freeAddress returns an address that is free and that it has not returned before.
 func freeAddress() string {
 	for {
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(minPort+rand.IntN(portCount)))
@@ -113,7 +118,9 @@
 			continue
 		}
 		_ = l.Close()
-		return address
+		if _, used := usedAddresses.LoadOrStore(address, true); !used {
+			return address
+		}
 	}
 }
 
