Hold the likeliest part of a prompt responsible for crashes, not all parts of it

Callers with sound prompts were refused for 30 s by hosts that had started while a prompt part crashed endpoints. Cause: such a host has seen no answer yet, so that the part which all prompts share is in as many crashes as the one that causes them, and both are blocked.

Now a part is not blocked while a likelier one, in most of the same crashes, leaves too few of them unexplained. The likelier one was answered longer ago, is deeper in the prompt, or was in more crashes. Hosts tell each other the depth. A first part that itself crashes endpoints is blocked after some more crashes, as no single part explains them. Ruled out: to block the first part for a shorter time, which refuses all prompts anyway.

The test of two parts in common fails on the code before.

--- a/protocol/crash/crash.go
+++ b/protocol/crash/crash.go
@@ -13,6 +13,8 @@
 	// Crashes holds the endpoint processes that crashed when they had begun, or were about to begin, to answer a request
 	// with the part, by process.
 	Crashes map[string]sighting `json:"crashes,omitempty"`
+	// Depth is the greatest known position of the part in a prompt, 0 for the first part.
+	Depth int `json:"depth,omitempty"`
 	// Answered is set when a request with the part was answered after such a crash, and AnsweredAge is the time since the
 	// last answer.
 	Answered    bool          `json:"answered,omitempty"`
@@ -43,6 +45,7 @@
 func (r Report) Plus(other Report) Report {
 	out := r
 	out.Crashes = maps.Clone(r.Crashes)
+	out.Depth = max(r.Depth, other.Depth)
 	for process, c := range other.Crashes {
 		out.AddCrash(process, c.Weight, c.Age)
 	}
--- a/state/blame/blame.go
+++ b/state/blame/blame.go
@@ -71,6 +71,8 @@
 	ruling ruling.Ruling
 	// probing is when a test began, zero if none is under way.
 	probing time.Time
+	// depth is the greatest known position of the part in a prompt; the first one has position 0.
+	depth int
 }
 
 // sighting is a crash with a part.
@@ -90,11 +92,13 @@
 	if weight >= 1 {
 		sound = soundTime
 	}
-	for _, hash := range parts {
+	for depth, hash := range parts {
 		if answered, ok := b.answered[hash]; ok && at.Sub(answered) < sound {
 			continue
 		}
-		b.suspect(hash).addCrash(process, sighting{weight: weight, at: at, firstHand: true}, at)
+		s := b.suspect(hash)
+		s.depth = max(s.depth, depth)
+		s.addCrash(process, sighting{weight: weight, at: at, firstHand: true}, at)
 	}
 }
 
@@ -125,6 +129,7 @@
 		return
 	}
 	s := b.suspect(hash)
+	s.depth = max(s.depth, r.Depth)
 	for process, c := range r.Crashes {
 		s.addCrash(process, sighting{weight: c.Weight, at: now.Add(-c.Age)}, now)
 	}
@@ -175,7 +180,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for hash, s := range b.suspects {
-		if s.decide(b.Settle(), now) {
+		if s.decide(b.Settle(), func() bool { return b.explained(hash, s) }, now) {
 			blocked = append(blocked, hash)
 		}
 		if !s.expired(now) {
@@ -189,6 +194,21 @@
 	return blocked, lifted
 }
 
+// explained reports whether another part is the likelier cause of a part's crashes: it was in most of them, and without those
+// there are too few to block the part. Requests with a part that crashes endpoints share their other parts with sound ones,
+// which a host that has just started has not seen answered. The caller holds b.mu.
+func (b *Blame) explained(hash uint64, s *suspect) bool {
+	for other, o := range b.suspects {
+		if other == hash || !o.likelierThan(s, other < hash) {
+			continue
+		}
+		if 2*s.common(o) > len(s.crashes) && s.score(o.crashes) < blockScore {
+			return true
+		}
+	}
+	return false
+}
+
 // Admit reports whether a request with the parts may be sent, and otherwise the time until it may be worth a retry. A
 // request may be sent as a test of a blocked part once that is due; mayProbe reports whether this process may test a
 // part.
@@ -280,13 +300,13 @@
 	}
 }
 
-// decide blocks the part if its crashes call for it, and reports whether it did.
-func (s *suspect) decide(settle time.Duration, now time.Time) bool {
+// decide blocks the part if its crashes call for it and are not explained by another one, and reports whether it did.
+func (s *suspect) decide(settle time.Duration, explained func() bool, now time.Time) bool {
 	maps.DeleteFunc(s.crashes, func(_ string, c sighting) bool { return now.Sub(c.at) > crashLifetime })
 	if s.ruling.InForce() {
 		return s.decideAgain(now)
 	}
-	if s.score() < blockScore {
+	if s.score(nil) < blockScore || explained() {
 		s.reachedAt = time.Time{}
 		return false
 	}
@@ -324,9 +344,36 @@
 	s.probing = time.Time{}
 }
 
-// score returns the number of crashes, weighted, where those within sameCause count as one.
-func (s *suspect) score() float64 {
-	all := slices.SortedFunc(maps.Values(s.crashes), func(a, b sighting) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+// likelierThan reports whether the part rather than another one causes crashes that both were in: it was answered longer ago,
+// or is deeper in prompts, so that fewer requests share it, or was in more crashes. Of two equal parts, one is preferred.
+func (s *suspect) likelierThan(other *suspect, preferred bool) bool {
+	order := cmp.Or(
+		other.answeredAt.Compare(s.answeredAt),
+		cmp.Compare(s.depth, other.depth),
+		cmp.Compare(s.score(nil), other.score(nil)))
+	return order > 0 || order == 0 && preferred
+}
+
+// common returns the number of crashes that another part was in too.
+func (s *suspect) common(other *suspect) (n int) {
+	for process := range s.crashes {
+		if _, ok := other.crashes[process]; ok {
+			n++
+		}
+	}
+	return n
+}
+
+// score returns the number of crashes without those of the given processes, weighted, where those within sameCause count as
+// one.
+func (s *suspect) score(except map[string]sighting) float64 {
+	var all []sighting
+	for process, c := range s.crashes {
+		if _, ok := except[process]; !ok {
+			all = append(all, c)
+		}
+	}
+	slices.SortFunc(all, func(a, b sighting) int { return a.at.Compare(b.at) })
 	sum, weight := 0.0, 0.0
 	var from time.Time
 	for _, c := range all {
@@ -354,7 +401,7 @@
 
 // report returns what is known of the part.
 func (s *suspect) report(now time.Time) crash.Report {
-	r := crash.Report{}
+	r := crash.Report{Depth: s.depth}
 	for process, c := range s.crashes {
 		if c.firstHand && now.Sub(c.at) < reportTime {
 			r.AddCrash(process, c.weight, now.Sub(c.at))
--- a/state/blame/blame_test.go
+++ b/state/blame/blame_test.go
@@ -91,6 +91,38 @@
 		Expect(admitted(b, common, 20)).To(BeTrue())
 	})
 
+	// Guards against refusing what all prompts share at a host that has seen no answer since it started, and at those that hear
+	// of the crashes from it.
+	It("blocks only the part of which fewer requests have a share, if crashes have it and another one in common", func() {
+		b, other := newBlame(), newBlame()
+		for i := range 9 {
+			now := 0.6 * float64(i)
+			b.Crashed(badParts, fmt.Sprint("e", i), 1, at(now))
+			b.Crashed([]uint64{common, 7}, fmt.Sprint("e", i), 0.5, at(now))
+			for hash, r := range b.Reports(at(now + 0.1)) {
+				other.Merge(hash, r, at(now+0.1))
+			}
+			b.Decide(at(now + 0.2))
+			other.Decide(at(now + 0.2))
+		}
+		for _, host := range []*blame.Blame{b, other} {
+			Expect(admitted(host, bad, 6)).To(BeFalse())
+			Expect(admitted(host, common, 6)).To(BeTrue())
+			Expect(admitted(host, 7, 6)).To(BeTrue())
+		}
+	})
+
+	// Guards against excusing a first part that itself crashes endpoints.
+	It("blocks a first part after some more crashes, whatever follows it", func() {
+		b := newBlame()
+		for i := range 7 {
+			b.Crashed([]uint64{bad, uint64(1 + i%3)}, fmt.Sprint("e", i), 1, at(0.6*float64(i)))
+			b.Decide(at(0.6 * float64(i)))
+		}
+		b.Decide(at(6))
+		Expect(admitted(b, bad, 6)).To(BeFalse())
+	})
+
 	// Guards against endpoints that fail together for another reason.
 	It("counts crashes at the same moment as one", func() {
 		b := newBlame()
