--- a/state/blame/suspect.go
+++ b/state/blame/suspect.go
@@ -133,9 +133,9 @@
 }
 
 // compare returns a negative number if the part is a likelier cause than another one of crashes under both: it was never
-// answered, or longer ago, or fewer requests share it.
+// answered, or longer ago, or fewer requests share it, or more crashes speak against it.
 func (s *suspect) compare(other *suspect) int {
-	return cmp.Or(s.answeredAt.Compare(other.answeredAt), cmp.Compare(other.depth, s.depth))
+	return cmp.Or(s.answeredAt.Compare(other.answeredAt), cmp.Compare(other.depth, s.depth), cmp.Compare(other.score(), s.score()))
 }
 
 // neededScore returns the score at which the part is blocked.
