Give each process of the test its own ports

Cause: tests that ran at the same time took ports from one range.

Now a process of the test holds a block of ports while it listens on the block's first one, and hands out each in turn.

--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -93,12 +93,9 @@
 func freePair() int {
 	for {
 		first := port(freeAddress())
-		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+1)))
-		if err != nil {
-			continue
+		if port(freeAddress()) == first+1 {
+			return first
 		}
-		_ = l.Close()
-		return first
 	}
 }
 
--- a/test/scene/system_test.go
+++ b/test/scene/system_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -99,26 +99,35 @@
 	writeTimeout string
 }
 
-// minPort and portCount define the range of ports that processes listen on. It is below the ephemeral ports: an outgoing
-// connection could otherwise take a port between the check and the start of the process.
+// minPort is the first of the ports that processes listen on, in portBlocks blocks of blockPorts. They are below the
+// ephemeral ports: an outgoing connection could otherwise take a port between the check and the start of the process.
 const (
-	minPort   = 15_000
-	portCount = 15_000
+	minPort    = 15_000
+	portBlocks = 15
+	blockPorts = 1_000
 )
 
-// usedAddresses holds the addresses that freeAddress has returned. Their process may be down for a while.
-var usedAddresses sync.Map
+// blockListener listens on the first port of the block that belongs to this process of the test. The ports of hosts that are
+// down could otherwise be taken by a test that runs at the same time.
+var blockListener = sync.OnceValue(func() net.Listener {
+	for block := range portBlocks {
+		if l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(minPort+block*blockPorts))); err == nil {
+			return l
+		}
+	}
+	panic("all blocks of ports are in use")
+})
 
-// freeAddress returns an address that is free and that it has not returned before.
+// portsUsed counts the ports that freeAddress has tried.
+var portsUsed atomic.Int64
+
+// freeAddress returns an address that is free, and that it has not returned for long.
 func freeAddress() string {
 	for {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(minPort+rand.IntN(portCount)))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		if _, used := usedAddresses.LoadOrStore(address, true); !used {
+		n := portsUsed.Add(1) % (blockPorts - 1)
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port(blockListener().Addr().String())+1+int(n)))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
 			return address
 		}
 	}
