--- a/standin/site.go
+++ b/standin/site.go
@@ -106,6 +106,9 @@
 		q := r.URL.Query()
 		failPercent, _ := strconv.Atoi(q.Get("bad"))
 		s := &siteServer{site: p, id: q.Get("id"), version: q.Get("version"), failPercent: failPercent, listen: q.Get("listen"), address: q.Get("via")}
+		p.mu.Lock()
+		delete(p.killed, s.id)
+		p.mu.Unlock()
 		if p.start(s) != nil {
 			w.WriteHeader(http.StatusInternalServerError)
 		}
