Tell a refusal for a crashing prompt from one by a host that does not know yet

The two have reasons of their own. In the clean-up both methods of the guard return the reason instead of a flag.

--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -81,29 +81,42 @@
 	g.changed = make(chan uint64, maxWaiting)
 }
 
-// Admit reports whether a request may be sent at present, and otherwise the time until it may be worth a retry.
-func (g *Guard) Admit(w *work.Request) (wait time.Duration, ok bool) {
+// The reasons of refusals.
+const (
+	reasonCrashes = "a part of the prompt has crashed endpoints"
+	reasonUnknown = "it is not known yet which prompts crash endpoints"
+)
+
+// Admit returns an empty reason if a request may be sent at present, and otherwise why not and the time until it may be
+// worth a retry.
+func (g *Guard) Admit(w *work.Request) (wait time.Duration, reason string) {
 	if len(w.Shared) == 0 {
-		return 0, true
+		return 0, ""
 	}
 	now := g.Now()
 	if now.Sub(g.Started) < startWait && !g.Known() {
-		return startRetryAfter, false
+		return startRetryAfter, reasonUnknown
 	}
-	return g.Blame.Admit(w.Shared, g.MayProbe, now)
+	if wait, ok := g.Blame.Admit(w.Shared, g.MayProbe, now); !ok {
+		return wait, reasonCrashes
+	}
+	return 0, ""
 }
 
 // Begin is Admit for an attempt that is about to be made.
-func (g *Guard) Begin(w *work.Request) (wait time.Duration, ok bool) {
+func (g *Guard) Begin(w *work.Request) (wait time.Duration, reason string) {
 	if len(w.Shared) == 0 {
-		return 0, true
+		return 0, ""
 	}
 	tested, wait, ok := g.Blame.Begin(w.Shared, g.MayProbe, g.Now())
+	if !ok {
+		return wait, reasonCrashes
+	}
 	for _, hash := range tested {
 		g.Log.Info("request tests a prompt part that has crashed endpoints", "part", name(hash), "id", w.ID)
 		g.store(hash)
 	}
-	return wait, ok
+	return 0, ""
 }
 
 // Ended records the result of an attempt; begun is when the first part of its answer arrived, zero if none did.
--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -153,8 +153,8 @@
 
 func (f *fixture) admits(shared ...uint64) func() bool {
 	return func() bool {
-		_, ok := f.guard.Admit(request(shared...))
-		return ok
+		_, reason := f.guard.Admit(request(shared...))
+		return reason == ""
 	}
 }
 
@@ -230,10 +230,10 @@
 		Eventually(f.admits(bad)).Should(BeFalse())
 		f.advance(31 * time.Second)
 		Expect(f.admits(bad)()).To(BeTrue())
-		_, ok := f.guard.Begin(request(bad))
-		Expect(ok).To(BeTrue(), "the test")
-		_, ok = f.guard.Begin(request(bad))
-		Expect(ok).To(BeFalse(), "a second one")
+		_, reason := f.guard.Begin(request(bad))
+		Expect(reason).To(BeEmpty(), "the test")
+		_, reason = f.guard.Begin(request(bad))
+		Expect(reason).NotTo(BeEmpty(), "a second one")
 		f.advance(time.Second)
 		f.guard.Ended(request(bad), f.endpoint(), answered, f.time())
 		Expect(f.admits(bad)()).To(BeTrue())
@@ -246,8 +246,8 @@
 		f.crash(5, headOnly, bad)
 		Eventually(f.admits(bad)).Should(BeFalse())
 		f.advance(31 * time.Second)
-		_, ok := f.guard.Begin(request(bad))
-		Expect(ok).To(BeTrue())
+		_, reason := f.guard.Begin(request(bad))
+		Expect(reason).To(BeEmpty())
 		f.guard.Ended(request(bad), f.endpoint(), result.Result{Ending: ending.CallerGone, Sent: true}, time.Time{})
 		f.advance(31 * time.Second)
 		Expect(f.admits(bad)()).To(BeFalse())
@@ -284,7 +284,8 @@
 		f := newFixture()
 		f.known = false
 		f.guard.Started = f.now
-		Expect(f.admits(sound)()).To(BeFalse())
+		_, reason := f.guard.Admit(request(sound))
+		Expect(reason).To(ContainSubstring("not known yet"))
 		Expect(f.admits()()).To(BeTrue(), "without shared parts")
 		f.advance(4 * time.Second)
 		Expect(f.admits(sound)()).To(BeTrue())
--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -92,10 +92,11 @@
 }
 
 type prompts interface {
-	// Admit reports whether a request may be sent at present, and otherwise the time until it may be worth a retry.
-	Admit(w *work.Request) (wait time.Duration, ok bool)
+	// Admit returns an empty reason if a request may be sent at present, and otherwise why not and the time until it may
+	// be worth a retry.
+	Admit(w *work.Request) (wait time.Duration, reason string)
 	// Begin is Admit for an attempt that is about to be made.
-	Begin(w *work.Request) (wait time.Duration, ok bool)
+	Begin(w *work.Request) (wait time.Duration, reason string)
 	// Ended records the result of an attempt; begun is when the first part of its answer arrived, zero if none did.
 	Ended(w *work.Request, t *target.Target, r result.Result, begun time.Time)
 }
@@ -198,13 +199,10 @@
 	return max(stream, p.Durations.Longest(w.Route.Name))
 }
 
-// crashingPrompt is the reason of requests that are refused for their prompt.
-const crashingPrompt = "a part of the prompt has crashed endpoints"
-
 // step makes one attempt and reports whether to make another.
 func (p *Proxy) step(ctx context.Context, j *job, x exchange) (again bool, err error) {
-	if wait, ok := p.Prompts.Admit(j.work); !ok {
-		return false, p.finalError(ctx, j, x, crashingPrompt, wait)
+	if wait, reason := p.Prompts.Admit(j.work); reason != "" {
+		return false, p.finalError(ctx, j, x, reason, wait)
 	}
 	now := p.Now()
 	version := p.Canary.Choose(j.work)
@@ -226,8 +224,8 @@
 	if j.arrivals > 0 && !p.Retries.Take(j.work.Backend) {
 		return false, p.finalError(ctx, j, x, "the back end's retry budget is exhausted", refusedRetryAfter)
 	}
-	if wait, ok := p.Prompts.Begin(j.work); !ok {
-		return false, p.finalError(ctx, j, x, crashingPrompt, wait)
+	if wait, reason := p.Prompts.Begin(j.work); reason != "" {
+		return false, p.finalError(ctx, j, x, reason, wait)
 	}
 	j.attempted[t] = true
 	j.lastEndpoint, j.lastDonor = t, to.Donor
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -83,9 +83,14 @@
 	results []result.Result
 }
 
-func (p *fakePrompts) Admit(*work.Request) (time.Duration, bool) { return p.wait, p.wait == 0 }
+func (p *fakePrompts) Admit(*work.Request) (time.Duration, string) {
+	if p.wait == 0 {
+		return 0, ""
+	}
+	return p.wait, "its prompt"
+}
 
-func (p *fakePrompts) Begin(w *work.Request) (time.Duration, bool) { return p.Admit(w) }
+func (p *fakePrompts) Begin(w *work.Request) (time.Duration, string) { return p.Admit(w) }
 
 func (p *fakePrompts) Ended(_ *work.Request, _ *target.Target, r result.Result, _ time.Time) {
 	p.results = append(p.results, r)
