Move the closing of idle connections into a package of its own

Cause: the timer of an idle connection has no test of its own, as it is private to transport/site. Change: the type moves to transport/idle as Closer, nothing else. Conclusion: behaviour as before; a test of the race between the timer and a request can now be written.

--- a/transport/site/serve.go
+++ b/transport/site/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/transport/idle"
 )
 
 const (
@@ -42,13 +43,13 @@
 
 // requestServer returns the server for callers' requests.
 func (s *Site) requestServer() *http.Server {
-	idle := &idleCloser{Limit: s.idleLimit}
+	closer := &idle.Closer{Limit: s.idleLimit}
 	return &http.Server{
 		Handler:           s.countInFlight(s.RequestHandler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         idle.ConnState,
+		ConnState:         closer.ConnState,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 }
