Answer requests that arrive while a stopping host closes its connections

What callers saw: in a planned stop, a request that was sent on an open connection, or on a new one, as the host began to close its connections 2.5 s before its end got neither an answer nor a refusal.

Cause: http.Server.Shutdown closes each connection on which a request comes after its call, after it has read the request and without an answer; and it closes connections directly that it counts as idle, which they are until the next request's header is read. The same class as the timer of idle connections: the end of a connection is decided without a look at what has arrived on it.

Ruled out: that such a request is passed on to an endpoint; the server returns before its handler.

Change: the host closes its listener itself and ends the reads of idle connections until no connection is open (transport/idle Drain). A request that comes meanwhile is handled as any during a stop: answered or refused, with Connection: close.

Test: transport/idle "answers a request that has arrived when the process stops" failed with Shutdown in the place of Drain (the request was never handled), and passes now.

Conclusion: mended.

--- a/transport/idle/idle_test.go
+++ b/transport/idle/idle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -61,11 +62,12 @@
 	in   *bufio.Reader
 }
 
-// startServer returns a connection to a server; delayed delays what the server reads, and handled counts its requests.
-func startServer(closer *idle.Closer, delayed *atomic.Bool, handled *atomic.Int64) (c *caller, server *http.Server) {
+// startServer returns a connection to a server, and stop, which stops the server in order. delayed delays what the server
+// reads, and handled counts its requests.
+func startServer(closer *idle.Closer, delayed *atomic.Bool, handled *atomic.Int64) (c *caller, stop func() error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	server = &http.Server{
+	server := &http.Server{
 		ConnState:         closer.ConnState,
 		ReadHeaderTimeout: time.Minute,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -83,7 +85,12 @@
 	conn, err := net.Dial("tcp", l.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(conn.Close)
-	return &caller{conn: conn, in: bufio.NewReader(conn)}, server
+	return &caller{conn: conn, in: bufio.NewReader(conn)}, func() error {
+		_ = l.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		return closer.Drain(ctx)
+	}
 }
 
 func (c *caller) send(body string) {
@@ -150,6 +157,27 @@
 		Expect(body).To(Equal("two"))
 	})
 
+	// Guards against a planned stop that closes the connection of a request that it is about to handle.
+	It("answers a request that has arrived when the process stops", func() {
+		setLimit(0)
+		c, stop := startServer(closer, &delayed, &handled)
+		c.send("one")
+		Expect(c.receive()).To(Equal("one"))
+		delayed.Store(true)
+		c.send("two")
+		time.Sleep(limit / 2)
+		var stopping sync.WaitGroup
+		defer stopping.Wait()
+		stopping.Go(func() {
+			defer GinkgoRecover()
+			Expect(stop()).To(Succeed())
+		})
+		body, err := c.receive()
+		Eventually(handled.Load).Should(Equal(int64(2)), "requests handled")
+		Expect(err).NotTo(HaveOccurred(), "the answer to a request that was handled")
+		Expect(body).To(Equal("two"))
+	})
+
 	// Guards against a limit that ends between two parts of a request and leaves its mark on the rest of the connection.
 	It("answers requests whose bodies come in parts around the end of the limit", func() {
 		c, _ := startServer(closer, &delayed, &handled)
--- a/transport/site/serve.go
+++ b/transport/site/serve.go
@@ -13,7 +13,6 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
-	"github.com/dragonflyroute/dragonflyroute/transport/idle"
 )
 
 const (
@@ -41,15 +40,14 @@
 	}
 }
 
-// requestServer returns the server for callers' requests.
+// requestServer returns the server for callers' requests, which closes idle connections by s.idle.
 func (s *Site) requestServer() *http.Server {
-	closer := &idle.Closer{Limit: s.idleLimit}
 	return &http.Server{
 		Handler:           s.countInFlight(s.RequestHandler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         closer.ConnState,
+		ConnState:         s.idle.ConnState,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 }
@@ -72,8 +70,8 @@
 	})
 }
 
-// serve accepts connections on a listener until ctx ends or the server is shut down; it returns an Unavailable error if
-// the listener fails.
+// serve accepts connections on a listener until ctx ends or the listener is closed; it returns an Unavailable error if the
+// listener fails.
 func serve(ctx context.Context, server *http.Server, l net.Listener) error {
 	g, inner := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -82,7 +80,7 @@
 	})
 	g.Go(func() error {
 		err := server.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			<-inner.Done()
 			return nil
 		}
@@ -99,8 +97,8 @@
 )
 
 // drain stops the process. Address answers omit this host at once. It then notifies its peers, releases its leases and
-// writes its row concurrently, and closes callers' connections last, shortly before the kill.
-func (s *Site) drain(ctx context.Context, server *http.Server) {
+// writes its row concurrently, and closes the listener and callers' connections last, shortly before the kill.
+func (s *Site) drain(ctx context.Context, requests net.Listener) {
 	grace := s.Grace()
 	kill := time.Now().Add(grace)
 	s.killAt.Store(kill.UnixNano())
@@ -122,7 +120,10 @@
 	})
 	_ = g.Wait()
 	pause(ctx, time.Until(kill.Add(-shutdownLead)))
-	err := server.Shutdown(ctx)
+	if err := requests.Close(); err != nil {
+		s.Log.Warn("cannot close the listener for callers", "error", err)
+	}
+	err := s.idle.Drain(ctx)
 	s.Log.Info("drained", "active-requests", s.inFlight.Load(), "incomplete", err != nil)
 }
 
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -52,6 +52,7 @@
 	"github.com/dragonflyroute/dragonflyroute/state/timing"
 	"github.com/dragonflyroute/dragonflyroute/state/trials"
 	"github.com/dragonflyroute/dragonflyroute/state/usage"
+	"github.com/dragonflyroute/dragonflyroute/transport/idle"
 	"github.com/dragonflyroute/dragonflyroute/transport/meter"
 	"github.com/dragonflyroute/dragonflyroute/transport/peers"
 	"github.com/dragonflyroute/dragonflyroute/transport/ticks"
@@ -194,6 +195,8 @@
 	reportedStates map[string]string
 	// reclaimSignal makes runLeaseHolder scale without waiting for its next tick.
 	reclaimSignal chan struct{}
+	// idle closes callers' connections that wait for a request for too long.
+	idle idle.Closer
 	// killAt is the time of the kill in Unix nanoseconds, 0 before the order to stop.
 	killAt atomic.Int64
 }
@@ -202,6 +205,7 @@
 func (s *Site) Prepare() {
 	s.incarnation = time.Now().UnixNano()
 	s.Meter = meter.New()
+	s.idle.Limit = s.idleLimit
 	s.Policy = &policy.Policy{}
 	s.Registry = &endreg.Registry{}
 	s.usage = &usage.Usage{WindowLength: s.UsageWindow}
@@ -302,7 +306,7 @@
 	add(func(c context.Context) error {
 		select {
 		case <-ctx.Done():
-			s.drain(c, server)
+			s.drain(c, listeners.requests)
 		case <-c.Done():
 		}
 		return nil
