--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -38,6 +39,7 @@
 	"github.com/dragonflyroute/dragonflyroute/state/pool"
 	"github.com/dragonflyroute/dragonflyroute/state/runs"
 	"github.com/dragonflyroute/dragonflyroute/state/trials"
+	"github.com/dragonflyroute/dragonflyroute/transport/idle"
 	"github.com/dragonflyroute/dragonflyroute/transport/meter"
 )
 
@@ -136,8 +138,10 @@
 	if err != nil {
 		return fault.Wrap(kind.Internal, err, "build the HTTP routes")
 	}
+	closer := &idle.Closer{}
 	s := &http.Server{
 		Handler:           app,
+		ConnState:         closer.ConnState,
 		ReadHeaderTimeout: f.Settings.Bounds.ReadTimeout.Duration(),
 		ReadTimeout:       f.Settings.Bounds.ReadTimeout.Duration(),
 		IdleTimeout:       f.Settings.Intervals.AddressTTL.Duration(),
@@ -149,11 +153,12 @@
 		<-ctx.Done()
 		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
-		return s.Shutdown(stop)
+		_ = l.Close()
+		return closer.Drain(stop)
 	})
 	g.Go(func() error {
 		err := s.Serve(&limitListener{Listener: l, max: int64(f.Settings.Bounds.MaxConnections), buffer: f.Settings.Bounds.WriteBuffer})
-		if err == http.ErrServerClosed {
+		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		return err
--- a/transport/idle/idle.go
+++ b/transport/idle/idle.go
@@ -20,7 +20,7 @@
 //
 // The exported fields are set before its first use. All methods may be called concurrently.
 type Closer struct {
-	// Limit returns the present idle timeout, 0 for none.
+	// Limit returns the present idle timeout, 0 for none; nil means that there is none.
 	Limit func() time.Duration
 
 	mu sync.Mutex
@@ -91,6 +91,9 @@
 func (c *Closer) wait(conn net.Conn) {
 	s := &state{idle: true}
 	c.set(conn, s)
+	if c.Limit == nil {
+		return
+	}
 	if limit := c.Limit(); limit > 0 {
 		s.timer = time.AfterFunc(limit, func() { c.timeout(conn, s, limit) })
 	}
