Keep leases and fencing numbers valid over a restore of the store

What callers saw: nothing; the platform could get two holders' calls with one fencing number (ONE), or calls of a new holder that it refuses because their number is below an older one (duties missed).

Cause: a store that comes back from a copy has lost renewals and acquisitions, and gives out the same versions again. The fencing number was counted on in the lease's row, so that it was counted again after a restore; a lease that returned as free, or was missing, was acquired while its holder still counted on it; a late renewal could match another row's version.

Ruled out: keeping the highest number seen in each process; a process that starts after the restore has seen none.

Change: versions are qualified by the era of the store (protocol/eras), so that they only grow. A row that was not written in the present era tells nothing of the holder: others wait for a term from the first sight of the era, while the process that holds the lease writes it anew.

--- a/coordination/leases/leases.go
+++ b/coordination/leases/leases.go
@@ -67,6 +67,18 @@
 	return e.Held()
 }
 
+// KnownSince returns the time of day since which this process, as the holder of the lease, knows of all that holders wrote;
+// what they wrote before may have been lost with a restore of the store.
+func (l *Leases) KnownSince(key string) time.Time {
+	l.mu.Lock()
+	e := l.electors[key]
+	l.mu.Unlock()
+	if e == nil {
+		return l.Now()
+	}
+	return e.KnownSince()
+}
+
 // Use runs a call under the lease with the given fencing number and returns its error. An Unavailable error means that
 // the lease is no longer held and that the call did not begin.
 //
--- a/model/leases/leases.go
+++ b/model/leases/leases.go
@@ -22,6 +22,9 @@
 	historyTime  = 10 * time.Second
 	maxPause     = 600 * time.Millisecond
 	clockSkew    = time.Hour
+	// maxRestorePause bounds the time from a restore of the table to the next copy, and maxCopyAge the age of a copy.
+	maxRestorePause = 2 * time.Second
+	maxCopyAge      = 5 * term
 )
 
 // History is one run: the holders of a lease send orders to an endpoint, while they are paused and killed
@@ -31,6 +34,8 @@
 	Seed uint64
 	// Naive is a baseline in which a holder doesn't check again that its lease is valid when it sends an order.
 	Naive bool
+	// Restores makes the table come back from copies now and then.
+	Restores bool
 	// Fencing makes the endpoint refuse orders with an old fencing number.
 	Fencing bool
 
@@ -58,6 +63,9 @@
 		l.startHolder(i, 1)
 	}
 	l.sched.Go("nemesis", l.injectFaults)
+	if l.Restores {
+		l.sched.Go("restores", l.restore)
+	}
 	l.sched.Run(historyTime)
 }
 
@@ -146,3 +154,20 @@
 		}
 	}
 }
+
+// restore brings the table back from a copy of up to maxCopyAge now and then, and sometimes twice in a row.
+func (l *History) restore() {
+	for {
+		l.sched.Jitter(maxRestorePause)
+		c := l.store.Copy()
+		l.sched.Jitter(maxCopyAge)
+		l.store.Down = true
+		l.sched.Jitter(term)
+		l.store.Restore(c)
+		l.store.Down = false
+		if l.sched.Rand.IntN(3) == 0 {
+			l.sched.Jitter(stepPeriod)
+			l.store.Restore(c)
+		}
+	}
+}
--- a/model/leases/leases_test.go
+++ b/model/leases/leases_test.go
@@ -33,6 +33,22 @@
 		})
 	}
 
+	for _, fencing := range []bool{true, false} {
+		// Guards against fencing numbers and leases that come back with a restore of the store from an older copy.
+		It(fmt.Sprintf("never act after a later holder, nor with its fencing number, when the store comes back from copies (fencing %t)", fencing), func() {
+			orders, holders := 0, 0
+			for seed := range uint64(histories) {
+				l := &leases.History{Seed: seed, Fencing: fencing, Restores: true}
+				l.Run()
+				Expect(l.Overlaps).To(BeZero(), "overlap with seed %d", seed)
+				orders += l.Orders
+				holders += l.Holders
+			}
+			Expect(orders).To(BeNumerically(">", histories))
+			Expect(holders).To(BeNumerically(">", 2*histories))
+		})
+	}
+
 	It("act after a later holder if they don't check the lease again, which shows that the histories can detect it", func() {
 		overlaps := 0
 		for seed := range uint64(histories) {
--- a/model/store/store.go
+++ b/model/store/store.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/model/sched"
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
@@ -29,10 +31,27 @@
 	// Commits counts the commits that reached the store, also those whose conditions failed.
 	Commits int
 
+	era     eras.Era
 	version int64
 	rows    map[string]record.Record
 }
 
+// Copy is the content of a store at a moment.
+type Copy struct {
+	version int64
+	rows    map[string]record.Record
+}
+
+// Copy returns the present content.
+func (s *Store) Copy() Copy { return Copy{version: s.version, rows: maps.Clone(s.rows)} }
+
+// Restore brings back the content of a copy and starts a new era: versions are given out again, and late writes are applied
+// by them.
+func (s *Store) Restore(c Copy) {
+	s.era++
+	s.version, s.rows = c.version, maps.Clone(c.rows)
+}
+
 // Read returns one row; a row that doesn't exist has version zero. The error is kind.Unavailable.
 func (s *Store) Read(_ context.Context, key string) (record.Record, error) {
 	s.Sched.Jitter(s.Latency)
@@ -51,6 +70,7 @@
 func (s *Store) Peek(key string) record.Record {
 	row := s.rows[key]
 	row.Key = key
+	row.Version = s.era.Qualify(row.Version)
 	return row
 }
 
@@ -70,7 +90,11 @@
 		return 0, fault.New(kind.OutcomeUnknown, "", "write delayed beyond the timeout")
 	}
 	version := s.apply(t)
+	era := s.era
 	s.Sched.Jitter(s.Latency)
+	if version > 0 && t.IsOfOtherEra(era) {
+		return 0, fault.New(kind.OutcomeUnknown, "", "store restored")
+	}
 	if s.Sched.Chance(s.ResponseLoss) {
 		return 0, fault.New(kind.OutcomeUnknown, "", "write response lost")
 	}
@@ -80,7 +104,7 @@
 func (s *Store) apply(t table.Txn) int64 {
 	s.Commits++
 	for _, c := range t.Conds {
-		if s.rows[c.Key].Version != c.Version {
+		if s.rows[c.Key].Version != eras.Local(c.Version) {
 			return 0
 		}
 	}
@@ -95,5 +119,5 @@
 		}
 		s.rows[w.Key] = record.Record{Key: w.Key, Value: w.Value, Version: s.version}
 	}
-	return s.version
+	return s.era.Qualify(s.version)
 }
--- a/protocol/table/table.go
+++ b/protocol/table/table.go
@@ -1,6 +1,12 @@
 // Package table holds the conditional transactions of the platform's tables.
 package table
 
+import (
+	"slices"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
+)
+
 // Txn is a conditional transaction: all writes are applied if all conditions hold, otherwise none is.
 type Txn struct {
 	// Conds lists the conditions.
@@ -12,7 +18,8 @@
 type cond struct {
 	// Key is the key of the row to compare.
 	Key string
-	// Version is the version that the row must have; 0 means that it must not exist.
+	// Version is the version that the row must have, qualified by the store's era; 0 means that the row must not exist, in
+	// whatever era.
 	Version int64
 }
 
@@ -23,6 +30,11 @@
 	Value []byte
 }
 
+// IsOfOtherEra reports whether a condition names a version of another era than the given one.
+func (t Txn) IsOfOtherEra(era eras.Era) bool {
+	return slices.ContainsFunc(t.Conds, func(c cond) bool { return c.Version != 0 && eras.Of(c.Version) != era })
+}
+
 // IfAbsent adds the condition that the row does not exist.
 func (t Txn) IfAbsent(key string) Txn { return t.IfVersion(key, 0) }
 
