Report no usage window twice with different counts after a restore

Cause: the counts of a window are fixed in the store before they are sent. A restore loses them, and the next holder of the lease takes the window for unreported and fixes its own.

Ruled out: asking the platform; its calls can't be read back.

Change: the lease names the time since which nothing that holders wrote has been lost. A window that could be reported before that time is reported only with counts that are in the store or that this process has fixed; who has fixed counts writes them again in the new era.

Conclusion: a window may stay unreported when the holder is lost together with its rows; none is counted twice.

--- a/coordination/report/report.go
+++ b/coordination/report/report.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
@@ -51,7 +52,9 @@
 
 // Report sends each window's usage while the process holds the lease.
 //
-// The counts are persisted in the table before they are sent, so that the next lease holder repeats them exactly.
+// The counts are persisted in the table before they are sent, so that the next lease holder repeats them exactly. When the
+// store was restored from a copy, persisted counts may be lost: the process that persisted them does it again, and no
+// other one counts a window that may have been reported before the restore.
 type Report struct {
 	// Store is the table that persists the counts.
 	Store store
@@ -65,6 +68,9 @@
 	Complete func(number int64) bool
 	// Held returns the fencing number while the process holds the lease; it is called before each report.
 	Held func() (fence int64, held bool)
+	// KnownSince returns the time of day since which this process, as the lease holder, knows of all counts that holders
+	// persisted; nil means always.
+	KnownSince func() time.Time
 	// OnStaleFence is called when the platform has seen a higher fencing number.
 	OnStaleFence func()
 	// Deadline is the time after a window's end by which its report must be sent.
@@ -74,13 +80,23 @@
 
 	// sent holds the windows whose reports the platform has accepted.
 	sent map[int64]bool
+	// persisted holds the counts that this process has persisted or read, by window.
+	persisted map[int64]persisted
+}
+
+// persisted is the counts of a window, and the store's era in which they were persisted.
+type persisted struct {
+	counts map[acct.ID]int64
+	era    eras.Era
 }
 
 // Step sends the reports that can be sent at now.
 func (r *Report) Step(ctx context.Context, now time.Time) {
 	if r.sent == nil {
 		r.sent = map[int64]bool{}
+		r.persisted = map[int64]persisted{}
 	}
+	r.persistLost(ctx)
 	for number := r.Usage.WindowNumber(now.Add(-r.Deadline)); ; number++ {
 		end := r.Usage.WindowEnd(number)
 		if now.Before(end.Add(settleDelay)) {
@@ -131,33 +147,84 @@
 	}
 	r.sent[number] = true
 	delete(r.sent, r.outdated(number))
+	delete(r.persisted, r.outdated(number))
 	r.Log.Info("usage reported", "window", number, "fence", fence, "counts", counts)
 }
 
-// persist writes this process's counts of a window to the table if the table has none, and returns the counts in the
-// table.
+// persist returns the counts of a window that are in the table. If there are none, it writes this process's counts, unless
+// others may have been lost.
 func (r *Report) persist(ctx context.Context, number int64) (map[acct.ID]int64, error) {
+	if p, ok := r.persisted[number]; ok {
+		return p.counts, nil
+	}
+	if r.mayBeLost(number) {
+		return r.read(ctx, number)
+	}
+	fence, _ := r.Held()
 	own := r.Usage.Sum(number)
-	value, err := json.Marshal(own)
-	if err != nil {
-		return nil, fault.Wrap(kind.Internal, err, "usage report is not encodable")
+	version, err := r.write(ctx, number, own)
+	if err != nil || version == 0 {
+		return r.read(ctx, number)
+	}
+	if eras.Of(version) != eras.Of(fence) {
+		_, _ = r.Store.Commit(ctx, table.Txn{}.IfVersion(key(number), version).Delete(key(number)))
+		return nil, fault.New(kind.Unavailable, "", "the store was restored while the usage report of window %d was persisted", number)
+	}
+	r.persisted[number] = persisted{counts: own, era: eras.Of(version)}
+	return own, nil
+}
+
+// mayBeLost reports whether the counts of a window may have been persisted and sent, and then lost with a restore of the
+// store: it could be reported before the time since which this process knows of all that was persisted.
+func (r *Report) mayBeLost(number int64) bool {
+	return r.KnownSince != nil && r.Usage.WindowEnd(number).Add(settleDelay).Before(r.KnownSince())
+}
+
+// persistLost persists counts again that this process persisted before the store was restored.
+func (r *Report) persistLost(ctx context.Context) {
+	fence, held := r.Held()
+	if !held {
+		return
+	}
+	for number, p := range r.persisted {
+		if p.era >= eras.Of(fence) {
+			continue
+		}
+		version, err := r.write(ctx, number, p.counts)
+		if err != nil {
+			r.Log.Warn("usage report not persisted again after a restore of the store; retrying", "window", number, "error", err)
+			return
+		}
+		r.Log.Info("usage report persisted again after a restore of the store", "window", number, "was-missing", version > 0, "fence", fence)
+		p.era = eras.Of(fence)
+		r.persisted[number] = p
 	}
-	version, err := r.Store.Commit(ctx, table.Txn{}.IfAbsent(key(number)).Put(key(number), value).Delete(key(r.outdated(number))))
-	if err == nil && version > 0 {
-		return own, nil
+}
+
+// write writes the counts of a window to the table if the table has none, and returns the version, 0 if it has some.
+func (r *Report) write(ctx context.Context, number int64, counts map[acct.ID]int64) (version int64, err error) {
+	value, err := json.Marshal(counts)
+	if err != nil {
+		return 0, fault.Wrap(kind.Internal, err, "usage report is not encodable")
 	}
+	return r.Store.Commit(ctx, table.Txn{}.IfAbsent(key(number)).Put(key(number), value).Delete(key(r.outdated(number))))
+}
+
+// read returns the counts of a window in the table. An Unavailable error means that there are none.
+func (r *Report) read(ctx context.Context, number int64) (map[acct.ID]int64, error) {
 	row, err := r.Store.Read(ctx, key(number))
 	if err != nil {
 		return nil, err
 	}
-	if row.Version == 0 {
-		return nil, fault.New(kind.Unavailable, "", "usage report of window %d is not in the table yet", number)
+	if !row.Exists() {
+		return nil, fault.New(kind.Unavailable, "", "usage report of window %d is not in the table", number)
 	}
-	persisted := map[acct.ID]int64{}
-	if err := json.Unmarshal(row.Value, &persisted); err != nil {
+	counts := map[acct.ID]int64{}
+	if err := json.Unmarshal(row.Value, &counts); err != nil {
 		return nil, fault.Wrap(kind.Internal, err, "persisted usage report of window %d is not decodable", number)
 	}
-	return persisted, nil
+	r.persisted[number] = persisted{counts: counts, era: eras.Of(row.Version)}
+	return counts, nil
 }
 
 // outdated returns the window whose persisted report is deleted with the given one: no lease holder may send it any
--- a/transport/site/lease.go
+++ b/transport/site/lease.go
@@ -37,6 +37,7 @@
 		Collect:      s.readUsage,
 		Complete:     s.usageComplete,
 		Held:         func() (int64, bool) { return s.leases.Held(leaseKey) },
+		KnownSince:   func() time.Time { return s.leases.KnownSince(leaseKey) },
 		OnStaleFence: s.onStaleFence,
 		Deadline:     s.UsageDeadline,
 		Log:          s.Log,
@@ -59,6 +60,7 @@
 		Incarnation: s.incarnation,
 		Term:        s.LeaseTerm,
 		Now:         clock.Boot,
+		Wall:        time.Now,
 		NewID:       record.NewWriteID,
 	}
 }
