Read the store's era, and no version outside of its own

What callers saw: a route that had been added was not served, three seconds after its acknowledgement (CONFIG, 404); requests went to endpoints that had left (DRAIN).

Cause: the store came back from a copy and gave out versions again. A host went on reading changes after the version that it had. Once the store's counter had passed that version there was no 410, and the host missed all changes with versions up to it. In a large fleet such hosts also passed changes of two histories on to each other.

Ruled out: taking a falling version in an answer for a restore; a host that was cut off sees none.

The watcher takes a restore for a recovery, so that endpoints that the copy lacks stay for the grace period, and logs it; a mirror forgets the changes of the era before. A host whose own row came back as that of an earlier start writes it again.

Conclusion: versions are compared within one era only, wherever they are held.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -124,8 +125,9 @@
 	transport := &http.Transport{DialContext: dial.Context, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	cloudTransport := transport.Clone()
 	cloudTransport.DialContext = dial.ResetOnClose
+	era := &atomic.Int64{}
 	tableClient := func(table string) *store.Store {
-		return &store.Store{Address: cfg.Store, Table: table, Transport: transport, Timeout: storeTimeout}
+		return &store.Store{Address: cfg.Store, Table: table, Transport: transport, Timeout: storeTimeout, Era: era}
 	}
 	s.Operator = tableClient(operatorTable)
 	s.Endpoints = tableClient(endpointTable)
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/delta"
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
@@ -40,8 +41,8 @@
 
 // Watcher reads a snapshot of a table and then its changes, until its context ends.
 //
-// After an outage, or when the table's change history no longer reaches back to the version held, it reads a snapshot
-// again. Updates from other hosts can replace reads while the copy is recent enough. Methods may be called
+// After an outage, when the table's change history no longer reaches back to the version held, or when the store was
+// restored from a copy, it reads a snapshot again. Updates from other hosts can replace reads while the copy is recent enough. Methods may be called
 // concurrently.
 type Watcher struct {
 	// Name names the table in log lines.
@@ -59,7 +60,8 @@
 	// Now returns the time.
 	Now func() time.Time
 	// OnRecovery is called when the table answers again after an outage, before its rows are applied, with the length of
-	// the outage (zero if another host reported its end) and the time since its end; may be nil.
+	// the outage (zero if another host reported its end) and the time since its end; may be nil. A restore from a copy
+	// counts as an outage.
 	OnRecovery func(outage, ago time.Duration)
 	// ReadDelay returns how long this host need not read the table yet, given the age of its copy or, while it has none
 	// (known is false), the time since the start; nil means no delay.
@@ -183,6 +185,7 @@
 	}
 	w.recordSuccess()
 	w.mustRead = false
+	w.recordEra(version)
 	w.apply(rows, version, full, at)
 	return nil
 }
@@ -208,6 +211,7 @@
 		return false
 	}
 	w.failures = 0
+	w.recordEra(d.Version)
 	w.apply(d.Rows, d.Version, d.IsSnapshot(), sent.Add(-age))
 	return true
 }
@@ -232,6 +236,22 @@
 	}
 }
 
+// recordEra reports a restore of the table from a copy as the end of an outage, if the version that is about to be applied
+// shows one: rows that the copy lacks are about to be written again.
+func (w *Watcher) recordEra(version int64) {
+	if w.version == 0 || eras.Of(version) <= eras.Of(w.version) {
+		return
+	}
+	now := w.Now()
+	w.Log.Warn("table restored from a copy; its versions begin anew", "table", w.Name, "era", eras.Of(version), "version", eras.Local(version),
+		"previous-era", eras.Of(w.version), "previous-version", eras.Local(w.version), "last-answer-ms", now.Sub(w.confirmedAt).Milliseconds())
+	w.recoveredAt = now
+	if w.Mirror != nil {
+		w.Mirror.RecordRecovery(now)
+	}
+	w.notifyRecovery(0, 0)
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/delta"
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
 )
 
@@ -48,7 +49,8 @@
 	m.recoveredAt = at
 }
 
-// Replace replaces all rows by a snapshot of the table at a version, which was read at a time.
+// Replace replaces all rows by a snapshot of the table at a version, which was read at a time. The changes of an earlier
+// era are forgotten: another host may have some that this one has not, and that the store has lost.
 func (m *Mirror) Replace(rows []record.Record, version int64, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -56,8 +58,9 @@
 	for _, r := range rows {
 		listed[r.Key] = true
 	}
-	if m.rows == nil {
+	if m.rows == nil || eras.Of(version) > eras.Of(m.version) {
 		m.rows = map[string]record.Record{}
+		m.changes = nil
 		m.floor = version
 	}
 	var removed []record.Record
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -44,6 +44,9 @@
 	maxPeerConnections = 64
 	// expiryInterval is the interval between checks for missing endpoints to be removed.
 	expiryInterval = 200 * time.Millisecond
+	// expiryHeartbeats is the number of heartbeat intervals after which the platform has removed the row of an endpoint that
+	// is silent.
+	expiryHeartbeats = 4
 	// recoveryReadInterval is the interval between reads of the endpoints' rows for recoveryReadPeriod after an outage of
 	// the table, as endpoints write their rows again then.
 	recoveryReadInterval = 400 * time.Millisecond
@@ -204,7 +207,8 @@
 		list = append(list, row)
 	}
 	s.fleet.SetListed(list)
-	_, listed := s.hostRows[string(s.Host)]
+	own, listed := s.hostRows[string(s.Host)]
+	listed = listed && own.StartMillis == s.incarnation
 	s.rowMissing.Store(s.wasListed && !listed)
 	s.wasListed = s.wasListed || listed
 	s.Log.Info("entry hosts updated", "hosts", len(list), "this-one", listed)
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -33,6 +33,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/watch"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -193,6 +194,11 @@
 	peerTrials     map[host.ID]map[string][]trial.Trial
 	baseline       map[label.Name][]trial.Trial
 	reportedStates map[string]string
+	// movesEra is the store's era in which the states of moves were last written, and moveRequests holds the last request of
+	// a move by its key; only the goroutine of runLeaseHolder uses the former, only the watcher of the operator's table the
+	// latter.
+	movesEra     eras.Era
+	moveRequests map[string]record.Record
 	// reclaimSignal makes runLeaseHolder scale without waiting for its next tick.
 	reclaimSignal chan struct{}
 	// idle closes callers' connections that wait for a request for too long.
@@ -233,7 +239,7 @@
 		Log:       s.Log,
 	}
 	s.reclaimSignal = make(chan struct{}, 1)
-	s.syncer = &syncer.Syncer{Registry: s.Registry, Decode: s.DecodeEndpoint, OnReclaim: s.onReclaim, Now: time.Now, Log: s.Log}
+	s.syncer = &syncer.Syncer{Registry: s.Registry, Decode: s.DecodeEndpoint, Expiry: expiryHeartbeats * s.EndpointHeartbeat, OnReclaim: s.onReclaim, Now: time.Now, Log: s.Log}
 	s.buildMoves()
 	s.buildPeers()
 	s.buildPolls()
