Keep moves of versions over a restore of the store

What callers saw: nothing; a restore during a move could bring back an earlier share, start the move anew, or leave the operator without its status.

Cause: the id of a move contains the version of the request's row, which is another one once the operator has written it again; the state in the copy was taken for the newest; states and status that were lost were not written again.

Ruled out: an id without the version; the operator may ask for the same move twice.

Change: the same request in a later era is the same move; a known state that is older than the era stays; the holder of the lease writes states and status again in each era.

A host that starts during a move after a restore knows the move under another id.

--- a/transport/site/moves.go
+++ b/transport/site/moves.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"slices"
@@ -10,6 +11,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/canary"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/move"
@@ -37,12 +39,26 @@
 		s.Log.Error("cannot decode the request of a move; it is ignored", "key", r.Key, "version", r.Version, "error", err)
 		return
 	}
+	if s.isSameRequest(r) {
+		s.Log.Info("request of a move written again after a restore of the store; the move goes on", "key", r.Key, "version", r.Version)
+		return
+	}
 	now := time.Now()
 	m.Started, m.FinishBy = now, now.Add(time.Duration((1-moveMargin)*float64(duration)))
 	s.Proxy.Canary.SetRequested(m)
 	s.Log.Info("move requested", "move", m.ID, "to", m.To, "lasts-ms", duration.Milliseconds(), "version", r.Version)
 }
 
+// isSameRequest reports whether a row repeats, in a later era of the store, the last request of its key. It notes the row.
+func (s *Site) isSameRequest(r record.Record) bool {
+	if s.moveRequests == nil {
+		s.moveRequests = map[string]record.Record{}
+	}
+	last, ok := s.moveRequests[r.Key]
+	s.moveRequests[r.Key] = r
+	return ok && eras.Of(r.Version) > eras.Of(last.Version) && bytes.Equal(r.Value, last.Value)
+}
+
 // setMoveState applies a move's state from the hosts' table.
 func (s *Site) setMoveState(r record.Record) {
 	var m move.Move
@@ -50,10 +66,21 @@
 		s.Log.Error("cannot decode the state of a move; it is ignored", "key", r.Key, "version", r.Version, "error", err)
 		return
 	}
+	if s.isOlderState(m, r.Version) {
+		s.Log.Info("state of move returned with a restore of the store; the newer one stays", "move", m.ID, "state", m.State, "share", m.Share, "version", r.Version)
+		return
+	}
 	s.Proxy.Canary.SetState(m)
 	s.Log.Info("state of move received", "move", m.ID, "state", m.State, "share", m.Share, "reason", m.Reason, "version", r.Version)
 }
 
+// isOlderState reports whether the row of a move's state returned with a restore of the store, so that the known state of
+// the same move is at least as new.
+func (s *Site) isOlderState(m move.Move, version int64) bool {
+	_, known := s.Proxy.Canary.State(m.Entry, m.ID)
+	return known && eras.Of(version) > eras.Of(m.Fence)
+}
+
 func isMoveRow(key string) bool { return strings.HasPrefix(key, movePrefix) }
 
 // setPeerTrials stores a peer's counts of trials of the running moves.
@@ -102,6 +129,10 @@
 // stepMoves decides the next step of each requested move, and writes it if the share or state changes. Only the lease
 // holder calls it.
 func (s *Site) stepMoves(ctx context.Context) {
+	fence, _ := s.leases.Held(leaseKey)
+	if era := eras.Of(fence); era > s.movesEra {
+		s.rewriteMoves(ctx, era)
+	}
 	for _, requested := range s.Proxy.Canary.Requested() {
 		m, begun := s.Proxy.Canary.State(requested.Entry, requested.ID)
 		if begun && m.Ended() {
@@ -124,6 +155,18 @@
 	}
 }
 
+// rewriteMoves writes the known states of moves again in a new era of the store, as they may be lost.
+func (s *Site) rewriteMoves(ctx context.Context, era eras.Era) {
+	s.movesEra = era
+	s.reportedStates = nil
+	for _, requested := range s.Proxy.Canary.Requested() {
+		m, begun := s.Proxy.Canary.State(requested.Entry, requested.ID)
+		if begun && !s.writeMoveState(ctx, m, s.allTrials(m.ID)) {
+			s.movesEra = 0
+		}
+	}
+}
+
 // trialsSinceStep returns the trials since the move's share last changed.
 func (s *Site) trialsSinceStep(m move.Move, total []trial.Trial) []trial.Trial {
 	var out []trial.Trial
@@ -139,21 +182,21 @@
 }
 
 // writeMoveState writes a move's state into the hosts' table, from which all hosts read it, and then its status for the
-// operator.
-func (s *Site) writeMoveState(ctx context.Context, m move.Move, total []trial.Trial) {
+// operator. It reports whether the table took the state.
+func (s *Site) writeMoveState(ctx context.Context, m move.Move, total []trial.Trial) bool {
 	fence, held := s.leases.Held(leaseKey)
 	if !held {
-		return
+		return false
 	}
 	m.Fence = fence
 	value, err := json.Marshal(m)
 	if err != nil {
 		s.Log.Error("cannot encode the state of a move", "move", m.ID, "error", err)
-		return
+		return false
 	}
 	if _, err := s.Hosts.Commit(ctx, table.Txn{}.Put(movePrefix+string(m.Entry), value)); err != nil {
 		s.Log.Warn("cannot write the state of a move; retrying at the next step", "move", m.ID, "state", m.State, "error", err)
-		return
+		return false
 	}
 	if s.baseline == nil {
 		s.baseline = map[label.Name][]trial.Trial{}
@@ -162,6 +205,7 @@
 	s.Proxy.Canary.SetState(m)
 	s.Log.Info("move stepped", "move", m.ID, "state", m.State, "share", m.Share, "reason", m.Reason, "evidence", total, "fence", fence)
 	s.writeMoveStatus(ctx, m)
+	return true
 }
 
 // writeMoveStatus writes a move's status for the operator, once for each state.
