Let the stand-in's store come back from an older copy

Tests could not play a store that comes back from a copy some seconds old: the stand-in's versions only rose, and its answers had no Store-Era.

POST /fault?restore=SECONDS undoes those since, rows and version counter alike, raises the era that each of its answers names, and ends waiting feeds. A feed after a version that the store doesn't have gets 410.

GET /seen also has the era, and the calls of the duties with holder and fencing number, accepted or refused. Orders of endpoints with a lower fencing number than the last one of the same subject are refused, as usage reports already are.

--- a/standin/rows.go
+++ b/standin/rows.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -39,6 +41,11 @@
 	mu   sync.Mutex
 	rows map[[2]string]siteRow
 	ver  int64
+	// era counts the restores, from 1 on. history holds the latest changes, which a restore undoes.
+	era     int64
+	history []rowChange
+	// operatorValues holds what the operator wrote last, by key. It is written again after a restore.
+	operatorValues map[string][]byte
 	// oldestVer is the oldest version of which the feed still has the changes; earlier ones are compacted.
 	oldestVer int64
 	// reads counts the read requests of each table.
@@ -51,15 +58,23 @@
 func (s *rowStore) put(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.putLocked(table, key, value)
+}
+
+func (s *rowStore) putLocked(table, key string, value []byte) {
 	s.ver++
-	s.rows[[2]string{table, key}] = siteRow{Table: table, Key: key, Value: value, Ver: s.ver}
+	s.set(siteRow{Table: table, Key: key, Value: value, Ver: s.ver})
 }
 
 func (s *rowStore) remove(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.removeLocked(table, key)
+}
+
+func (s *rowStore) removeLocked(table, key string) {
 	s.ver++
-	s.rows[[2]string{table, key}] = siteRow{Table: table, Key: key, Ver: s.ver, Tombstone: true}
+	s.set(siteRow{Table: table, Key: key, Ver: s.ver, Tombstone: true})
 }
 
 // handle registers the store's handlers on a mux.
@@ -67,27 +82,44 @@
 	mux.HandleFunc("POST /rows-tx", s.faulty(s.commit))
 	mux.HandleFunc("GET /rows-get", s.faulty(s.get))
 	mux.HandleFunc("GET /rows-feed", s.faulty(s.feed))
-	mux.HandleFunc("POST /fault", func(_ http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		q := r.URL.Query()
-		s.down, s.loseResponses = q.Has("down"), q.Has("lost")
-		if q.Has("compact") {
-			s.oldestVer = s.ver + 1
-		}
+	mux.HandleFunc("POST /fault", s.setFaults)
+	mux.HandleFunc("PUT /op/{key}", func(_ http.ResponseWriter, r *http.Request) {
+		value, _ := io.ReadAll(r.Body)
+		s.putOperator(r.PathValue("key"), value)
 	})
 }
 
+// setFaults replaces the faults of the store and carries out those that last no time:
+// /fault?down&lost&compact&restore=SECONDS, where restore brings back the rows of that many seconds ago.
+func (s *rowStore) setFaults(_ http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := r.URL.Query()
+	s.down, s.loseResponses = q.Has("down"), q.Has("lost")
+	if q.Has("compact") {
+		s.oldestVer = s.ver + 1
+	}
+	if seconds, err := strconv.ParseFloat(q.Get("restore"), 64); err == nil {
+		s.restore(time.Duration(seconds * float64(time.Second)))
+	}
+}
+
+// answer writes a response of the store. The caller holds mu, so that era and rows are those of the same moment.
+func (s *rowStore) answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	if body != nil {
+		w.Header().Set("Content-Type", "application/json")
+	}
+	w.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
+
 func (s *rowStore) faulty(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		if r.Method == http.MethodGet {
-			s.reads[r.URL.Query().Get("table")]++
-		}
-		down, lost := s.down, s.loseResponses
-		s.mu.Unlock()
-		if down {
-			w.WriteHeader(http.StatusServiceUnavailable)
+		refused, lost := s.begin(w, r)
+		if refused {
 			return
 		}
 		next(w, r)
@@ -97,34 +129,47 @@
 	}
 }
 
+// begin counts a call, answers it if the store is down, and reports whether its response is to be lost.
+func (s *rowStore) begin(w http.ResponseWriter, r *http.Request) (refused, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Method == http.MethodGet {
+		s.reads[r.URL.Query().Get("table")]++
+	}
+	if s.down {
+		s.answer(w, http.StatusServiceUnavailable, nil)
+	}
+	return s.down, s.loseResponses
+}
+
 func (s *rowStore) commit(w http.ResponseWriter, r *http.Request) {
 	var t siteTxn
-	if err := read(r, &t); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
+	err := read(r, &t)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err != nil {
+		s.answer(w, http.StatusBadRequest, nil)
+		return
+	}
 	for _, c := range t.ExpectedRev {
 		row := s.rows[[2]string{c.Table, c.Key}]
 		if row.Tombstone {
 			row.Ver = 0
 		}
 		if row.Ver != c.Ver {
-			w.WriteHeader(http.StatusPreconditionFailed)
-			reply(w, siteAnswer{Ver: s.ver})
+			s.answer(w, http.StatusPreconditionFailed, siteAnswer{Ver: s.ver})
 			return
 		}
 	}
 	s.ver++
 	for _, p := range t.Puts {
 		p.Ver = s.ver
-		s.rows[[2]string{p.Table, p.Key}] = p
+		s.set(p)
 	}
 	for _, p := range t.Remove {
-		s.rows[[2]string{p.Table, p.Key}] = siteRow{Table: p.Table, Key: p.Key, Ver: s.ver, Tombstone: true}
+		s.set(siteRow{Table: p.Table, Key: p.Key, Ver: s.ver, Tombstone: true})
 	}
-	reply(w, siteAnswer{Ver: s.ver})
+	s.answer(w, http.StatusOK, siteAnswer{Ver: s.ver})
 }
 
 // find returns the rows of a table for which match returns true, in the order of their versions.
@@ -144,36 +189,45 @@
 	from, to := q.Get("from"), q.Get("to")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply(w, s.find(q.Get("table"), func(row siteRow) bool {
+	s.answer(w, http.StatusOK, s.find(q.Get("table"), func(row siteRow) bool {
 		return !row.Tombstone && row.Key >= from && (to == "" || row.Key < to)
 	}))
 }
 
 func (s *rowStore) feed(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
-	wait, _ := strconv.Atoi(q.Get("waitMs"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
-	for {
-		s.mu.Lock()
-		compacted, down := after+1 < s.oldestVer, s.down
-		a := s.find(q.Get("table"), func(row siteRow) bool { return row.Ver > after })
-		s.mu.Unlock()
-		switch {
-		case compacted:
-			w.WriteHeader(http.StatusGone)
-			return
-		case down:
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		case len(a.Rows) > 0 || time.Now().After(until) || r.Context().Err() != nil:
-			reply(w, a)
-			return
-		}
+	for era := s.currentEra(); !s.answerFeed(w, r, era, until); {
 		time.Sleep(feedPollPeriod)
 	}
 }
 
+func (s *rowStore) currentEra() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// answerFeed answers a feed request of an era if it need not wait any longer, and reports whether it has.
+func (s *rowStore) answerFeed(w http.ResponseWriter, r *http.Request, era int64, until time.Time) bool {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changes := s.find(q.Get("table"), func(row siteRow) bool { return row.Ver > after })
+	switch {
+	case s.down || era != s.era:
+		s.answer(w, http.StatusServiceUnavailable, nil)
+	case after+1 < s.oldestVer || after > s.ver:
+		s.answer(w, http.StatusGone, nil)
+	case len(changes.Rows) > 0 || time.Now().After(until) || r.Context().Err() != nil:
+		s.answer(w, http.StatusOK, changes)
+	default:
+		return false
+	}
+	return true
+}
+
 // readCounts returns the number of read requests of each table so far.
 func (s *rowStore) readCounts() map[string]int {
 	s.mu.Lock()
--- a/standin/site.go
+++ b/standin/site.go
@@ -67,8 +67,12 @@
 	// limitEvents holds the changes of request limits and the requests that arrived after the first one, by endpoint.
 	limitEvents map[string][]limitEvent
 	reports     map[int64][]json.RawMessage
-	// fence is the highest fencing number of a usage report.
-	fence int64
+	// fence is the highest fencing number of an accepted usage report, and scaleFences that of the orders of endpoints by
+	// service and data centre.
+	fence       int64
+	scaleFences map[string]int64
+	// dutyCalls holds the calls that only the holder of the duties' lease makes.
+	dutyCalls []dutyCall
 	// crashingParts are the prompt parts that crash endpoints, and restartTime is how long they are down.
 	crashingParts map[string]bool
 	restartTime   time.Duration
@@ -81,23 +85,25 @@
 	ctx   context.Context
 }
 
+// usageReport is the body of a usage report.
+type usageReport struct {
+	WindowNumber int64           `json:"windowNumber"`
+	Counts       json.RawMessage `json:"counts"`
+}
+
 // Run serves the simulated platform until ctx ends.
 func (c *siteCmd) Run(ctx context.Context) error {
 	p := &sitePlatform{
-		store:   &rowStore{rows: map[[2]string]siteRow{}, reads: map[string]int{}},
+		store:   &rowStore{rows: map[[2]string]siteRow{}, reads: map[string]int{}, era: 1, operatorValues: map[string][]byte{}},
 		servers: map[string]*siteServer{}, runs: map[string]int{}, arrivals: map[string]int{}, limitEvents: map[string][]limitEvent{}, versions: map[string]int{}, reports: map[int64][]json.RawMessage{},
-		crashingParts: map[string]bool{}, killed: map[string]bool{},
+		crashingParts: map[string]bool{}, killed: map[string]bool{}, scaleFences: map[string]int64{},
 	}
 	mux := http.NewServeMux()
 	p.store.handle(mux)
-	mux.HandleFunc("PUT /op/{key}", func(_ http.ResponseWriter, r *http.Request) {
-		value, _ := io.ReadAll(r.Body)
-		p.store.put("op", r.PathValue("key"), value)
-	})
 	mux.HandleFunc("POST /kill", func(_ http.ResponseWriter, r *http.Request) { p.kill(r.URL.Query().Get("id")) })
 	mux.HandleFunc("POST /trouble", p.setEndpointFaults)
 	mux.HandleFunc("POST /usage", p.recordUsage)
-	mux.HandleFunc("POST /scale", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("POST /scale", p.recordScale)
 	mux.HandleFunc("POST /poison", p.addCrashingPart)
 	mux.HandleFunc("GET /seen", p.getObserved)
 	g, ctx := errgroup.WithContext(ctx)
@@ -223,28 +229,11 @@
 	}
 }
 
-// recordUsage stores a usage report, and refuses a malformed one or one with a stale fencing number with status 409.
-func (p *sitePlatform) recordUsage(w http.ResponseWriter, r *http.Request) {
-	var u struct {
-		WindowNumber int64           `json:"windowNumber"`
-		Counts       json.RawMessage `json:"counts"`
-	}
-	fence, _ := strconv.ParseInt(r.Header.Get("Dragonflyroute-Fencing-Token"), 10, 64)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err := read(r, &u); err != nil || fence < p.fence {
-		w.WriteHeader(http.StatusConflict)
-		return
-	}
-	p.fence = fence
-	p.reports[u.WindowNumber] = append(p.reports[u.WindowNumber], u.Counts)
-}
-
 // getObserved answers with the counts, usage reports and status rows that the endpoints and the platform have recorded.
 func (p *sitePlatform) getObserved(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reply(w, map[string]any{
-		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "crashes": p.crashEvents, "status": p.store.statuses(),
+		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "crashes": p.crashEvents, "status": p.store.statuses(), "era": p.store.currentEra(), "duties": p.dutyCalls,
 	})
 }
--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -64,11 +64,16 @@
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":%d},
  "tenants":[{"name":"mutual","apiKeys":[%s]}]}`
 
-func newSite(hosts int) *site {
-	s := &site{}
+// newPlatform starts the stand-in without hosts.
+func newPlatform(args ...string) *site {
 	address := freeAddress()
-	s.platform = start("standin", address, "site", "--listen", address)
+	s := &site{platform: start("standin", address, append([]string{"site", "--listen", address}, args...)...)}
 	Eventually(func() error { return ping(address + "/seen") }).Should(Succeed())
+	return s
+}
+
+func newSite(hosts int) *site {
+	s := newPlatform()
 	for i := range hosts {
 		s.startHost(i)
 	}
--- a/test/scene/soak_test.go
+++ b/test/scene/soak_test.go
@@ -111,10 +111,8 @@
 }
 
 func newSoak(seed uint64, hosts int) *soak {
-	k := &soak{site: &site{linkPeers: true}, rand: rand.New(rand.NewPCG(seed, 1)), endpointLinks: map[string]*link{}, stopped: map[int]bool{}, stoppedAt: map[int]time.Time{}, killed: map[int]bool{}, prompts: soakPrompts{starts: map[int]period{}, storeFaults: map[int][]period{}}}
-	address := freeAddress()
-	k.platform = start("standin", address, "site", "--listen", address, "--endpoints", "0")
-	Eventually(func() error { return ping(address + "/seen") }).Should(Succeed())
+	k := &soak{site: newPlatform("--endpoints", "0"), rand: rand.New(rand.NewPCG(seed, 1)), endpointLinks: map[string]*link{}, stopped: map[int]bool{}, stoppedAt: map[int]time.Time{}, killed: map[int]bool{}, prompts: soakPrompts{starts: map[int]period{}, storeFaults: map[int][]period{}}}
+	k.linkPeers = true
 	k.checker = newChecker()
 	for range hosts {
 		k.addHost()
