--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -54,6 +54,8 @@
 	Reports map[string][]map[string]json.Number `json:"reports"`
 	// Crashes holds the arrivals of requests with a part that crashes endpoints, and the crashes.
 	Crashes []crashEvent `json:"crashes"`
+	// Duties holds the calls of the duties, in the order of their arrival.
+	Duties []dutyCall `json:"duties"`
 }
 
 const siteConfig = `{"version":%d,"routes":[
--- a/test/scene/soak_test.go
+++ b/test/scene/soak_test.go
@@ -150,8 +150,7 @@
 func (k *soak) putNextConfiguration() {
 	k.version++
 	k.key = fmt.Sprintf("key-%d", k.version)
-	route := fmt.Sprintf(`,{"name":"only-%d","host":"plans.example","prefix":"/only-%d/","kind":"idempotent","timeoutMs":8000,"service":"plume","maxAttempts":2,"public":true}`, k.version, k.version)
-	k.configure(k.version, route, strconv.Quote(k.key)+`,"always"`)
+	k.configure(k.version, onlyRoute(k.version), strconv.Quote(k.key)+`,"always"`)
 	k.checker.configured(k.version)
 }
 
