Write a host's own row again when a restore has lost it

What callers saw: address answers and duties without a host that had joined since the copy.

Cause: a host wrote its row again only if it had read it before. One that joined just before the restore had not, and did not notice that its row was gone.

Change: the row is missing if the table has a later version than that of the row as written, and lacks it, or has it from an earlier start.

--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -202,6 +202,9 @@
 		}
 		s.hostRows[r.Key] = row
 	}
+	for _, r := range all {
+		s.hostsVersion = max(s.hostsVersion, r.Version)
+	}
 	var list []roster.Row
 	for _, row := range s.hostRows {
 		list = append(list, row)
@@ -209,8 +212,8 @@
 	s.fleet.SetListed(list)
 	own, listed := s.hostRows[string(s.Host)]
 	listed = listed && own.StartMillis == s.incarnation
-	s.rowMissing.Store(s.wasListed && !listed)
-	s.wasListed = s.wasListed || listed
+	written := s.rowVersion.Load()
+	s.rowMissing.Store(written > 0 && !listed && s.hostsVersion > written)
 	s.Log.Info("entry hosts updated", "hosts", len(list), "this-one", listed)
 }
 
@@ -226,8 +229,9 @@
 		return
 	}
 	for ctx.Err() == nil {
-		_, err := s.Hosts.Commit(ctx, table.Txn{}.Put(string(s.Host), value))
+		version, err := s.Hosts.Commit(ctx, table.Txn{}.Put(string(s.Host), value))
 		if err == nil {
+			s.rowVersion.Store(version)
 			s.Log.Info("own row written", "state", row.State)
 			return
 		}
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -174,11 +174,14 @@
 	report    *report.Report
 	// hostCount caches the number of hosts for hostCountTTL.
 	hostCount atomic.Pointer[hostCount]
-	// hostRows holds the rows of the entry hosts. Only the watcher of their table uses hostRows and wasListed.
-	hostRows map[string]roster.Row
-	// wasListed is true once the row of this host was read, and rowMissing while the row is missing after that. downSince
-	// is when each host that is down was first found down; only the goroutine of runLeaseHolder uses it.
-	wasListed  bool
+	// hostRows holds the rows of the entry hosts, and hostsVersion the highest version of any row of their table. Only the
+	// watcher of that table uses them.
+	hostRows     map[string]roster.Row
+	hostsVersion int64
+	// rowVersion is the version of this host's own row as last written, 0 before, and rowMissing is set while a later version
+	// of the table lacks the row. downSince is when each host that is down was first found down; only the goroutine of
+	// runLeaseHolder uses it.
+	rowVersion atomic.Int64
 	rowMissing atomic.Bool
 	downSince  map[host.ID]time.Time
 	sequence   atomic.Int64
