Pass on the removal of rows that a reader never had

What callers saw: requests to an endpoint that had left (DRAIN), in large fleets.

Cause: a mirror dropped the removal of a row that it did not have: one that was written and removed between two of its reads, or that it had not got yet. A host that had the row from another reader never learned of the removal.

Ruled out: the era; it happens without a restore too.

Change: a removal above the mirror's version is kept as a change.

Test: state/mirror "sends the removal of a row that it never had, once" failed before, and passes now.

--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -101,7 +101,7 @@
 			r.Version = version
 		}
 		old, existed := m.rows[r.Key]
-		if existed && old.Version >= r.Version || !existed && r.Deleted {
+		if existed && old.Version >= r.Version || !existed && r.Deleted && r.Version <= m.version {
 			continue
 		}
 		if r.Deleted {
--- a/state/mirror/mirror_test.go
+++ b/state/mirror/mirror_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/delta"
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
 	"github.com/dragonflyroute/dragonflyroute/state/mirror"
 )
@@ -83,6 +84,24 @@
 		Expect(keys(changesSince(10))).To(ConsistOf("b-"))
 	})
 
+	// Guards against a host that keeps a row which this one never saw: it was written and removed between two reads.
+	It("sends the removal of a row that it never had, once", func() {
+		m.Update([]record.Record{removed("c", 12)}, 12, at)
+		m.Update([]record.Record{removed("c", 12)}, 12, at)
+		Expect(keys(changesSince(11))).To(Equal([]string{"c-"}))
+		Expect(keys(changesSince(12))).To(BeEmpty())
+	})
+
+	// Guards against changes of two histories of the table in one answer.
+	It("sends all rows to a host that has a version of an earlier era", func() {
+		version := eras.Era(1).Qualify(4)
+		m.Replace([]record.Record{row("a", "1", version)}, version, at)
+		d := changesSince(10)
+		Expect(d.IsSnapshot()).To(BeTrue())
+		Expect(keys(d)).To(Equal([]string{"a=1"}))
+		Expect(changesSince(version).IsSnapshot()).To(BeFalse())
+	})
+
 	It("sends removed rows for which the table gave no version", func() {
 		m.Update([]record.Record{removed("a", 0)}, 17, at)
 		Expect(keys(changesSince(10))).To(ConsistOf("a-"))
