Tell callers for how long they may keep an idle connection

What callers saw: a request on a connection that the host was closing, and that they had to send again.

Change: answers carry Keep-Alive with the idle limit less a second, if that leaves one.

--- a/transport/site/serve.go
+++ b/transport/site/serve.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -21,6 +22,9 @@
 	// idleTimeout is the idle timeout of connections. Callers' connections are closed earlier if the operator's idle
 	// timeout is shorter.
 	idleTimeout = 5 * time.Minute
+	// keepAliveMargin is how much earlier than the idle timeout callers are told to stop using a connection: the time that a
+	// request may be on its way.
+	keepAliveMargin = time.Second
 	// gaugeInterval is the time between updates of the gauges.
 	gaugeInterval = time.Second
 	// shortReadTimeout bounds the time until an address look-up, a readiness check or a request for metrics has arrived.
@@ -43,7 +47,7 @@
 // requestServer returns the server for callers' requests, which closes idle connections by s.idle.
 func (s *Site) requestServer() *http.Server {
 	return &http.Server{
-		Handler:           s.countInFlight(s.RequestHandler),
+		Handler:           s.countInFlight(s.announceIdleLimit(s.RequestHandler)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -61,6 +65,17 @@
 	return cfg.IdleTimeout
 }
 
+// announceIdleLimit names the operator's idle timeout in each answer, so that callers do not send a request on a connection
+// that is about to be closed. A draining host closes its connections in any case.
+func (s *Site) announceIdleLimit(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if seconds := int((s.idleLimit() - keepAliveMargin) / time.Second); seconds > 0 {
+			w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // countInFlight counts the requests in flight.
 func (s *Site) countInFlight(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
