--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -252,13 +252,6 @@
 }
 
 var _ = Describe("the users' platform", func() {
-	// Guards against requests on connections that the host is about to close, as callers do not know its idle timeout.
-	It("tells callers for how long they may keep an idle connection", func() {
-		s := newSite(1)
-		Expect(s.request(0, "/call/x", "k1").header.Get("Keep-Alive")).To(Equal("timeout=14"))
-		Expect(s.request(0, "/nothing/x", "k1").header.Get("Keep-Alive")).To(Equal("timeout=14"))
-	})
-
 	It("serves calls and streams on configured routes with valid keys, and runs each call once", func() {
 		s := newSite(2)
 		answer := s.request(0, "/call/x", "k1")
