Log and count what tells the causes of closed connections and lost tables apart

Cause: the logs could not tell whether a connection was closed at its idle limit, nor whether a request had come at that moment; a copy from another host ended an outage without a line; an endpoint that a list lacked was only named when it was removed. Change: counters idle_connections_closed_total and requests_at_idle_limit_total; lines "table known again through another host" and "endpoint not listed; kept for the rest of the grace period". Test: transport/idle checks both counters.

--- a/coordination/syncer/syncer.go
+++ b/coordination/syncer/syncer.go
@@ -231,6 +231,9 @@
 		if s.missing == nil {
 			s.missing = map[endpt.ID]bool{}
 		}
+		if !s.missing[id] {
+			s.Log.Info("endpoint not listed; kept for the rest of the grace period", "endpoint", id)
+		}
 		s.missing[id] = true
 		return
 	}
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -210,6 +210,9 @@
 		// The other host gets no answers either, so the outage is not over; its end is found by this host's own reads.
 		return false
 	}
+	if w.failures >= unreachableAfter {
+		w.Log.Info("table known again through another host", "table", w.Name, "version", d.Version, "age-ms", d.AgeMillis, "complete", d.IsSnapshot())
+	}
 	w.failures = 0
 	w.recordEra(d.Version)
 	w.apply(d.Rows, d.Version, d.IsSnapshot(), sent.Add(-age))
--- a/transport/idle/idle.go
+++ b/transport/idle/idle.go
@@ -22,6 +22,8 @@
 type Closer struct {
 	// Limit returns the present idle timeout, 0 for none; nil means that there is none.
 	Limit func() time.Duration
+	// Count adds to a counter of the process; nil means that nothing is counted.
+	Count func(name string, n int64)
 
 	mu sync.Mutex
 	// open holds the connections that are neither closed nor hijacked.
@@ -42,7 +44,7 @@
 func (c *Closer) ConnState(conn net.Conn, now http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endWait(conn)
+	c.endWait(conn, now)
 	switch now {
 	case http.StateNew, http.StateActive:
 		c.set(conn, &state{})
@@ -101,7 +103,7 @@
 
 // endWait ends the wait of a connection, if it waits. If the next request has come while the wait expired, the connection
 // goes on without the deadline. The caller holds c.mu.
-func (c *Closer) endWait(conn net.Conn) {
+func (c *Closer) endWait(conn net.Conn, now http.ConnState) {
 	s := c.open[conn]
 	if s == nil {
 		return
@@ -111,9 +113,22 @@
 	}
 	if s.expired {
 		_ = conn.SetReadDeadline(time.Time{})
+		c.countExpired(now)
 	}
 }
 
+// countExpired counts how a wait ended that had expired: the connection was closed, or its next request had come.
+func (c *Closer) countExpired(now http.ConnState) {
+	if c.Count == nil {
+		return
+	}
+	name := "idle_connections_closed_total"
+	if now == http.StateActive {
+		name = "requests_at_idle_limit_total"
+	}
+	c.Count(name, 1)
+}
+
 // timeout ends the wait of a connection, unless its next request has come meanwhile. It is repeated while the wait lasts, as
 // the server sets a deadline of its own after ConnState.
 func (c *Closer) timeout(conn net.Conn, s *state, limit time.Duration) {
--- a/transport/idle/idle_test.go
+++ b/transport/idle/idle_test.go
@@ -116,7 +116,15 @@
 		closer  *idle.Closer
 		mu      sync.Mutex
 		current time.Duration
+		counted map[string]int64
 	)
+	count := func(name string) func() int64 {
+		return func() int64 {
+			mu.Lock()
+			defer mu.Unlock()
+			return counted[name]
+		}
+	}
 	setLimit := func(d time.Duration) {
 		mu.Lock()
 		defer mu.Unlock()
@@ -126,11 +134,19 @@
 		delayed.Store(false)
 		handled.Store(0)
 		setLimit(limit)
-		closer = &idle.Closer{Limit: func() time.Duration {
-			mu.Lock()
-			defer mu.Unlock()
-			return current
-		}}
+		counted = map[string]int64{}
+		closer = &idle.Closer{
+			Limit: func() time.Duration {
+				mu.Lock()
+				defer mu.Unlock()
+				return current
+			},
+			Count: func(name string, n int64) {
+				mu.Lock()
+				defer mu.Unlock()
+				counted[name] += n
+			},
+		}
 	})
 
 	It("closes a connection that has been idle for the limit", func() {
@@ -139,6 +155,7 @@
 		Expect(c.receive()).To(Equal("one"))
 		_, err := c.receive()
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Eventually(count("idle_connections_closed_total")).Should(Equal(int64(1)))
 	})
 
 	// Guards against a request that is handled although its connection is closed: the limit ends while a busy process has
@@ -155,6 +172,7 @@
 		Eventually(handled.Load).Should(Equal(int64(2)), "requests handled")
 		Expect(err).NotTo(HaveOccurred(), "the answer to a request that was handled")
 		Expect(body).To(Equal("two"))
+		Expect(count("requests_at_idle_limit_total")()).To(Equal(int64(1)))
 	})
 
 	// Guards against a planned stop that closes the connection of a request that it is about to handle.
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -218,7 +218,7 @@
 	s.incarnation = time.Now().UnixNano()
 	s.exiting, s.endRequests = context.WithCancel(context.Background())
 	s.Meter = meter.New()
-	s.idle.Limit = s.idleLimit
+	s.idle.Limit, s.idle.Count = s.idleLimit, s.Meter.Count
 	s.Policy = &policy.Policy{}
 	s.Registry = &endreg.Registry{}
 	s.usage = &usage.Usage{WindowLength: s.UsageWindow}
