Answer requests whose headers arrive in parts at the idle limit or at a stop

What callers saw: a request whose header needed more than one read could end without an answer as the limit ended, and at a stop within 20 ms; a connection that was accepted just before the stop too.

Cause: the connection counted as idle until its request's whole header was read, and a server takes an accepted connection up only after Accept has returned.

Change: connections tell of their first byte (transport/idle Listener), and of their acceptance; from then on they are not idle and Drain waits for them.

Test: transport/idle "whose header needs more than one read", "whose header arrives in two parts when the process stops" and "drains a connection that was accepted before the listener was closed" failed before, found in review; "that came together with the one before" is new.

--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -157,7 +157,7 @@
 		return closer.Drain(stop)
 	})
 	g.Go(func() error {
-		err := s.Serve(&limitListener{Listener: l, max: int64(f.Settings.Bounds.MaxConnections), buffer: f.Settings.Bounds.WriteBuffer})
+		err := s.Serve(closer.Listener(&limitListener{Listener: l, max: int64(f.Settings.Bounds.MaxConnections), buffer: f.Settings.Bounds.WriteBuffer}))
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
--- a/transport/idle/review_accept_test.go
+++ b/transport/idle/accept_test.go
@@ -36,7 +36,7 @@
 			_, _ = io.WriteString(w, "one")
 		})}
 		var serving sync.WaitGroup
-		serving.Go(func() { _ = server.Serve(&lateListener{l}) })
+		serving.Go(func() { _ = server.Serve(closer.Listener(&lateListener{l})) })
 		DeferCleanup(serving.Wait)
 		conn, err := net.Dial("tcp", l.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
--- a/transport/idle/review_test.go
+++ b/transport/idle/header_test.go
@@ -30,6 +30,21 @@
 		Expect(c.receive()).To(Equal("two"))
 	})
 
+	// Guards against a limit that ends while a request is handled that came along with the one before.
+	It("answers a request that came together with the one before", func() {
+		var delayed atomic.Bool
+		var handled atomic.Int64
+		closer := &idle.Closer{Limit: func() time.Duration { return limit }}
+		c, _ := startServer(closer, &delayed, &handled)
+		_, err := fmt.Fprint(c.conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nt")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.receive()).To(Equal("one"))
+		time.Sleep(2 * limit)
+		_, err = fmt.Fprint(c.conn, "wo")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.receive()).To(Equal("two"))
+	})
+
 	// Guards against the same at a planned stop: the header comes in two parts around a look for idle connections.
 	It("answers a request whose header arrives in two parts when the process stops", func() {
 		var delayed atomic.Bool
--- a/transport/idle/idle.go
+++ b/transport/idle/idle.go
@@ -14,9 +14,10 @@
 
 // Closer closes idle connections after a limit that may change while the process runs, and at a stop.
 //
-// A connection is not closed directly: a deadline ends its pending read, upon which the server closes it. A direct close
-// could cut a request that is about to be handled, as the server reports a connection as idle until it has read the whole
-// header of the next request. Shutdown of http.Server closes directly, so that Drain is used in its place.
+// A connection is not closed directly: a deadline ends its pending read, upon which the server closes it. It is idle only
+// until the first byte of the next request has been read, which the connections of Listener report: the server itself
+// reports it as idle until it has read the whole header. Shutdown of http.Server goes by that report and closes directly, so
+// that Drain is used in its place.
 //
 // The exported fields are set before its first use. All methods may be called concurrently.
 type Closer struct {
@@ -26,6 +27,8 @@
 	Count func(name string, n int64)
 
 	mu sync.Mutex
+	// accepting is the number of calls of Accept in progress.
+	accepting int
 	// open holds the connections that are neither closed nor hijacked.
 	open map[net.Conn]*state
 }
@@ -34,28 +37,35 @@
 type state struct {
 	// idle is set while the connection waits for its next request.
 	idle bool
-	// timer ends the wait, nil without a limit.
+	// waits is the number of waits so far, and timer ends the present one; it is nil without a limit.
+	waits int
 	timer *time.Timer
 	// expired is set once the deadline is set that ends the wait.
 	expired bool
 }
 
-// ConnState follows the state of a connection. It is the ConnState hook of an http.Server.
+// Listener returns a listener whose connections the Closer follows.
+func (c *Closer) Listener(l net.Listener) net.Listener { return &listener{Listener: l, closer: c} }
+
+// ConnState follows the state of a connection. It is the ConnState hook of the http.Server that serves Listener.
 func (c *Closer) ConnState(conn net.Conn, now http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endWait(conn, now)
 	switch now {
-	case http.StateNew, http.StateActive:
-		c.set(conn, &state{})
 	case http.StateIdle:
 		c.wait(conn)
+	case http.StateActive:
+		// The request may have been read along with the one before.
+		c.endWait(conn)
 	case http.StateClosed, http.StateHijacked:
-		delete(c.open, conn)
+		c.forget(conn)
+	case http.StateNew:
+		// Known since it was accepted.
 	}
 }
 
-// Drain closes connections as they become idle, until none is open. It returns the error of ctx if that ends before.
+// Drain closes connections as they become idle, until the listener accepts none and none is open. It returns the error of
+// ctx if that ends before. The listener must be closed.
 func (c *Closer) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
@@ -69,7 +79,7 @@
 	return nil
 }
 
-// expireIdle ends the wait of all idle connections and returns the number of open connections.
+// expireIdle ends the wait of all idle connections and returns the number of connections that are open or being accepted.
 func (c *Closer) expireIdle() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -78,69 +88,110 @@
 			expire(conn, s)
 		}
 	}
-	return len(c.open)
+	return len(c.open) + c.accepting
+}
+
+func (c *Closer) beginAccept() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepting++
 }
 
-// set sets the state of a connection. The caller holds c.mu.
-func (c *Closer) set(conn net.Conn, s *state) {
+// endAccept records that a call of Accept returned a connection, or nil.
+func (c *Closer) endAccept(accepted net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepting--
+	if accepted == nil {
+		return
+	}
 	if c.open == nil {
 		c.open = map[net.Conn]*state{}
 	}
-	c.open[conn] = s
+	c.open[accepted] = &state{}
+}
+
+// received ends the wait of a connection whose next request has begun to arrive.
+func (c *Closer) received(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endWait(conn)
+}
+
+// endWait ends the wait of a connection. If the wait has expired meanwhile, the connection goes on without the deadline. The
+// caller holds c.mu.
+func (c *Closer) endWait(conn net.Conn) {
+	s := c.open[conn]
+	if s == nil || !s.idle {
+		return
+	}
+	s.end()
+	if s.expired {
+		s.expired = false
+		_ = conn.SetReadDeadline(time.Time{})
+		c.count("requests_at_idle_limit_total")
+	}
 }
 
 // wait starts the wait of a connection for its next request. The caller holds c.mu.
 func (c *Closer) wait(conn net.Conn) {
-	s := &state{idle: true}
-	c.set(conn, s)
+	s := c.open[conn]
+	if s == nil {
+		return
+	}
+	s.idle = true
+	s.waits++
 	if c.Limit == nil {
 		return
 	}
 	if limit := c.Limit(); limit > 0 {
-		s.timer = time.AfterFunc(limit, func() { c.timeout(conn, s, limit) })
+		number := s.waits
+		s.timer = time.AfterFunc(limit, func() { c.timeout(conn, number, limit) })
 	}
 }
 
-// endWait ends the wait of a connection, if it waits. If the next request has come while the wait expired, the connection
-// goes on without the deadline. The caller holds c.mu.
-func (c *Closer) endWait(conn net.Conn, now http.ConnState) {
+// forget removes a connection that is closed or hijacked. The caller holds c.mu.
+func (c *Closer) forget(conn net.Conn) {
 	s := c.open[conn]
 	if s == nil {
 		return
 	}
-	if s.timer != nil {
-		s.timer.Stop()
-	}
+	s.end()
 	if s.expired {
-		_ = conn.SetReadDeadline(time.Time{})
-		c.countExpired(now)
+		c.count("idle_connections_closed_total")
 	}
+	delete(c.open, conn)
 }
 
-// countExpired counts how a wait ended that had expired: the connection was closed, or its next request had come.
-func (c *Closer) countExpired(now http.ConnState) {
-	if c.Count == nil {
+// timeout ends a wait of a connection, unless its next request has begun to arrive. It is repeated while the wait lasts, as
+// the server sets a deadline of its own after ConnState.
+func (c *Closer) timeout(conn net.Conn, number int, limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.open[conn]
+	if s == nil || !s.idle || s.waits != number {
 		return
 	}
-	name := "idle_connections_closed_total"
-	if now == http.StateActive {
-		name = "requests_at_idle_limit_total"
+	expire(conn, s)
+	s.timer.Reset(limit)
+}
+
+func (c *Closer) count(name string) {
+	if c.Count != nil {
+		c.Count(name, 1)
 	}
-	c.Count(name, 1)
 }
 
-// timeout ends the wait of a connection, unless its next request has come meanwhile. It is repeated while the wait lasts, as
-// the server sets a deadline of its own after ConnState.
-func (c *Closer) timeout(conn net.Conn, s *state, limit time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.open[conn] == s {
-		expire(conn, s)
-		s.timer.Reset(limit)
+// end ends the wait of a connection.
+func (s *state) end() {
+	s.idle = false
+	if s.timer != nil {
+		s.timer.Stop()
+		s.timer = nil
 	}
 }
 
-// expire sets a deadline that has passed, so that a pending read of the connection ends.
+// expire sets a deadline that has passed, so that a pending read of an idle connection ends.
 func expire(conn net.Conn, s *state) {
 	s.expired = true
 	_ = conn.SetReadDeadline(time.Unix(1, 0))
--- a/transport/idle/idle_test.go
+++ b/transport/idle/idle_test.go
@@ -77,7 +77,7 @@
 		}),
 	}
 	var serving sync.WaitGroup
-	serving.Go(func() { _ = server.Serve(&slowListener{Listener: l, delayed: delayed}) })
+	serving.Go(func() { _ = server.Serve(closer.Listener(&slowListener{Listener: l, delayed: delayed})) })
 	DeferCleanup(func() {
 		_ = server.Close()
 		serving.Wait()
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -174,18 +174,16 @@
 	report    *report.Report
 	// hostCount caches the number of hosts for hostCountTTL.
 	hostCount atomic.Pointer[hostCount]
-	// hostRows holds the rows of the entry hosts, and hostsVersion the highest version of any row of their table. Only the
-	// watcher of that table uses them.
-	hostRows     map[string]roster.Row
-	hostsVersion int64
-	// rowVersion is the version of this host's own row as last written, 0 before, and rowMissing is set while a later version
-	// of the table lacks the row. downSince is when each host that is down was first found down; only the goroutine of
-	// runLeaseHolder uses it.
+	// hostRows holds the rows of the entry hosts. Only the watcher of their table uses it.
+	hostRows map[string]roster.Row
+	// rowVersion is the version of this host's own row as last written, 0 before.
 	rowVersion atomic.Int64
-	rowMissing atomic.Bool
-	downSince  map[host.ID]time.Time
-	sequence   atomic.Int64
-	inFlight   atomic.Int64
+	// rowListed is set while the hosts' table as last read has the row of this start of the host.
+	rowListed atomic.Bool
+	// downSince is when each host that is down was first found down. Only the goroutine of runLeaseHolder uses it.
+	downSince map[host.ID]time.Time
+	sequence  atomic.Int64
+	inFlight  atomic.Int64
 	// peerStats holds the load statistics that came with peers' heartbeats.
 	peerStats tally.Tally
 	// ownTrials counts this process's trials of each move's versions, and peerTrials holds the counts that peers sent;
@@ -302,7 +300,7 @@
 		g.Add(func() error { return task(taskCtx) }, func(error) { stop() })
 	}
 	server := s.requestServer()
-	add(func(c context.Context) error { return serve(c, server, listeners.requests) })
+	add(func(c context.Context) error { return serve(c, server, s.idle.Listener(listeners.requests)) })
 	add(func(c context.Context) error { return serve(c, shortServer(s.DirectoryHandler), listeners.ready) })
 	add(func(c context.Context) error { return serve(c, shortServer(s.DirectoryHandler), listeners.addresses) })
 	add(func(c context.Context) error { return serve(c, shortServer(s.Meter.Handler()), listeners.metrics) })
