End long polls of the era before at once when a restore shows

What callers saw: nothing yet; a poll that the store leaves waiting over its restore would hide changes for up to 5 s (CONFIG). Cause: a poll after a version of the era before waits for one that the restored store gives out only later. Change: the first answer of any table that names a later era ends the polls of all.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"runtime"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,6 +19,7 @@
 	"github.com/dragonflyroute/dragonflyroute/platform/lookup"
 	"github.com/dragonflyroute/dragonflyroute/platform/send"
 	"github.com/dragonflyroute/dragonflyroute/platform/store"
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/transport/dial"
@@ -125,7 +125,7 @@
 	transport := &http.Transport{DialContext: dial.Context, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	cloudTransport := transport.Clone()
 	cloudTransport.DialContext = dial.ResetOnClose
-	era := &atomic.Int64{}
+	era := &eras.Latest{}
 	tableClient := func(table string) *store.Store {
 		return &store.Store{Address: cfg.Store, Table: table, Transport: transport, Timeout: storeTimeout, Era: era}
 	}
