Keep the lease through a failed write in a new era

Cause: the holder's first write after a restore failed, and its next look took the row of the copy for another holder's. What callers saw: nothing; the duties waited for a term. Change: as long as no row was written in the present era, a lease that is held stays held. The model's store takes its copies by a function, with one exported type.

--- a/coordination/elect/elect.go
+++ b/coordination/elect/elect.go
@@ -58,7 +58,8 @@
 	// knownSince is the time since which this process knows of all that holders wrote while it holds the lease.
 	knownSince time.Time
 
-	// era is the store's era at the last read, eraSeen and eraSeenWall when it was first seen; zero times in era 0.
+	// era is the store's era at the last read, eraSeen and eraSeenWall when it was first seen. They stay zero for a store that
+	// has no eras.
 	era                  eras.Era
 	eraSeen, eraSeenWall time.Time
 	// seenID is the write id of the newest renewal seen, by any process, and seenAt when it was first seen.
@@ -118,11 +119,11 @@
 }
 
 // observe records the store's era and when a renewal was first seen, and accepts an own renewal whose answer was lost. It
-// reports whether this process holds the lease, though the row was lost with a restore of the store.
+// reports whether this process holds the lease although the row was lost with a restore: as long as no row was written in
+// the present era, no other process holds it.
 func (e *Elector) observe(row record.Record, current lease.Lease, now time.Time) (held bool) {
 	era := eras.Of(row.Version)
-	restored := era > e.era
-	if restored {
+	if era > e.era {
 		e.era, e.eraSeen, e.eraSeenWall = era, now, e.wall()
 	}
 	if current.Era == era {
@@ -134,7 +135,7 @@
 		e.seenID = current.WriteID
 		e.seenAt = now
 	}
-	if restored {
+	if current.Era != era {
 		_, held = e.Held()
 		return held
 	}
--- a/model/leases/leases.go
+++ b/model/leases/leases.go
@@ -159,15 +159,15 @@
 func (l *History) restore() {
 	for {
 		l.sched.Jitter(maxRestorePause)
-		c := l.store.Copy()
+		restore := l.store.Copy()
 		l.sched.Jitter(maxCopyAge)
 		l.store.Down = true
 		l.sched.Jitter(term)
-		l.store.Restore(c)
+		restore()
 		l.store.Down = false
 		if l.sched.Rand.IntN(3) == 0 {
 			l.sched.Jitter(stepPeriod)
-			l.store.Restore(c)
+			restore()
 		}
 	}
 }
--- a/model/store/store.go
+++ b/model/store/store.go
@@ -36,20 +36,14 @@
 	rows    map[string]record.Record
 }
 
-// Copy is the content of a store at a moment.
-type Copy struct {
-	version int64
-	rows    map[string]record.Record
-}
-
-// Copy returns the present content.
-func (s *Store) Copy() Copy { return Copy{version: s.version, rows: maps.Clone(s.rows)} }
-
-// Restore brings back the content of a copy and starts a new era: versions are given out again, and late writes are applied
-// by them.
-func (s *Store) Restore(c Copy) {
-	s.era++
-	s.version, s.rows = c.version, maps.Clone(c.rows)
+// Copy takes a copy of the present content, which restore brings back: that starts a new era, in which versions are given
+// out again and late writes are applied by them.
+func (s *Store) Copy() (restore func()) {
+	version, rows := s.version, maps.Clone(s.rows)
+	return func() {
+		s.era++
+		s.version, s.rows = version, maps.Clone(rows)
+	}
 }
 
 // Read returns one row; a row that doesn't exist has version zero. The error is kind.Unavailable.
