Pass on rows without a version in every era

Cause: the mirror looked for the version 0 of a row, which has an era now. What callers saw: nothing; only odd rows lack a version. Test: state/mirror, failed before, found in review.

--- a/state/mirror/mirror.go
+++ b/state/mirror/mirror.go
@@ -97,7 +97,7 @@
 func (m *Mirror) apply(rows []record.Record, version int64) {
 	sorted := max(0, len(m.changes)-1)
 	for _, r := range rows {
-		if r.Version == 0 {
+		if eras.Local(r.Version) == 0 {
 			r.Version = version
 		}
 		old, existed := m.rows[r.Key]
