Persist usage counts again also without the lease

What callers saw: nothing; a window could stay unreported though the process that had fixed its counts still ran. Cause: only the holder wrote its counts again after a restore. Change: each process does for the counts that it has fixed or read; no other may count these windows.

--- a/coordination/leases/leases.go
+++ b/coordination/leases/leases.go
@@ -74,7 +74,7 @@
 	e := l.electors[key]
 	l.mu.Unlock()
 	if e == nil {
-		return l.Now()
+		return time.Now()
 	}
 	return e.KnownSince()
 }
--- a/coordination/report/report.go
+++ b/coordination/report/report.go
@@ -68,6 +68,8 @@
 	Complete func(number int64) bool
 	// Held returns the fencing number while the process holds the lease; it is called before each report.
 	Held func() (fence int64, held bool)
+	// Era returns the store's era as last seen; nil stands for that of the last fencing number.
+	Era func() eras.Era
 	// KnownSince returns the time of day since which this process, as the lease holder, knows of all counts that holders
 	// persisted; nil means always.
 	KnownSince func() time.Time
@@ -90,13 +92,13 @@
 	era    eras.Era
 }
 
-// Step sends the reports that can be sent at now.
+// Step sends the reports that can be sent at now, if the process holds the lease, and restores counts that the table has lost.
 func (r *Report) Step(ctx context.Context, now time.Time) {
 	if r.sent == nil {
 		r.sent = map[int64]bool{}
 		r.persisted = map[int64]persisted{}
 	}
-	r.persistLost(ctx)
+	r.persistLost(ctx, now)
 	for number := r.Usage.WindowNumber(now.Add(-r.Deadline)); ; number++ {
 		end := r.Usage.WindowEnd(number)
 		if now.Before(end.Add(settleDelay)) {
@@ -147,7 +149,6 @@
 	}
 	r.sent[number] = true
 	delete(r.sent, r.outdated(number))
-	delete(r.persisted, r.outdated(number))
 	r.Log.Info("usage reported", "window", number, "fence", fence, "counts", counts)
 }
 
@@ -180,14 +181,20 @@
 	return r.KnownSince != nil && r.Usage.WindowEnd(number).Add(settleDelay).Before(r.KnownSince())
 }
 
-// persistLost persists counts again that this process persisted before the store was restored.
-func (r *Report) persistLost(ctx context.Context) {
-	fence, held := r.Held()
-	if !held {
-		return
+// persistLost persists counts again that this process persisted or read before the store was restored, also without the
+// lease: no other process may count such a window. It forgets those that are overdue.
+func (r *Report) persistLost(ctx context.Context, now time.Time) {
+	fence, _ := r.Held()
+	era := eras.Of(fence)
+	if r.Era != nil {
+		era = r.Era()
 	}
 	for number, p := range r.persisted {
-		if p.era >= eras.Of(fence) {
+		if now.After(r.Usage.WindowEnd(number).Add(retentionFactor * r.Deadline)) {
+			delete(r.persisted, number)
+			continue
+		}
+		if p.era >= era {
 			continue
 		}
 		version, err := r.write(ctx, number, p.counts)
@@ -196,7 +203,7 @@
 			return
 		}
 		r.Log.Info("usage report persisted again after a restore of the store", "window", number, "was-missing", version > 0, "fence", fence)
-		p.era = eras.Of(fence)
+		p.era = era
 		r.persisted[number] = p
 	}
 }
--- a/transport/site/lease.go
+++ b/transport/site/lease.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/scaler"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
@@ -37,6 +38,7 @@
 		Collect:      s.readUsage,
 		Complete:     s.usageComplete,
 		Held:         func() (int64, bool) { return s.leases.Held(leaseKey) },
+		Era:          func() eras.Era { return eras.Of(s.tables[operatorTable].Version()) },
 		KnownSince:   func() time.Time { return s.leases.KnownSince(leaseKey) },
 		OnStaleFence: s.onStaleFence,
 		Deadline:     s.UsageDeadline,
@@ -162,13 +164,14 @@
 	if cfg == nil {
 		return
 	}
-	if _, held := s.leases.Step(ctx, leaseKey); !held {
-		s.scaler.Standby(cfg.Backends)
-		return
-	}
+	_, held := s.leases.Step(ctx, leaseKey)
 	if s.ReportsUsage {
 		s.report.Step(ctx, time.Now())
 	}
+	if !held {
+		s.scaler.Standby(cfg.Backends)
+		return
+	}
 	s.removeDown(ctx, time.Now())
 	s.stepMoves(ctx)
 	s.scale(ctx)
