Notice a lost row also in an empty table, and a move's request that is read twice

Cause: the version of the hosts' table was taken from its rows; the request of a move was the same only once in each era, so that a second list of the table began the move anew; writing a move's state again forgot the trials since its last step. What callers saw: nothing; found in review. Change: the watcher's version of the table decides; a request with the same version and value is the same; the counts stay. Test: scenes of restores; no test of its own for moves.

--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -202,9 +202,6 @@
 		}
 		s.hostRows[r.Key] = row
 	}
-	for _, r := range all {
-		s.hostsVersion = max(s.hostsVersion, r.Version)
-	}
 	var list []roster.Row
 	for _, row := range s.hostRows {
 		list = append(list, row)
@@ -212,8 +209,7 @@
 	s.fleet.SetListed(list)
 	own, listed := s.hostRows[string(s.Host)]
 	listed = listed && own.StartMillis == s.incarnation
-	written := s.rowVersion.Load()
-	s.rowMissing.Store(written > 0 && !listed && s.hostsVersion > written)
+	s.rowListed.Store(listed)
 	s.Log.Info("entry hosts updated", "hosts", len(list), "this-one", listed)
 }
 
@@ -265,7 +261,7 @@
 	s.join(ctx)
 	for ctx.Err() == nil {
 		timer := time.NewTimer(s.Schedule().HeartbeatInterval())
-		if s.rowMissing.Swap(false) {
+		if s.rowMissing() {
 			s.join(ctx)
 		}
 		s.gossip.Round(ctx)
@@ -278,6 +274,14 @@
 	return nil
 }
 
+// rowMissing reports whether the hosts' table lacks this host's row at a later version than that of the row as written: the
+// row was removed, or lost with a restore of the store.
+func (s *Site) rowMissing() bool {
+	read := s.tables[hostsTable].Version()
+	written := s.rowVersion.Load()
+	return written > 0 && read > written && !s.rowListed.Load()
+}
+
 // notifyPeers sends a heartbeat to every other entry host without waiting for the next round.
 func (s *Site) notifyPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
--- a/transport/site/moves.go
+++ b/transport/site/moves.go
@@ -49,14 +49,16 @@
 	s.Log.Info("move requested", "move", m.ID, "to", m.To, "lasts-ms", duration.Milliseconds(), "version", r.Version)
 }
 
-// isSameRequest reports whether a row repeats, in a later era of the store, the last request of its key. It notes the row.
+// isSameRequest reports whether a row is the last request of its key, read once more or written again in a later era of the
+// store. It notes the row.
 func (s *Site) isSameRequest(r record.Record) bool {
 	if s.moveRequests == nil {
 		s.moveRequests = map[string]record.Record{}
 	}
 	last, ok := s.moveRequests[r.Key]
 	s.moveRequests[r.Key] = r
-	return ok && eras.Of(r.Version) > eras.Of(last.Version) && bytes.Equal(r.Value, last.Value)
+	again := r.Version == last.Version || eras.Of(r.Version) > eras.Of(last.Version)
+	return ok && again && bytes.Equal(r.Value, last.Value)
 }
 
 // setMoveState applies a move's state from the hosts' table.
@@ -161,7 +163,7 @@
 	s.reportedStates = nil
 	for _, requested := range s.Proxy.Canary.Requested() {
 		m, begun := s.Proxy.Canary.State(requested.Entry, requested.ID)
-		if begun && !s.writeMoveState(ctx, m, s.allTrials(m.ID)) {
+		if begun && !s.writeMoveState(ctx, m, s.baseline[m.Entry]) {
 			s.movesEra = 0
 		}
 	}
