Answer every request before a stopping host exits

Cause: a draining host took what was expected to end in time by the route's requests of late, calls that must run at most once too, and at its exit closed all connections, whatever was in flight on them ("drained ... active-requests 5, incomplete true", then "ending gone" for calls, streams and idempotent calls whose callers were still there).

Change, in coordination/proxy: - What may not be repeated is taken late in a drain only if its deadline comes before the stop, and otherwise refused as not run (503 with Retry-After). In the first fifth of a drain one with a later deadline is taken as before, by its expected duration. - The deadline of what a draining host takes is at the latest when it ends its requests, so that no endpoint is told to go on after it. - A quarter of a second before the exit each request that is still in flight is ended (OnExit): it gets the response that was kept back, or a 503 if no byte can have run, or a 504; a stream that has begun breaks off without its end. Such an attempt counts neither against its endpoint nor against its version.

The tests failed before.

Conclusion: what is taken gets an answer.

--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +36,9 @@
 	maxRefusedPermits = 4
 	// drainMargin times its expected duration must be left at a draining host for a stream to be accepted.
 	drainMargin = 1.25
+	// onceMinLeft is the fraction of a drain that must be left for a request to be accepted that may not be repeated and whose
+	// deadline comes after the stop.
+	onceMinLeft = 0.8
 	// maxSharedRatio is the largest ratio of a prompt's shared tokens to its tokens to prefill with which a request
 	// that fetches KV blocks from a donor still counts as a sample of prefill speed: how much of the shared part the
 	// engine had cached is unknown.
@@ -130,8 +134,13 @@
 	Flow flow
 	// Durations estimates the duration of requests.
 	Durations durations
-	// Draining reports whether the process is draining, and the time until it stops.
+	// Draining reports whether the process is draining, and the time until it ends its requests.
 	Draining func() (draining bool, left time.Duration)
+	// DrainPeriod returns the time from the order to stop until the process ends its requests.
+	DrainPeriod func() time.Duration
+	// OnExit has end called when the process is about to exit and every request needs its final answer. The function that
+	// it returns takes that back.
+	OnExit func(end func()) (remove func() bool)
 	// Now returns the time.
 	Now func() time.Time
 	// Count adds to a counter of the process.
@@ -166,6 +175,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	remove := p.OnExit(func() { end(errExit) })
+	defer remove()
 	p.Retries.Deposit(w.Backend)
 	j := &job{work: w, attempted: map[*target.Target]bool{}}
 	for {
@@ -177,17 +190,42 @@
 	}
 }
 
-// admitWhileDraining returns an error of kind Draining for a request that is not expected to end before a draining
-// process stops.
+// errExit ends the requests of a process that is about to exit.
+var errExit = fault.New(kind.Draining, "", "the host stops")
+
+// cutByExit reports whether a request's context has ended because the process is about to exit.
+func cutByExit(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errExit) }
+
+// admitWhileDraining returns an error of kind Draining for a request that a draining process should not accept. The deadline
+// of one that it accepts is at the latest when the process ends its requests, so that its endpoint does not work past that.
 func (p *Proxy) admitWhileDraining(w *work.Request) error {
 	draining, left := p.Draining()
-	if !draining || left > p.expectedDuration(w) {
+	if !draining {
+		return nil
+	}
+	stop := p.Now().Add(left)
+	if p.fitsDrain(w, left, stop) {
+		if stop.Before(w.Deadline) {
+			w.Deadline = stop
+		}
 		return nil
 	}
 	p.Log.Info("request refused", "id", w.ID, "route", w.Route.Name, "left-ms", left.Milliseconds(), "reason", "the host stops before the request is expected to end")
 	return fault.New(kind.Draining, "", "the host stops before the request is expected to end").WithRetryAfter(drainRetryAfter)
 }
 
+// fitsDrain reports whether a request may be accepted although the process ends its requests in the time left, at stop. One
+// that may not be repeated is lost to its caller if it is cut off, so that late in the drain its deadline must come first.
+func (p *Proxy) fitsDrain(w *work.Request, left time.Duration, stop time.Time) bool {
+	if !w.Route.Mode.Repeatable() && !w.Deadline.After(stop) {
+		return true
+	}
+	if !w.Route.Mode.Repeatable() && left < time.Duration(onceMinLeft*float64(p.DrainPeriod())) {
+		return false
+	}
+	return p.expectedDuration(w) < left
+}
+
 // expectedDuration returns an upper estimate of a request's duration. A stream is estimated from the tokens that it may
 // generate, and not only from the route's longest recent request: a host that stops soon after its start has seen few
 // streams of a route.
@@ -229,18 +267,25 @@
 	}
 	j.attempted[t] = true
 	j.lastEndpoint, j.lastDonor = t, to.Donor
-	j.lastResult = p.attempt(ctx, j, t, to.Donor, to.PrefillTokens, x)
-	p.Canary.Record(version, t, j.work, j.lastResult)
-	if j.lastResult.Sent {
+	j.recordAttempt(t, p.attempt(ctx, j, t, to.Donor, to.PrefillTokens, x))
+	if !cutByExit(ctx) {
+		p.Canary.Record(version, t, j.work, j.lastResult)
+	}
+	return p.decide(ctx, j, x)
+}
+
+// recordAttempt records the result of an attempt at an endpoint.
+func (j *job) recordAttempt(t *target.Target, r result.Result) {
+	j.lastResult = r
+	if r.Sent {
 		j.arrivals++
 	}
-	if j.lastResult.Withheld {
+	if r.Withheld {
 		delete(j.attempted, t)
 	}
-	if !j.lastResult.Ending.NotExecuted() {
+	if !r.Ending.NotExecuted() {
 		j.mayHaveRun = true
 	}
-	return p.decide(ctx, j, x)
 }
 
 // excluded reports whether the job must not be sent to an endpoint: it was sent there before, or permits for other ones
@@ -285,7 +330,7 @@
 	if ahead == 0 && r.TimeToFirst > 0 && prefillTokens > 0 && (donor == nil || float64(j.work.SharedTokens()) < maxSharedRatio*float64(prefillTokens)) {
 		p.Speed.Add(j.work.Backend, prefillTokens, r.TimeToFirst)
 	}
-	p.recordResult(j, t, r, now)
+	p.recordResult(ctx, j, t, r, now)
 	return r
 }
 
@@ -328,17 +373,20 @@
 	}
 }
 
-// recordResult updates the endpoint's state and the usage count from the result of an attempt.
-func (p *Proxy) recordResult(j *job, t *target.Target, r result.Result, now time.Time) {
+// recordResult updates the endpoint's state and the usage count from the result of an attempt. An attempt that the exit of
+// this process has ended does not count against the endpoint.
+func (p *Proxy) recordResult(ctx context.Context, j *job, t *target.Target, r result.Result, now time.Time) {
 	switch r.Ending {
 	case ending.AddressReused:
 		t.MarkLeaving()
 	case ending.Unknown, ending.Truncated:
-		t.RecordFailure(now)
+		if !cutByExit(ctx) {
+			t.RecordFailure(now)
+		}
 		p.countStart(j)
 	case ending.NotRun:
 		// An endpoint that asked for a pause, is leaving or is at its request limit has not failed.
-		if !r.Withheld && !t.Paused(now) && !t.Leaving() {
+		if !r.Withheld && !t.Paused(now) && !t.Leaving() && !cutByExit(ctx) {
 			t.RecordFailure(now)
 		}
 	case ending.Failed:
@@ -379,14 +427,20 @@
 }
 
 // finalError returns the error to answer with, nil when a held-back error response was delivered instead. Its kind is
-// NotRun only when no attempt can have run.
+// NotRun or Draining only when no attempt can have run.
 func (p *Proxy) finalError(ctx context.Context, j *job, x exchange, reason string, wait time.Duration) error {
 	if x.Deliver() {
 		return nil
 	}
+	if !j.mayHaveRun && cutByExit(ctx) {
+		return fault.New(kind.Draining, "", "the host stops: %s", reason).WithRetryAfter(drainRetryAfter)
+	}
 	if !j.mayHaveRun {
 		return fault.New(kind.NotRun, "", "%s", reason).WithRetryAfter(wait)
 	}
+	if cutByExit(ctx) {
+		return fault.New(kind.OutcomeUnknown, "", "the host stops: %s", reason)
+	}
 	if ctx.Err() != nil {
 		return fault.New(kind.OutcomeUnknown, "", "the request's deadline passed: %s", reason)
 	}
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -104,6 +104,8 @@
 	prompts  *fakePrompts
 	draining bool
 	left     time.Duration
+	// exit has the request that is running ended, as at the end of a drain.
+	exit func()
 }
 
 func newFixture(endpoints int) *fixture {
@@ -113,20 +115,25 @@
 	}
 	prefill := &speed.Speed{}
 	f.proxy = &proxy.Proxy{
-		Endpoints: f.registry,
-		Canary:    &canary.Canary{},
-		Balancer:  &choose.Balancer{Rand: func() float64 { return 0 }, Speed: prefill},
-		Retries:   &retry.Budgets{Ratio: 0.2, Extra: 50, Hosts: func() int { return 1 }},
-		Permits:   f.permits,
-		Prompts:   f.prompts,
-		Usage:     f.usage,
-		Speed:     prefill,
-		Flow:      &flow.Flow{},
-		Durations: &timing.Durations{},
-		Draining:  func() (bool, time.Duration) { return f.draining, f.left },
-		Now:       time.Now,
-		Count:     func(string, int64) {},
-		Log:       hclog.NewNullLogger(),
+		Endpoints:   f.registry,
+		Canary:      &canary.Canary{},
+		Balancer:    &choose.Balancer{Rand: func() float64 { return 0 }, Speed: prefill},
+		Retries:     &retry.Budgets{Ratio: 0.2, Extra: 50, Hosts: func() int { return 1 }},
+		Permits:     f.permits,
+		Prompts:     f.prompts,
+		Usage:       f.usage,
+		Speed:       prefill,
+		Flow:        &flow.Flow{},
+		Durations:   &timing.Durations{},
+		Draining:    func() (bool, time.Duration) { return f.draining, f.left },
+		DrainPeriod: func() time.Duration { return 7500 * time.Millisecond },
+		OnExit: func(end func()) func() bool {
+			f.exit = end
+			return func() bool { return true }
+		},
+		Now:   time.Now,
+		Count: func(string, int64) {},
+		Log:   hclog.NewNullLogger(),
 	}
 	return f
 }
@@ -218,6 +225,72 @@
 		Expect(run(f, short, s)).To(Succeed())
 	})
 
+	// Guards against a request that may not be repeated being taken late in a drain and cut at its end.
+	DescribeTable("takes late in a drain what must run at most once only if its deadline comes before the stop",
+		func(m mode.Mode, deadline, left time.Duration, taken bool) {
+			f, s := newFixture(2), &fakeExchange{results: []result.Result{done}}
+			f.proxy.Durations.(*timing.Durations).Observe("p", 60*time.Millisecond)
+			f.draining, f.left = true, left
+			w := request(m, 2)
+			w.Route.TargetLatency = 300 * time.Millisecond
+			w.Deadline = w.Received.Add(deadline)
+			err := run(f, w, s)
+			if taken {
+				Expect(err).NotTo(HaveOccurred())
+				// The endpoint is told to be done by the stop.
+				Expect(time.Until(w.Deadline)).To(BeNumerically("<=", left))
+				return
+			}
+			Expect(fault.KindOf(err)).To(Equal(kind.Draining))
+			Expect(fault.From(err).RetryAfter).To(BeNumerically(">", 0))
+			Expect(s.to).To(BeEmpty())
+		},
+		Entry("a call", mode.Once, 2*time.Second, 2500*time.Millisecond, true),
+		Entry("a call, late", mode.Once, 2*time.Second, 1500*time.Millisecond, false),
+		Entry("a stream", mode.Stream, 2*time.Second, 2500*time.Millisecond, true),
+		Entry("a stream, late", mode.Stream, 2*time.Second, 1500*time.Millisecond, false),
+		Entry("a long stream, early", mode.Stream, 12*time.Second, 7*time.Second, true),
+		Entry("a long stream, later", mode.Stream, 12*time.Second, 4*time.Second, false),
+		Entry("a call that may be repeated", mode.Idempotent, 2*time.Second, time.Second, true),
+		Entry("a stream that may be resumed", mode.Resumable, 12*time.Second, time.Second, true),
+		Entry("a call that may be repeated, at the very end", mode.Idempotent, 2*time.Second, 200*time.Millisecond, false),
+	)
+
+	It("refuses early in a drain what must run at most once if it is expected to take longer than the time left", func() {
+		f, s := newFixture(2), &fakeExchange{results: []result.Result{done}}
+		f.proxy.Durations.(*timing.Durations).Observe("p", 8*time.Second)
+		f.draining, f.left = true, 7*time.Second
+		w := request(mode.Stream, 1)
+		w.Deadline = w.Received.Add(12 * time.Second)
+		Expect(fault.KindOf(run(f, w, s))).To(Equal(kind.Draining))
+		Expect(s.to).To(BeEmpty())
+	})
+
+	// Guards against requests that are cut without an answer when the process exits, against a promise that one of them has
+	// not run, and against their endpoint or its version being taken for broken.
+	DescribeTable("ends a request with its final answer when the process is about to exit",
+		func(m mode.Mode, r result.Result, want kind.Kind) {
+			f, s := newFixture(3), &fakeExchange{results: []result.Result{r, done}}
+			s.before = func(*target.Target) { f.exit() }
+			Expect(fault.KindOf(run(f, request(m, 3), s))).To(Equal(want))
+			Expect(s.to).To(HaveLen(1))
+			n, _ := f.registry.Get(s.to[0]).Failures(time.Now())
+			Expect(n).To(BeZero())
+		},
+		Entry("a call that may have run", mode.Once, unknown, kind.OutcomeUnknown),
+		Entry("a call that may be repeated", mode.Idempotent, unknown, kind.OutcomeUnknown),
+		Entry("a stream that has begun", mode.Resumable, result.Result{Ending: ending.Truncated, Sent: true, LastEventID: "7"}, kind.OutcomeUnknown),
+		Entry("a call that an endpoint refused", mode.Once, full, kind.Draining),
+	)
+
+	It("delivers an answer that is ready when the process is about to exit, and promises that nothing has run if no byte was sent", func() {
+		f, s := newFixture(3), &fakeExchange{results: []result.Result{done}}
+		s.before = func(*target.Target) { f.exit() }
+		Expect(run(f, request(mode.Once, 1), s)).To(Succeed())
+		s = &fakeExchange{results: []result.Result{unsent}, before: s.before}
+		Expect(fault.KindOf(run(f, request(mode.Once, 1), s))).To(Equal(kind.Draining))
+	})
+
 	It("sends nothing more to an endpoint whose address now belongs to another", func() {
 		moved := result.Result{Ending: ending.AddressReused, Sent: true}
 		f, s := newFixture(2), &fakeExchange{results: []result.Result{moved, done}}
--- a/standin/site.go
+++ b/standin/site.go
@@ -28,6 +28,9 @@
 	percent      = 100
 	// slowAnswerDelay is the time that requests with a path ending in /slow take.
 	slowAnswerDelay = 100 * time.Millisecond
+	// heldAnswerDelay is the time that requests with a path ending in /held take, before the head of their answer, and that
+	// streams with a path ending in /stuck pause after their first event.
+	heldAnswerDelay = 20 * time.Second
 )
 
 type siteCmd struct {
@@ -203,9 +206,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if strings.HasSuffix(r.URL.Path, "/slow") {
-		time.Sleep(slowAnswerDelay)
-	}
+	delayAnswer(r)
 	if poisoned {
 		s.crash(w, r)
 		return
@@ -214,12 +215,38 @@
 		_, _ = io.WriteString(w, "answer of "+r.Header.Get("Dragonflyroute-Tenant"))
 		return
 	}
+	s.sendEvents(w, r)
+}
+
+// sendEvents answers a request with the events of a stream that follow the last one that its caller has.
+func (s *siteServer) sendEvents(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= streamEvents && r.Context().Err() == nil; n++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, s.id)
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(eventPeriod)
+		if strings.HasSuffix(r.URL.Path, "/stuck") {
+			hold(r.Context())
+		}
+	}
+}
+
+// delayAnswer delays the answer to a request by the time that its path asks for.
+func delayAnswer(r *http.Request) {
+	switch {
+	case strings.HasSuffix(r.URL.Path, "/slow"):
+		time.Sleep(slowAnswerDelay)
+	case strings.HasSuffix(r.URL.Path, "/held"):
+		hold(r.Context())
+	}
+}
+
+// hold waits for heldAnswerDelay or until the caller has left.
+func hold(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(heldAnswerDelay):
 	}
 }
 
--- a/transport/site/serve.go
+++ b/transport/site/serve.go
@@ -95,10 +95,13 @@
 	shutdownLead = 2500 * time.Millisecond
 	// exitLead is the time before the kill at which the process exits, even if requests are still in flight.
 	exitLead = 300 * time.Millisecond
+	// answerLead is the time before the exit at which all requests still in flight get their final answers.
+	answerLead = 250 * time.Millisecond
 )
 
 // drain stops the process. Address answers omit this host at once. It then notifies its peers, releases its leases and
-// writes its row concurrently, and closes callers' connections last, shortly before the kill.
+// writes its row concurrently. Shortly before the kill it closes callers' idle connections, then answers the requests that
+// are still in flight, and exits.
 func (s *Site) drain(ctx context.Context, server *http.Server) {
 	grace := s.Grace()
 	kill := time.Now().Add(grace)
@@ -106,6 +109,8 @@
 	s.Log.Info("draining", "active-requests", s.inFlight.Load(), "grace-ms", grace.Milliseconds())
 	ctx, cancel := context.WithDeadline(ctx, kill.Add(-exitLead))
 	defer cancel()
+	answers := time.AfterFunc(grace-exitLead-answerLead, s.endRequests)
+	defer answers.Stop()
 	var g errgroup.Group
 	g.Go(func() error {
 		s.notifyPeers(ctx)
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -196,11 +196,15 @@
 	reclaimSignal chan struct{}
 	// killAt is the time of the kill in Unix nanoseconds, 0 before the order to stop.
 	killAt atomic.Int64
+	// exiting ends, by endRequests, when every request needs its final answer.
+	exiting     context.Context
+	endRequests context.CancelFunc
 }
 
 // Prepare builds the parts that do not depend on the handlers.
 func (s *Site) Prepare() {
 	s.incarnation = time.Now().UnixNano()
+	s.exiting, s.endRequests = context.WithCancel(context.Background())
 	s.Meter = meter.New()
 	s.Policy = &policy.Policy{}
 	s.Registry = &endreg.Registry{}
@@ -214,19 +218,21 @@
 	s.pacer = &pacer.Pacer{Self: s.Host, Live: s.liveHosts, Known: s.hosts, Endpoints: s.Registry, Peers: exchange{s}, Now: time.Now, Log: s.Log}
 	s.buildPrompts()
 	s.Proxy = &proxy.Proxy{
-		Endpoints: s.Registry,
-		Permits:   s.pacer,
-		Prompts:   s.prompts,
-		Balancer:  s.Balancer,
-		Retries:   &retry.Budgets{Ratio: s.RetryRatio, Extra: s.RetryExtra, Hosts: s.hosts},
-		Usage:     s.usage,
-		Speed:     s.speed,
-		Flow:      s.flow,
-		Durations: &timing.Durations{},
-		Draining:  s.Leaving,
-		Now:       time.Now,
-		Count:     s.Meter.Count,
-		Log:       s.Log,
+		Endpoints:   s.Registry,
+		Permits:     s.pacer,
+		Prompts:     s.prompts,
+		Balancer:    s.Balancer,
+		Retries:     &retry.Budgets{Ratio: s.RetryRatio, Extra: s.RetryExtra, Hosts: s.hosts},
+		Usage:       s.usage,
+		Speed:       s.speed,
+		Flow:        s.flow,
+		Durations:   &timing.Durations{},
+		Draining:    s.Leaving,
+		DrainPeriod: func() time.Duration { return s.Grace() - exitLead - answerLead },
+		OnExit:      func(end func()) func() bool { return context.AfterFunc(s.exiting, end) },
+		Now:         time.Now,
+		Count:       s.Meter.Count,
+		Log:         s.Log,
 	}
 	s.reclaimSignal = make(chan struct{}, 1)
 	s.syncer = &syncer.Syncer{Registry: s.Registry, Decode: s.DecodeEndpoint, OnReclaim: s.onReclaim, Now: time.Now, Log: s.Log}
@@ -256,13 +262,13 @@
 	at time.Time
 }
 
-// Leaving reports whether the process is draining, and the time left until it exits.
+// Leaving reports whether the process is draining, and the time left until it ends its requests.
 func (s *Site) Leaving() (leaving bool, left time.Duration) {
 	at := s.killAt.Load()
 	if at == 0 {
 		return false, 0
 	}
-	return true, time.Until(time.Unix(0, at)) - exitLead
+	return true, time.Until(time.Unix(0, at)) - exitLead - answerLead
 }
 
 // IsReady reports whether the process accepts requests: it has a configuration and an endpoint and is not draining.
