--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -36,9 +36,9 @@
 	maxRefusedPermits = 4
 	// drainMargin times its expected duration must be left at a draining host for a stream to be accepted.
 	drainMargin = 1.25
-	// onceMinLeft is the time that must be left at a draining host for a request to be accepted that may not be repeated and
-	// whose deadline comes after the stop.
-	onceMinLeft = 4500 * time.Millisecond
+	// onceMinLeft is the fraction of a drain that must be left for a request to be accepted that may not be repeated and whose
+	// deadline comes after the stop.
+	onceMinLeft = 0.8
 	// maxSharedRatio is the largest ratio of a prompt's shared tokens to its tokens to prefill with which a request
 	// that fetches KV blocks from a donor still counts as a sample of prefill speed: how much of the shared part the
 	// engine had cached is unknown.
@@ -136,6 +136,8 @@
 	Durations durations
 	// Draining reports whether the process is draining, and the time until it ends its requests.
 	Draining func() (draining bool, left time.Duration)
+	// DrainPeriod returns the time from the order to stop until the process ends its requests.
+	DrainPeriod func() time.Duration
 	// OnExit has end called when the process is about to exit and every request needs its final answer. The function that
 	// it returns takes that back.
 	OnExit func(end func()) (remove func() bool)
@@ -218,7 +220,7 @@
 	if !w.Route.Mode.Repeatable() && !w.Deadline.After(stop) {
 		return true
 	}
-	if !w.Route.Mode.Repeatable() && left < onceMinLeft {
+	if !w.Route.Mode.Repeatable() && left < time.Duration(onceMinLeft*float64(p.DrainPeriod())) {
 		return false
 	}
 	return p.expectedDuration(w) < left
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -115,17 +115,18 @@
 	}
 	prefill := &speed.Speed{}
 	f.proxy = &proxy.Proxy{
-		Endpoints: f.registry,
-		Canary:    &canary.Canary{},
-		Balancer:  &choose.Balancer{Rand: func() float64 { return 0 }, Speed: prefill},
-		Retries:   &retry.Budgets{Ratio: 0.2, Extra: 50, Hosts: func() int { return 1 }},
-		Permits:   f.permits,
-		Prompts:   f.prompts,
-		Usage:     f.usage,
-		Speed:     prefill,
-		Flow:      &flow.Flow{},
-		Durations: &timing.Durations{},
-		Draining:  func() (bool, time.Duration) { return f.draining, f.left },
+		Endpoints:   f.registry,
+		Canary:      &canary.Canary{},
+		Balancer:    &choose.Balancer{Rand: func() float64 { return 0 }, Speed: prefill},
+		Retries:     &retry.Budgets{Ratio: 0.2, Extra: 50, Hosts: func() int { return 1 }},
+		Permits:     f.permits,
+		Prompts:     f.prompts,
+		Usage:       f.usage,
+		Speed:       prefill,
+		Flow:        &flow.Flow{},
+		Durations:   &timing.Durations{},
+		Draining:    func() (bool, time.Duration) { return f.draining, f.left },
+		DrainPeriod: func() time.Duration { return 7500 * time.Millisecond },
 		OnExit: func(end func()) func() bool {
 			f.exit = end
 			return func() bool { return true }
--- a/protocol/eras/latest.go
+++ b/state/latest/latest.go
@@ -1,25 +1,30 @@
-package eras
+// Package latest holds the latest era of the platform's store.
+package latest
 
-import "sync"
+import (
+	"sync"
 
-// Latest is the latest era of a store that a process has seen. The zero value is era 0. Methods may be called concurrently.
-type Latest struct {
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
+)
+
+// Era is the latest era of a store that a process has seen. The zero value is era 0. Methods may be called concurrently.
+type Era struct {
 	mu  sync.Mutex
-	era Era
+	era eras.Era
 	// onChange holds what is called at the next change, by registration number.
 	onChange map[int]func()
 	next     int
 }
 
 // Get returns the latest era.
-func (l *Latest) Get() Era {
+func (l *Era) Get() eras.Era {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.era
 }
 
 // Observe records that the store has named an era.
-func (l *Latest) Observe(e Era) {
+func (l *Era) Observe(e eras.Era) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e <= l.era {
@@ -33,7 +38,7 @@
 }
 
 // OnChange has call called at the next change of the era, unless remove is called before. call must not block.
-func (l *Latest) OnChange(call func()) (remove func()) {
+func (l *Era) OnChange(call func()) (remove func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.onChange == nil {
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -229,20 +229,21 @@
 	s.pacer = &pacer.Pacer{Self: s.Host, Live: s.liveHosts, Known: s.hosts, Endpoints: s.Registry, Peers: exchange{s}, Now: time.Now, Log: s.Log}
 	s.buildPrompts()
 	s.Proxy = &proxy.Proxy{
-		Endpoints: s.Registry,
-		Permits:   s.pacer,
-		Prompts:   s.prompts,
-		Balancer:  s.Balancer,
-		Retries:   &retry.Budgets{Ratio: s.RetryRatio, Extra: s.RetryExtra, Hosts: s.hosts},
-		Usage:     s.usage,
-		Speed:     s.speed,
-		Flow:      s.flow,
-		Durations: &timing.Durations{},
-		Draining:  s.Leaving,
-		OnExit:    func(end func()) func() bool { return context.AfterFunc(s.exiting, end) },
-		Now:       time.Now,
-		Count:     s.Meter.Count,
-		Log:       s.Log,
+		Endpoints:   s.Registry,
+		Permits:     s.pacer,
+		Prompts:     s.prompts,
+		Balancer:    s.Balancer,
+		Retries:     &retry.Budgets{Ratio: s.RetryRatio, Extra: s.RetryExtra, Hosts: s.hosts},
+		Usage:       s.usage,
+		Speed:       s.speed,
+		Flow:        s.flow,
+		Durations:   &timing.Durations{},
+		Draining:    s.Leaving,
+		DrainPeriod: func() time.Duration { return s.Grace() - exitLead - answerLead },
+		OnExit:      func(end func()) func() bool { return context.AfterFunc(s.exiting, end) },
+		Now:         time.Now,
+		Count:       s.Meter.Count,
+		Log:         s.Log,
 	}
 	s.reclaimSignal = make(chan struct{}, 1)
 	s.syncer = &syncer.Syncer{Registry: s.Registry, Decode: s.DecodeEndpoint, Expiry: expiryHeartbeats * s.EndpointHeartbeat, OnReclaim: s.onReclaim, Now: time.Now, Log: s.Log}
