Go on as the lease's holder over a restore within a term, with what was really seen

Cause: a holder that went on over a restore took over from the row the time since which all is known, though the counts of earlier holders may be lost with it.

Ruled out: more rows; the row of the copy names the time of the era before.

Change: the last holder before a restore goes on within a term after its last renewal, and knows what was written since it acquired the lease.

--- a/coordination/elect/elect.go
+++ b/coordination/elect/elect.go
@@ -57,6 +57,8 @@
 	fence     int64
 	// knownSince is the time since which this process knows of all that holders wrote while it holds the lease.
 	knownSince time.Time
+	// renewedAt is when the last successful write was sent.
+	renewedAt time.Time
 
 	// era is the store's era at the last read, eraSeen and eraSeenWall when it was first seen. They stay zero for a store that
 	// has no eras.
@@ -71,8 +73,13 @@
 	// to have succeeded.
 	lastRow record.Record
 	last    lease.Lease
+	claim   claim
 }
 
+// claim is what this process knows as the holder: since is when it acquired the lease, and known the time since which it
+// knows of all that holders wrote.
+type claim struct{ since, known time.Time }
+
 // Held returns the fencing number if the process holds the lease now; call it again before each protected operation.
 func (e *Elector) Held() (fence int64, ok bool) {
 	e.mu.Lock()
@@ -94,7 +101,7 @@
 // returned. If that fails, the row tells whether another process has written it or the store was restored.
 func (e *Elector) Step(ctx context.Context) error {
 	if _, held := e.Held(); held && e.lastRow.Version > 0 {
-		renewed, err := e.write(ctx, e.lastRow, e.last)
+		renewed, err := e.write(ctx, e.lastRow, e.next(e.lastRow, e.last))
 		if renewed || err != nil {
 			return err
 		}
@@ -110,18 +117,20 @@
 			return fault.Wrap(kind.Internal, err, "lease %s is not decodable", e.Key)
 		}
 	}
-	held := e.observe(row, current, seen)
-	if !held && !e.mayAcquire(row, current) {
+	wasLast := e.observe(row, current, seen)
+	if !wasLast && !e.mayAcquire(row, current) {
 		return nil
 	}
-	_, err = e.write(ctx, row, current)
+	next := e.next(row, current)
+	e.claimWith(next, wasLast, e.isOwn(current) && current.Era == e.era)
+	_, err = e.write(ctx, row, next)
 	return err
 }
 
 // observe records the store's era and when a renewal was first seen, and accepts an own renewal whose answer was lost. It
-// reports whether this process holds the lease although the row was lost with a restore: as long as no row was written in
-// the present era, no other process holds it.
-func (e *Elector) observe(row record.Record, current lease.Lease, now time.Time) (held bool) {
+// reports whether this process was the last holder before a restore that has lost the row: no other one can have acquired the
+// lease within a term after the last renewal, in whichever era, and none has written a row in the present one.
+func (e *Elector) observe(row record.Record, current lease.Lease, now time.Time) (wasLast bool) {
 	era := eras.Of(row.Version)
 	if era > e.era {
 		e.era, e.eraSeen, e.eraSeenWall = era, now, e.wall()
@@ -136,8 +145,7 @@
 		e.seenAt = now
 	}
 	if current.Era != era {
-		_, held = e.Held()
-		return held
+		return now.Before(e.renewedAt.Add(e.Term))
 	}
 	if !e.isOwn(current) {
 		e.invalidate()
@@ -170,10 +178,19 @@
 	return current.Holder == e.Self && current.Incarnation == e.Incarnation
 }
 
-// write commits a renewal or an acquisition over the row that was read, and reports whether its condition held. An
-// acquisition raises the fencing number.
-func (e *Elector) write(ctx context.Context, row record.Record, current lease.Lease) (written bool, err error) {
-	next := e.next(row, current)
+// claimWith notes what this process will know as the holder by a row. The last holder before a restore knows what was
+// written since it acquired the lease: only it wrote. An acquisition begins that anew, and a renewal changes nothing.
+func (e *Elector) claimWith(next lease.Lease, wasLast, renewal bool) {
+	switch {
+	case wasLast:
+		e.claim.known = e.claim.since
+	case !renewal:
+		e.claim = claim{since: e.wall(), known: time.UnixMilli(next.KnownSinceMillis)}
+	}
+}
+
+// write commits the row after one that was read, and reports whether its condition held.
+func (e *Elector) write(ctx context.Context, row record.Record, next lease.Lease) (written bool, err error) {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return false, fault.Wrap(kind.Internal, err, "lease %s is not encodable", e.Key)
@@ -189,7 +206,7 @@
 	return true, nil
 }
 
-// next returns the content of the row after one that was read.
+// next returns the content of the row after one that was read. An acquisition raises the fencing number.
 func (e *Elector) next(row record.Record, current lease.Lease) lease.Lease {
 	era := eras.Of(row.Version)
 	next := lease.Lease{
@@ -215,13 +232,14 @@
 func (e *Elector) extend(row lease.Lease, sent time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if known := time.UnixMilli(row.KnownSinceMillis); !e.Now().Before(e.heldUntil) || known.Before(e.knownSince) {
-		e.knownSince = known
-	}
+	e.knownSince = e.claim.known
 	until := sent.Add(time.Duration(float64(e.Term) * holdFraction))
 	if until.After(e.heldUntil) {
 		e.heldUntil = until
 	}
+	if sent.After(e.renewedAt) {
+		e.renewedAt = sent
+	}
 	e.fence = row.Fence
 }
 
@@ -229,7 +247,7 @@
 func (e *Elector) invalidate() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.heldUntil = time.Time{}
+	e.heldUntil, e.renewedAt = time.Time{}, time.Time{}
 }
 
 // Release releases the lease, so that others can acquire it at once.
--- a/coordination/elect/restore_test.go
+++ b/coordination/elect/restore_test.go
@@ -81,4 +81,62 @@
 		_, held = e.Held()
 		Expect(held).To(BeTrue(), "once the store takes the row")
 	})
+
+	Describe("when the holder has taken the lease over from another one", func() {
+		const term = 3 * time.Second
+		var (
+			now      time.Time
+			store    *oneRow
+			e        *elect.Elector
+			acquired time.Time
+		)
+		ctx := context.Background()
+		rowOf := func(holder string, era eras.Era) []byte {
+			value, err := json.Marshal(lease.Lease{Holder: "a", Incarnation: 1, Fence: 1, TermMillis: term.Milliseconds(), Era: era, KnownSinceMillis: 900_000, WriteID: holder})
+			Expect(err).NotTo(HaveOccurred())
+			return value
+		}
+		BeforeEach(func() {
+			now = time.Unix(1000, 0)
+			store = &oneRow{era: 1, version: 1, value: rowOf("a", 1)}
+			ids := 0
+			e = &elect.Elector{Store: store, Key: "duties", Self: "b", Incarnation: 1, Term: term, Now: func() time.Time { return now }, NewID: func() string {
+				ids++
+				return strconv.Itoa(ids)
+			}}
+			Expect(e.Step(ctx)).To(Succeed())
+			now = now.Add(term + time.Millisecond)
+			Expect(e.Step(ctx)).To(Succeed())
+			acquired = now
+			Expect(e.KnownSince()).To(Equal(time.UnixMilli(900_000)))
+		})
+		restore := func(after time.Duration) (held bool) {
+			now = now.Add(after)
+			store.era, store.version, store.value = 2, 1, rowOf("a", 1)
+			Expect(e.Step(ctx)).To(Succeed())
+			_, held = e.Held()
+			return held
+		}
+
+		// Guards against a window that is counted again, as the earlier holder's counts are lost with the restore.
+		It("knows only what it wrote itself, and goes on as the holder", func() {
+			Expect(restore(time.Second)).To(BeTrue())
+			Expect(e.KnownSince()).To(Equal(acquired))
+		})
+
+		It("goes on at once after an outage within the term, as no other can have taken the lease", func() {
+			Expect(restore(term - time.Millisecond)).To(BeTrue())
+			Expect(e.KnownSince()).To(Equal(acquired))
+		})
+
+		It("waits like all others after a longer one", func() {
+			Expect(restore(term)).To(BeFalse())
+			seen := now
+			now = now.Add(term + time.Millisecond)
+			Expect(e.Step(ctx)).To(Succeed())
+			_, held := e.Held()
+			Expect(held).To(BeTrue())
+			Expect(e.KnownSince()).To(Equal(seen))
+		})
+	})
 })
