--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -83,7 +83,7 @@
 	recoveredAt time.Time
 }
 
-// Run watches the table until ctx ends; it returns nil.
+// Run watches the table until ctx ends; it returns nil. A snapshot follows at once where the changes are no longer to be had.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.start()
 	for ctx.Err() == nil {
@@ -92,7 +92,9 @@
 			continue
 		}
 		if err := w.Read(ctx); err != nil {
-			sleep(ctx, w.retryDelay())
+			if fault.KindOf(err) != kind.Conflict {
+				sleep(ctx, w.retryDelay())
+			}
 			continue
 		}
 		if w.Interval != nil {
