--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -44,6 +44,9 @@
 	maxPeerConnections = 64
 	// expiryInterval is the interval between checks for missing endpoints to be removed.
 	expiryInterval = 200 * time.Millisecond
+	// expiryHeartbeats is the number of heartbeat intervals after which the platform has removed the row of an endpoint that
+	// is silent.
+	expiryHeartbeats = 4
 	// recoveryReadInterval is the interval between reads of the endpoints' rows for recoveryReadPeriod after an outage of
 	// the table, as endpoints write their rows again then.
 	recoveryReadInterval = 400 * time.Millisecond
@@ -199,14 +202,18 @@
 		}
 		s.hostRows[r.Key] = row
 	}
+	for _, r := range all {
+		s.hostsVersion = max(s.hostsVersion, r.Version)
+	}
 	var list []roster.Row
 	for _, row := range s.hostRows {
 		list = append(list, row)
 	}
 	s.fleet.SetListed(list)
-	_, listed := s.hostRows[string(s.Host)]
-	s.rowMissing.Store(s.wasListed && !listed)
-	s.wasListed = s.wasListed || listed
+	own, listed := s.hostRows[string(s.Host)]
+	listed = listed && own.StartMillis == s.incarnation
+	written := s.rowVersion.Load()
+	s.rowMissing.Store(written > 0 && !listed && s.hostsVersion > written)
 	s.Log.Info("entry hosts updated", "hosts", len(list), "this-one", listed)
 }
 
@@ -222,8 +229,9 @@
 		return
 	}
 	for ctx.Err() == nil {
-		_, err := s.Hosts.Commit(ctx, table.Txn{}.Put(string(s.Host), value))
+		version, err := s.Hosts.Commit(ctx, table.Txn{}.Put(string(s.Host), value))
 		if err == nil {
+			s.rowVersion.Store(version)
 			s.Log.Info("own row written", "state", row.State)
 			return
 		}
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -33,6 +33,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/watch"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -52,6 +53,7 @@
 	"github.com/dragonflyroute/dragonflyroute/state/timing"
 	"github.com/dragonflyroute/dragonflyroute/state/trials"
 	"github.com/dragonflyroute/dragonflyroute/state/usage"
+	"github.com/dragonflyroute/dragonflyroute/transport/idle"
 	"github.com/dragonflyroute/dragonflyroute/transport/meter"
 	"github.com/dragonflyroute/dragonflyroute/transport/peers"
 	"github.com/dragonflyroute/dragonflyroute/transport/ticks"
@@ -172,11 +174,14 @@
 	report    *report.Report
 	// hostCount caches the number of hosts for hostCountTTL.
 	hostCount atomic.Pointer[hostCount]
-	// hostRows holds the rows of the entry hosts. Only the watcher of their table uses hostRows and wasListed.
-	hostRows map[string]roster.Row
-	// wasListed is true once the row of this host was read, and rowMissing while the row is missing after that. downSince
-	// is when each host that is down was first found down; only the goroutine of runLeaseHolder uses it.
-	wasListed  bool
+	// hostRows holds the rows of the entry hosts, and hostsVersion the highest version of any row of their table. Only the
+	// watcher of that table uses them.
+	hostRows     map[string]roster.Row
+	hostsVersion int64
+	// rowVersion is the version of this host's own row as last written, 0 before, and rowMissing is set while a later version
+	// of the table lacks the row. downSince is when each host that is down was first found down; only the goroutine of
+	// runLeaseHolder uses it.
+	rowVersion atomic.Int64
 	rowMissing atomic.Bool
 	downSince  map[host.ID]time.Time
 	sequence   atomic.Int64
@@ -192,8 +197,15 @@
 	peerTrials     map[host.ID]map[string][]trial.Trial
 	baseline       map[label.Name][]trial.Trial
 	reportedStates map[string]string
+	// movesEra is the store's era in which the states of moves were last written, and moveRequests holds the last request of
+	// a move by its key; only the goroutine of runLeaseHolder uses the former, only the watcher of the operator's table the
+	// latter.
+	movesEra     eras.Era
+	moveRequests map[string]record.Record
 	// reclaimSignal makes runLeaseHolder scale without waiting for its next tick.
 	reclaimSignal chan struct{}
+	// idle closes callers' connections that wait for a request for too long.
+	idle idle.Closer
 	// killAt is the time of the kill in Unix nanoseconds, 0 before the order to stop.
 	killAt atomic.Int64
 }
@@ -202,6 +214,7 @@
 func (s *Site) Prepare() {
 	s.incarnation = time.Now().UnixNano()
 	s.Meter = meter.New()
+	s.idle.Limit = s.idleLimit
 	s.Policy = &policy.Policy{}
 	s.Registry = &endreg.Registry{}
 	s.usage = &usage.Usage{WindowLength: s.UsageWindow}
@@ -229,7 +242,7 @@
 		Log:       s.Log,
 	}
 	s.reclaimSignal = make(chan struct{}, 1)
-	s.syncer = &syncer.Syncer{Registry: s.Registry, Decode: s.DecodeEndpoint, OnReclaim: s.onReclaim, Now: time.Now, Log: s.Log}
+	s.syncer = &syncer.Syncer{Registry: s.Registry, Decode: s.DecodeEndpoint, Expiry: expiryHeartbeats * s.EndpointHeartbeat, OnReclaim: s.onReclaim, Now: time.Now, Log: s.Log}
 	s.buildMoves()
 	s.buildPeers()
 	s.buildPolls()
@@ -302,7 +315,7 @@
 	add(func(c context.Context) error {
 		select {
 		case <-ctx.Done():
-			s.drain(c, server)
+			s.drain(c, listeners.requests)
 		case <-c.Done():
 		}
 		return nil
