--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -42,8 +42,8 @@
 // Watcher reads a snapshot of a table and then its changes, until its context ends.
 //
 // After an outage, when the table's change history no longer reaches back to the version held, or when the store was
-// restored from a copy, it reads a snapshot again. Updates from other hosts can replace reads while the copy is recent enough. Methods may be called
-// concurrently.
+// restored from a copy, it reads a snapshot again. Updates from other hosts can replace reads while the copy is recent
+// enough. Methods may be called concurrently.
 type Watcher struct {
 	// Name names the table in log lines.
 	Name string
@@ -83,7 +83,7 @@
 	recoveredAt time.Time
 }
 
-// Run watches the table until ctx ends; it returns nil. A snapshot follows at once where the changes are no longer to be had.
+// Run watches the table until ctx ends; it returns nil. If changes are no longer available, it reads a snapshot at once.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.start()
 	for ctx.Err() == nil {
