--- a/review/tool/main.go
+++ b/review/tool/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(s *system, trouble bool) (int, error){
 	"silent-store":    silentStore,
+	"rollout":         rollout,
 	"stalled-streams": stalledStreams,
 }
 
--- a/review/tool/system.go
+++ b/review/tool/system.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -56,24 +56,23 @@
 	return l, l.Addr().String(), nil
 }
 
+// firstPort and lastPort bound the listen ports of the daemons; connections get theirs from a range above.
+const (
+	firstPort = 11_000
+	lastPort  = 30_000
+)
+
 // freePorts returns the first of n consecutive ports that are free at present.
 func freePorts(n int) (int, error) {
 	for range 200 {
-		l, a, err := listen()
-		if err != nil {
-			return 0, err
-		}
-		_ = l.Close()
-		_, text, _ := net.SplitHostPort(a)
-		first, _ := strconv.Atoi(text)
-		free := first+n < 65_000
+		first := firstPort + rand.IntN(lastPort-firstPort)
+		free := true
 		for i := 0; free && i < n; i++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+i))
-			if err != nil {
-				free = false
-				break
+			free = err == nil
+			if free {
+				_ = l.Close()
 			}
-			_ = l.Close()
 		}
 		if free {
 			return first, nil
