--- a/review/tool/case_rollout.go
+++ b/review/tool/case_rollout.go
@@ -18,6 +18,8 @@
 	// exposureShare and exposureSlack are the bounds of the sheet.
 	exposureShare = 0.1
 	exposureSlack = 50
+	// lateMs is rollbackMs, with 100 ms more for a request's way to the server.
+	lateMs = 5_100
 )
 
 // rollout orders a move to a version that is bad from some time after its start on.
@@ -27,7 +29,7 @@
 	status := number("STATUS", 500)
 	portion := number("PORTION", 60)
 	var reached, bad [2]atomic.Int64
-	var order atomic.Int64
+	var order, fiftieth, after atomic.Int64
 	inTime := func() bool {
 		at := order.Load()
 		return at != 0 && time.Since(time.UnixMilli(at)) < duration
@@ -40,14 +42,21 @@
 		}
 		started := time.Now()
 		x.serve = func(w http.ResponseWriter, r *http.Request) {
+			arrived := time.Now()
 			time.Sleep(30 * time.Millisecond)
 			n := int64(0)
 			if inTime() {
 				n = reached[isNew].Add(1)
 			}
 			fails := trouble && isNew == 1 && time.Since(started) >= later && int(n)%100*37%100 < portion
+			if at := fiftieth.Load(); isNew == 1 && at != 0 && arrived.UnixMilli() > at+lateMs && after.Add(1) == 1 {
+				s.rec.log("v2 gets a request more than %d ms after its 50th bad answer", lateMs)
+			}
 			if fails {
-				bad[isNew].Add(1)
+				if bad[isNew].Add(1) == 50 {
+					fiftieth.Store(time.Now().UnixMilli())
+					s.rec.log("v2 gives its 50th bad answer")
+				}
 				w.WriteHeader(status)
 			}
 			fmt.Fprint(w, "recorded")
@@ -129,8 +138,9 @@
 		s.rec.log("answers with status %v: %d", k, v.(*atomic.Int64).Load())
 		return true
 	})
+	s.rec.say("v2 got %d requests more than %d ms after its 50th bad answer; none may be", after.Load(), lateMs)
 	s.rec.say("v2 got %d of %d requests, %d may be, and answered %d badly; status: %s", got, all, int(allowed), bad[1].Load(), s.store.value("status", "rollout/huvo11a"))
-	if trouble && float64(got) > allowed {
+	if trouble && (float64(got) > allowed || after.Load() > 0) {
 		return broken, nil
 	}
 	return held, nil
