--- a/review/tool/case_stalled.go
+++ b/review/tools/case_stalled.go
@@ -92,8 +92,10 @@
 		}
 		defer c.close()
 		g.Go(func() {
-			answers[i] = c.ask(request{method: "POST", path: "/lohu930/2f", body: strings.Repeat("x", 400), deadline: 15 * time.Second,
-				tokens: "1460,160", prefix: fmt.Sprintf("5c1e07a2:800,91bd3f%02x:410,e4402b%02x:250", i, i)})
+			answers[i] = c.ask(request{
+				method: "POST", path: "/lohu930/2f", body: strings.Repeat("x", 400), deadline: 15 * time.Second,
+				tokens: "1460,160", prefix: fmt.Sprintf("5c1e07a2:800,91bd3f%02x:410,e4402b%02x:250", i, i),
+			})
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
--- a/review/tool/main.go
+++ b/review/tools/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(s *system, trouble bool) (int, error){
 	"silent-store":    silentStore,
 	"rollout":         rollout,
+	"partial-entry":   partialEntry,
 	"stalled-streams": stalledStreams,
 }
 
--- a/review/tool/server.go
+++ b/review/tools/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,10 @@
 	slots             int
 	listener          net.Listener
 	stop              chan struct{}
+	// draining is set once the server has reported that it drains, and beats counts the entries that it has written.
+	draining atomic.Bool
+	beats    atomic.Int64
+	born     int64
 	// serve handles one request that this server runs; it has the signature and the id already.
 	serve func(w http.ResponseWriter, r *http.Request)
 }
@@ -26,23 +31,17 @@
 		return err
 	}
 	x.sys, x.listener, x.address, x.stop = s, l, address, make(chan struct{})
-	born := time.Now().UnixMilli()
+	x.born = time.Now().UnixMilli()
 	s.servers = append(s.servers, x)
 	go func() { _ = http.Serve(l, x) }()
-	beat := func(n int) {
-		s.store.put("servers", x.id, map[string]any{
-			"service": x.service, "address": x.address, "zone": x.zone, "version": x.version, "slots": x.slots, "state": "ready",
-			"coldRemainingMs": 0, "stage": "both", "sequence": n, "born": born,
-		})
-	}
-	beat(0)
+	x.beat()
 	go func() {
-		ticker := time.NewTicker(1200 * time.Millisecond)
+		ticker := time.NewTicker(beatTime)
 		defer ticker.Stop()
-		for n := 1; ; n++ {
+		for {
 			select {
 			case <-ticker.C:
-				beat(n)
+				x.beat()
 			case <-x.stop:
 				return
 			}
@@ -52,6 +51,21 @@
 	return nil
 }
 
+// beatTime is heartbeatMs.
+const beatTime = 1200 * time.Millisecond
+
+// beat writes the server's entry.
+func (x *server) beat() {
+	state := "ready"
+	if x.draining.Load() {
+		state = "draining"
+	}
+	x.sys.store.put("servers", x.id, map[string]any{
+		"service": x.service, "address": x.address, "zone": x.zone, "version": x.version, "slots": x.slots, "state": state,
+		"coldRemainingMs": 0, "stage": "both", "sequence": x.beats.Add(1), "born": x.born,
+	})
+}
+
 // ServeHTTP serves one request.
 func (x *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Dragonflyroute-Request-Id")
--- a/review/tool/system.go
+++ b/review/tools/system.go
@@ -124,13 +124,17 @@
 		"dataDir": nil, "discovery": "platform", "entry": "registry", "heartbeatMs": 1200,
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "quota", "leader", "rollout", "platform"},
 		"tolerate":  map[string]int{"machines": 1, "zones": 0, "regions": 0},
-		"bounds": map[string]any{"seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackTimeoutMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": graceS, "lossSlackMs": 200,
+		"bounds": map[string]any{
+			"seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackTimeoutMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": graceS, "lossSlackMs": 200,
 			"configApplyMs": 2000, "rollbackSlackMs": 250, "maxStretchMs": 5000, "strictRevoke": false, "revokeMs": 5000, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
 			"budgetExtraRetries": 52, "quotaWindowS": 8, "quotaExcess": 0.1, "quotaSlack": 140000, "requireFencing": true, "leaseMs": 3000, "thawSlackMs": 300,
 			"reportWindowS": 5, "usageTolerance": 0.05, "usageLateS": 10, "exposureShare": 0.1, "exposureSlack": 50, "rollbackMs": 5000, "recoveryS": 12,
-			"passMs": 120, "reuseWindowS": 10, "ttl_max_s": 5},
-		"platform": map[string]any{"address": s.address, "form": "table", "writesPerS": 400, "readsPerS": 2000, "txMs": 8.0, "partWritesS": 150, "rowBytes": 65536,
-			"across": false, "historyS": 20, "blobBytes": 8388608, "blobMs": 25.0, "blobMbS": 80.0},
+			"passMs": 120, "reuseWindowS": 10, "ttl_max_s": 5,
+		},
+		"platform": map[string]any{
+			"address": s.address, "form": "table", "writesPerS": 400, "readsPerS": 2000, "txMs": 8.0, "partWritesS": 150, "rowBytes": 65536,
+			"across": false, "historyS": 20, "blobBytes": 8388608, "blobMs": 25.0, "blobMbS": 80.0,
+		},
 		"cloud": map[string]any{"address": s.address, "ratePerS": 50.0, "duties": []string{"usage_report"}, "dutyPerS": 50.0},
 	}
 	data, _ := json.MarshalIndent(settings, "", " ")
