--- a/cmd_host.go
+++ b/cmd_host.go
@@ -22,6 +22,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/state/latest"
+	"github.com/dragonflyroute/dragonflyroute/state/outage"
 	"github.com/dragonflyroute/dragonflyroute/transport/dial"
 	"github.com/dragonflyroute/dragonflyroute/transport/outlog"
 	"github.com/dragonflyroute/dragonflyroute/transport/reload"
@@ -125,9 +126,9 @@
 	transport := &http.Transport{DialContext: dial.Context, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxResponseHeaderBytes}
 	cloudTransport := transport.Clone()
 	cloudTransport.DialContext = dial.ResetOnClose
-	era := &latest.Era{}
+	era, outages := &latest.Era{}, &outage.Detector{}
 	tableClient := func(table string) *store.Store {
-		return &store.Store{Address: cfg.Store, Table: table, Transport: transport, Timeout: storeTimeout, Era: era}
+		return &store.Store{Address: cfg.Store, Table: table, Transport: transport, Timeout: storeTimeout, Era: era, Outages: outages, Log: s.Log}
 	}
 	s.Operator = tableClient(operatorTable)
 	s.Endpoints = tableClient(endpointTable)
@@ -177,6 +178,7 @@
 		UsageDeadline:         cfg.UsageDeadline,
 		EndpointDrain:         cfg.EndpointDrain,
 		ConfigApply:           cfg.ConfigApply,
+		Contact:               cfg.Contact,
 		EndpointHeartbeat:     cfg.EndpointHeartbeat,
 		ReportsUsage:          cfg.ReportsUsage,
 		OrdersEndpoints:       cfg.OrdersEndpoints,
--- a/coordination/sched/sched.go
+++ b/coordination/sched/sched.go
@@ -16,11 +16,13 @@
 	// large one.
 	heartbeatInterval      = 400 * time.Millisecond
 	largeHeartbeatInterval = 2 * heartbeatInterval
-	// operatorWait and hostsWait are the long-poll timeouts of reads: the operator's changes must take effect at
-	// once. Hosts come and go rarely, except that all hosts of a large fleet may start together, hence the pause
-	// between reads.
-	operatorWait    = 5 * time.Second
-	hostsWait       = 15 * time.Second
+	// contactWaitFraction is the long-poll timeout of reads of the operator's table, as a fraction of the time in which a
+	// host that reaches the store again must be up to date: a poll whose answer was lost must end, and a read follow it,
+	// within that time.
+	contactWaitFraction = 0.6
+	// hostsWait is the long-poll timeout of reads of the hosts' table. Hosts come and go rarely, except that all hosts of a
+	// large fleet may start together, hence the pause between reads.
+	hostsWait       = 5 * time.Second
 	hostsPause      = 300 * time.Millisecond
 	largeHostsPause = time.Second
 	// primaryWaitFraction is the primary reader's long-poll timeout as a fraction of the time in which a configuration must
@@ -69,6 +71,8 @@
 	Drain time.Duration
 	// Apply is the time in which a configuration must be in force.
 	Apply time.Duration
+	// Contact is the time in which a host that reaches the store again must be up to date.
+	Contact time.Duration
 }
 
 // Large reports whether only a few hosts read the tables, for the others as well.
@@ -110,7 +114,7 @@
 
 // OperatorWait returns the long-poll timeout of a read of the operator's table.
 func (s Schedule) OperatorWait() time.Duration {
-	return s.longPollWait(operatorWait, Fraction(primaryWaitFraction, s.Apply))
+	return s.longPollWait(Fraction(contactWaitFraction, s.Contact), Fraction(primaryWaitFraction, s.Apply))
 }
 
 // HostsWait returns the long-poll timeout of a read of the table of hosts.
--- a/coordination/sched/sched_test.go
+++ b/coordination/sched/sched_test.go
@@ -64,6 +64,15 @@
 		Expect(small.ReadDelay(drain, 0, false)).To(BeZero())
 	})
 
+	// Guards against a long poll whose answer is lost and that hides a configuration for longer than a host may take that
+	// reaches the store again.
+	It("leaves time for a read after a lost long poll of the operator's table", func() {
+		const contact, timeoutMargin, backoff = 3 * time.Second, 700 * time.Millisecond, 200 * time.Millisecond
+		small := sched.Schedule{Hosts: 8, Drain: drain, Apply: drain, HostsRead: true, Contact: contact}
+		Expect(small.OperatorWait()).To(BeNumerically(">", 0))
+		Expect(small.OperatorWait() + timeoutMargin + backoff).To(BeNumerically("<", contact-backoff))
+	})
+
 	It("keeps the primary reader's view recent, and lets other hosts read without a long poll", func() {
 		primary := large
 		primary.Role = roles.Primary
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -165,10 +165,7 @@
 		rows, version, err := w.Source.Snapshot(ctx)
 		return w.handleRead(rows, version, true, sent, err)
 	}
-	wait := time.Duration(0)
-	if w.LongPollWait != nil {
-		wait = w.LongPollWait()
-	}
+	wait := w.pollWait()
 	rows, version, err := w.Source.Changes(ctx, version, wait)
 	if wait > 0 {
 		// With a long poll the answer is made at its end, so it is as recent as the arrival less the transit time.
@@ -177,6 +174,18 @@
 	return w.handleRead(rows, version, false, sent, err)
 }
 
+// pollWait returns how long the next read waits for changes. The read after a failed one does not wait: changes may have been
+// missed, and the next answer may be lost as well.
+func (w *Watcher) pollWait() time.Duration {
+	w.mu.Lock()
+	failed := w.failures > 0
+	w.mu.Unlock()
+	if failed || w.LongPollWait == nil {
+		return 0
+	}
+	return w.LongPollWait()
+}
+
 // handleRead applies the result of a read; at is a time at which the table had that version.
 func (w *Watcher) handleRead(rows []record.Record, version int64, full bool, at time.Time, err error) error {
 	w.mu.Lock()
--- a/coordination/watch/watch_test.go
+++ b/coordination/watch/watch_test.go
@@ -27,6 +27,7 @@
 	script    []error
 	snapshots int
 	after     []int64
+	waits     []time.Duration
 	end       context.CancelFunc
 }
 
@@ -35,8 +36,9 @@
 	return []record.Record{{Key: "k"}}, int64(10 * s.snapshots), nil
 }
 
-func (s *source) Changes(_ context.Context, after int64, _ time.Duration) ([]record.Record, int64, error) {
+func (s *source) Changes(_ context.Context, after int64, wait time.Duration) ([]record.Record, int64, error) {
 	s.after = append(s.after, after)
+	s.waits = append(s.waits, wait)
 	if len(s.after) > len(s.script) {
 		s.end()
 		return nil, after, nil
@@ -44,6 +46,9 @@
 	return nil, after + 1, s.script[len(s.after)-1]
 }
 
+// longPoll is the time for which the reads of a scripted table wait for changes.
+const longPoll = time.Second
+
 // runScript watches a scripted table and returns the outages that were reported.
 func runScript(script ...error) (*source, []time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -52,6 +57,7 @@
 	w := &watch.Watcher{
 		Name: "t", Source: s, OnSnapshot: func([]record.Record) {}, OnChanges: func([]record.Record) {},
 		OnRecovery: func(d, _ time.Duration) { outages = append(outages, d) }, Now: time.Now, Log: hclog.NewNullLogger(),
+		LongPollWait: func() time.Duration { return longPoll },
 	}
 	Expect(w.Run(ctx)).To(Succeed())
 	return s, outages
@@ -82,6 +88,12 @@
 		Expect(outages).To(HaveLen(1))
 	})
 
+	// Guards against a second long poll into the silence that has swallowed the answer to the first one.
+	It("does not wait for changes in the read after a missing answer", func() {
+		s, _ := runScript(nil, noAnswer, nil, nil)
+		Expect(s.waits).To(Equal([]time.Duration{longPoll, longPoll, 0, longPoll, longPoll}))
+	})
+
 	Describe("with updates from another host", func() {
 		at := time.Unix(1000, 0)
 		var now time.Time
--- a/standin/rows.go
+++ b/standin/rows.go
@@ -50,9 +50,11 @@
 	oldestVer int64
 	// reads counts the read requests of each table.
 	reads map[string]int
-	// down makes every call fail with status 503. loseAnswers carries out every call and closes the connection without
-	// a response.
-	down, loseResponses bool
+	// down makes every call fail with status 503. loseResponses carries out every call and closes the connection without
+	// a response. silent answers no call, also none that waits, and never does so later on the same connection.
+	down, loseResponses, silent bool
+	// muted counts, by table, how often the feed requests that waited were left without an answer.
+	muted map[string]int
 }
 
 func (s *rowStore) put(table, key string, value []byte) {
@@ -90,12 +92,16 @@
 }
 
 // setFaults replaces the faults of the store and carries out those that last no time:
-// /fault?down&lost&compact&restore=SECONDS, where restore brings back the rows of that many seconds ago.
+// /fault?down&lost&silent&compact&mute=TABLE&restore=SECONDS, where mute leaves the feed requests that wait for a table's
+// changes without an answer, and restore brings back the rows of that many seconds ago.
 func (s *rowStore) setFaults(_ http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q := r.URL.Query()
-	s.down, s.loseResponses = q.Has("down"), q.Has("lost")
+	s.down, s.loseResponses, s.silent = q.Has("down"), q.Has("lost"), q.Has("silent")
+	if q.Has("mute") {
+		s.muted[q.Get("mute")]++
+	}
 	if q.Has("compact") {
 		s.oldestVer = s.ver + 1
 	}
@@ -122,6 +128,9 @@
 		if refused {
 			return
 		}
+		if s.isSilent() {
+			leaveUnanswered(r)
+		}
 		next(w, r)
 		if lost {
 			panic(http.ErrAbortHandler)
@@ -129,6 +138,18 @@
 	}
 }
 
+func (s *rowStore) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
+// leaveUnanswered keeps a call without an answer until its caller closes the connection. It does not return.
+func leaveUnanswered(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // begin counts a call, answers it if the store is down, and reports whether its response is to be lost.
 func (s *rowStore) begin(w http.ResponseWriter, r *http.Request) (refused, lost bool) {
 	s.mu.Lock()
@@ -197,11 +218,23 @@
 func (s *rowStore) feed(w http.ResponseWriter, r *http.Request) {
 	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	until := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	table := r.URL.Query().Get("table")
+	muted := s.muteCount(table)
 	for era := s.currentEra(); !s.answerFeed(w, r, era, until); {
 		time.Sleep(feedPollPeriod)
+		if s.isSilent() || s.muteCount(table) > muted {
+			leaveUnanswered(r)
+		}
 	}
 }
 
+// muteCount returns how often the waiting feed requests of a table were left without an answer.
+func (s *rowStore) muteCount(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.muted[table]
+}
+
 func (s *rowStore) currentEra() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/site.go
+++ b/standin/site.go
@@ -97,7 +97,7 @@
 // Run serves the simulated platform until ctx ends.
 func (c *siteCmd) Run(ctx context.Context) error {
 	p := &sitePlatform{
-		store:   &rowStore{rows: map[[2]string]siteRow{}, reads: map[string]int{}, era: 1, operatorValues: map[string][]byte{}},
+		store:   &rowStore{rows: map[[2]string]siteRow{}, reads: map[string]int{}, muted: map[string]int{}, era: 1, operatorValues: map[string][]byte{}},
 		servers: map[string]*siteServer{}, runs: map[string]int{}, arrivals: map[string]int{}, limitEvents: map[string][]limitEvent{}, versions: map[string]int{}, reports: map[int64][]json.RawMessage{},
 		crashingParts: map[string]bool{}, killed: map[string]bool{}, scaleFences: map[string]int64{},
 	}
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -130,6 +130,7 @@
 		HostsRead: s.tables[hostsTable].Version() > 0,
 		Drain:     s.EndpointDrain,
 		Apply:     s.ConfigApply,
+		Contact:   s.Contact,
 	}
 }
 
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -108,6 +108,8 @@
 	EndpointDrain time.Duration
 	// ConfigApply is the time within which a change of the operator's configuration must take effect on every host.
 	ConfigApply time.Duration
+	// Contact is the time within which a host that reaches the store again must be up to date.
+	Contact time.Duration
 	// EndpointHeartbeat is the interval between an endpoint's heartbeats.
 	EndpointHeartbeat time.Duration
 	// UsageWindow is the length of a window of the usage report, UsageDeadline the time after its end when the report is
