End a silent attempt only if another endpoint can take the request

Cause: platform/send cancelled a resumable stream after three target gaps without an event. Whether another attempt was allowed, paid for and had an endpoint was asked only then; if not, the caller's stream was cut. Class: a bound that ends accepted work before what is to replace it is certain.

Ruled out: the drain itself. The same happens without a SIGTERM (scene 'if there is no other endpoint'), and the stop only hands work to fewer endpoints.

Change: coordination/proxy watches an attempt, and first chooses the next endpoint with its permit and budget, then ends the silent one. That endpoint must be sound, have room and no request limit; attempts and, in a drain, time must be left, and the answer must be one that can go on. Otherwise the attempt goes on. A stream is moved after 0.7 of its callers' patience (two seconds, four target latencies or eight gaps), since a sound endpoint may be silent for a second or so; after three gaps the endpoint counts as failing in the choice for other requests, as before. A choice that comes to nothing costs no second unit of the budget. The same cause on related paths: attempts of idempotent calls ended after 0.4 of their time with nobody to take them, also in the middle of a long answer. coordination/relay goes on until its deadline, also at the same endpoint: nothing to change.

--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -29,9 +29,6 @@
 	refusedRetryAfter = 150 * time.Millisecond
 	// drainRetryAfter is the Retry-After of a draining host; the caller should retry at another one.
 	drainRetryAfter = 50 * time.Millisecond
-	// attemptTimeoutFraction is the fraction of the remaining time after which an attempt of an idempotent request is
-	// abandoned in favour of another endpoint.
-	attemptTimeoutFraction = 0.4
 	// maxRefusedPermits is the number of refused permits after which a request is not sent to endpoints with a request limit.
 	maxRefusedPermits = 4
 	// drainMargin times its expected duration must be left at a draining host for a stream to be accepted.
@@ -48,8 +45,11 @@
 type exchange interface {
 	// Attempt sends the request to endpoint t and forwards its answer. The endpoint fetches the KV cache of the prompt
 	// from donor, unless donor is nil. resume is the id of the event after which a stream continues, empty for a first
-	// attempt. begun is called at the first part of an answer.
+	// attempt. begun is called at the first part of an answer, and whenever further events of a stream arrive.
 	Attempt(ctx context.Context, t, donor *target.Target, resume string, begun func()) result.Result
+	// CanResume reports whether another endpoint can continue the answer after the part that the caller has. It may be called
+	// during an attempt.
+	CanResume() bool
 	// Deliver sends the caller the error response that an attempt held back; it reports whether there was one.
 	Deliver() bool
 }
@@ -157,6 +157,10 @@
 	refusedPermits int
 	// arrivals counts the attempts of which bytes may have reached an endpoint.
 	arrivals int
+	// paid is set while the retry budget was debited for the next arrival.
+	paid bool
+	// next is the choice for the next attempt, nil while there is none.
+	next *choice
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun   bool
 	startCounted bool
@@ -239,37 +243,22 @@
 
 // step makes one attempt and reports whether to make another.
 func (p *Proxy) step(ctx context.Context, j *job, x exchange) (again bool, err error) {
-	if wait, reason := p.Prompts.Admit(j.work); reason != "" {
-		return false, p.finalError(ctx, j, x, reason, wait)
-	}
-	now := p.Now()
-	version := p.Canary.Choose(j.work)
-	to := p.Balancer.Pick(version.Filter(p.Endpoints.ByBackend(j.work.Backend)), j.work, j.excluded, now)
-	t := to.Target
-	if t == nil && to.RetryAfter > 0 {
-		return false, p.finalError(ctx, j, x, "all endpoints of the back end asked for a pause or are at their request limits", to.RetryAfter)
-	}
-	if t == nil {
-		return false, p.finalError(ctx, j, x, "the back end has no usable endpoint", noEndpointRetryAfter)
-	}
-	if !j.mayHaveRun && now.Add(to.TimeToFirst).After(j.work.Deadline) {
-		return false, p.finalError(ctx, j, x, "no endpoint is expected to start the answer before the request's deadline", refusedRetryAfter)
-	}
-	if !p.Permits.Take(ctx, t) {
-		j.refusedPermits++
-		return ctx.Err() == nil, p.deadlineError(ctx, j, x)
-	}
-	if j.arrivals > 0 && !p.Retries.Take(j.work.Backend) {
-		return false, p.finalError(ctx, j, x, "the back end's retry budget is exhausted", refusedRetryAfter)
-	}
-	if wait, reason := p.Prompts.Begin(j.work); reason != "" {
-		return false, p.finalError(ctx, j, x, reason, wait)
+	next := j.next
+	j.next = nil
+	if next == nil {
+		var refused *refusal
+		if next, refused = p.choose(ctx, j, j.arrivals, false); refused != nil {
+			return p.refuse(ctx, j, x, refused)
+		}
 	}
-	j.attempted[t] = true
-	j.lastEndpoint, j.lastDonor = t, to.Donor
-	j.recordAttempt(t, p.attempt(ctx, j, t, to.Donor, to.PrefillTokens, x))
+	j.attempted[next.target] = true
+	j.lastEndpoint, j.lastDonor = next.target, next.donor
+	paid := j.paid
+	j.paid = false
+	j.recordAttempt(next.target, p.attempt(ctx, j, next, x))
+	j.paid = j.paid || paid && !j.lastResult.Sent
 	if !cutByExit(ctx) {
-		p.Canary.Record(version, t, j.work, j.lastResult)
+		next.recordTrial(j.work, j.lastResult)
 	}
 	return p.decide(ctx, j, x)
 }
@@ -294,36 +283,29 @@
 	return j.attempted[t] || j.refusedPermits >= maxRefusedPermits && t.Limit.InForce()
 }
 
-// deadlineError returns the error to answer with once the request's context has ended, and nil before.
-func (p *Proxy) deadlineError(ctx context.Context, j *job, x exchange) error {
-	if ctx.Err() == nil {
-		return nil
-	}
-	return p.finalError(ctx, j, x, "the request ended while it waited for a permit", 0)
-}
-
 // attempt sends the request to one endpoint and records what the result shows about the endpoint.
-func (p *Proxy) attempt(ctx context.Context, j *job, t, donor *target.Target, prefillTokens int64, x exchange) result.Result {
+func (p *Proxy) attempt(ctx context.Context, j *job, c *choice, x exchange) result.Result {
+	t, donor, prefillTokens := c.target, c.donor, c.prefillTokens
 	now := p.Now()
 	_, ahead := t.Outstanding(now)
 	p.Flow.Add(j.work.Backend, prefillTokens, now)
 	begun, done := t.Begin(j.work, prefillTokens, now)
 	defer done()
-	if limit, ok := p.attemptTimeout(j, now); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeoutCause(ctx, limit, errAttemptTimeout)
-		defer cancel()
-	}
 	p.countLimited(t, donor)
+	watch := p.watchFor(j, t, x, now)
 	var answerBegun time.Time
-	r := x.Attempt(ctx, t, donor, j.lastResult.LastEventID, func() {
-		begun()
-		if answerBegun.IsZero() {
-			answerBegun = p.Now()
-		}
-		t.RecordProgress(p.Now())
-		p.countStart(j)
-	})
+	send := func(ctx context.Context) result.Result {
+		return x.Attempt(ctx, t, donor, j.lastResult.LastEventID, func() {
+			begun()
+			if answerBegun.IsZero() {
+				answerBegun = p.Now()
+			}
+			t.RecordProgress(p.Now())
+			p.countStart(j)
+			watch.progress()
+		})
+	}
+	r := watch.run(ctx, send)
 	p.Prompts.Ended(j.work, t, r, answerBegun)
 	now = p.Now()
 	t.Observe(r, p.expectedFirstToken(j.work, ahead+prefillTokens), now)
@@ -352,19 +334,6 @@
 	return p.Speed.TimeToFirstToken(w.Backend, tokens)
 }
 
-// errAttemptTimeout ends an attempt that exceeds its timeout, so that another endpoint can be tried.
-var errAttemptTimeout = fault.New(kind.Unavailable, "", "the endpoint exceeded the attempt timeout")
-
-// attemptTimeout returns the timeout of an attempt; ok is false for requests that are not idempotent and for the last
-// attempt, which have only the request's deadline.
-func (p *Proxy) attemptTimeout(j *job, now time.Time) (limit time.Duration, ok bool) {
-	w := j.work
-	if w.Route.Mode != mode.Idempotent || j.arrivals+1 >= w.Route.MaxAttempts {
-		return 0, false
-	}
-	return time.Duration(attemptTimeoutFraction * float64(w.Deadline.Sub(now))), true
-}
-
 func (p *Proxy) countStart(j *job) {
 	if !j.startCounted {
 		j.startCounted = true
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -42,6 +42,8 @@
 	resumes []string
 	// before is called before each result, unless nil.
 	before func(t *target.Target)
+	// cannotResume is set if the caller has a part of the answer that no other endpoint can continue.
+	cannotResume bool
 }
 
 func (s *fakeExchange) Attempt(_ context.Context, t, _ *target.Target, resume string, begun func()) result.Result {
@@ -60,6 +62,8 @@
 
 func (s *fakeExchange) Deliver() bool { return s.held }
 
+func (s *fakeExchange) CanResume() bool { return !s.cannotResume }
+
 // fakeUsage counts the requests that started to run.
 type fakeUsage struct{ n int }
 
@@ -138,6 +142,15 @@
 	return f
 }
 
+// others applies a function to all endpoints but one.
+func (f *fixture) others(than endpt.ID, apply func(t *target.Target)) {
+	for _, t := range f.registry.All() {
+		if t.Row().ID != than {
+			apply(t)
+		}
+	}
+}
+
 func request(m mode.Mode, attempts int) *work.Request {
 	return &work.Request{
 		ID:       "r",
--- /dev/null
+++ b/coordination/proxy/silence.go
@@ -0,0 +1,190 @@
+package proxy
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/mode"
+	"github.com/dragonflyroute/dragonflyroute/protocol/path"
+	"github.com/dragonflyroute/dragonflyroute/protocol/result"
+	"github.com/dragonflyroute/dragonflyroute/state/target"
+)
+
+const (
+	// suspectGaps is the time without an event after which an endpoint counts as failing in the choice for other requests, in
+	// multiples of the route's longest acceptable gap between events.
+	suspectGaps = 3
+	// Callers give up a stream after the longest of minPatience, patienceGaps times the route's longest acceptable gap and
+	// patienceLatencies times its target latency without an event.
+	minPatience       = 2 * time.Second
+	patienceGaps      = 8
+	patienceLatencies = 4
+	// streamMoveFraction is the fraction of a caller's patience after which a silent stream may be continued at another
+	// endpoint: a sound endpoint may be silent for a second or so, and the rest is for the other endpoint to begin.
+	streamMoveFraction = 0.7
+	// callMoveFraction is the fraction of the time left for an idempotent request after which a silent attempt may be
+	// abandoned in favour of another endpoint.
+	callMoveFraction = 0.4
+	// moveRetryInterval is the time between two looks whether a silent request can be sent elsewhere.
+	moveRetryInterval = 200 * time.Millisecond
+)
+
+// errSilent ends an attempt at a silent endpoint once the request can be sent elsewhere.
+var errSilent = fault.New(kind.Unavailable, "", "the endpoint was silent, and another one takes the request")
+
+// silence watches one attempt of a request that may be sent elsewhere. It never ends the attempt of one that can't be: an
+// endpoint that is silent may go on.
+type silence struct {
+	proxy *Proxy
+	job   *job
+	x     exchange
+	// target is the endpoint of the attempt.
+	target *target.Target
+	// suspectAfter and moveAfter are the times of silence after which the endpoint counts as failing, and after which the
+	// request may be sent elsewhere.
+	suspectAfter, moveAfter time.Duration
+	// end ends the attempt.
+	end context.CancelCauseFunc
+	// progressAt is when the endpoint last showed progress, in Unix nanoseconds, 0 while silence does not count yet.
+	progressAt atomic.Int64
+}
+
+// watchFor returns the watch of an attempt that begins now, nil for one that is never sent elsewhere.
+func (p *Proxy) watchFor(j *job, t *target.Target, x exchange, now time.Time) *silence {
+	w := j.work
+	s := &silence{proxy: p, job: j, target: t, x: x}
+	switch {
+	case w.Route.Mode == mode.Idempotent && j.arrivals+1 < w.Route.MaxAttempts:
+		s.moveAfter = time.Duration(callMoveFraction * float64(w.Deadline.Sub(now)))
+		s.suspectAfter = s.moveAfter
+		s.progressAt.Store(now.UnixNano())
+	case w.Route.Mode == mode.Resumable && w.Route.TargetGap > 0:
+		s.suspectAfter = suspectGaps * w.Route.TargetGap
+		s.moveAfter = max(s.suspectAfter, time.Duration(streamMoveFraction*float64(patience(w.Route))))
+		if j.lastResult.LastEventID != "" {
+			s.progressAt.Store(now.UnixNano())
+		}
+	default:
+		return nil
+	}
+	return s
+}
+
+// patience returns the time without an event after which callers give up a stream of a route.
+func patience(r *path.Route) time.Duration {
+	return max(minPatience, patienceGaps*r.TargetGap, patienceLatencies*r.TargetLatency)
+}
+
+// run makes an attempt and watches it until it ends; without a watch it only makes it.
+func (s *silence) run(ctx context.Context, attempt func(ctx context.Context) result.Result) result.Result {
+	if s == nil {
+		return attempt(ctx)
+	}
+	ctx, s.end = context.WithCancelCause(ctx)
+	var g errgroup.Group
+	g.Go(func() error {
+		s.watch(ctx)
+		return nil
+	})
+	r := attempt(ctx)
+	s.end(nil)
+	_ = g.Wait()
+	return r
+}
+
+// progress records that the endpoint sends parts of its answer.
+func (s *silence) progress() {
+	if s != nil {
+		s.progressAt.Store(s.proxy.Now().UnixNano())
+	}
+}
+
+// lasted returns for how long the endpoint has been silent.
+func (s *silence) lasted() time.Duration {
+	at := s.progressAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return s.proxy.Now().Sub(time.Unix(0, at))
+}
+
+// watch looks at the attempt until ctx ends or the request can be sent elsewhere.
+func (s *silence) watch(ctx context.Context) {
+	timer := time.NewTimer(s.suspectAfter)
+	defer timer.Stop()
+	suspected := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		lasted := s.lasted()
+		if suspected = s.suspect(lasted, suspected); !suspected {
+			timer.Reset(s.suspectAfter - lasted)
+			continue
+		}
+		if lasted < s.moveAfter {
+			timer.Reset(s.moveAfter - lasted)
+			continue
+		}
+		if s.move(ctx) {
+			return
+		}
+		timer.Reset(moveRetryInterval)
+	}
+}
+
+// suspect reports whether the silence is so long that the endpoint counts as failing, and records that once for each
+// silence.
+func (s *silence) suspect(lasted time.Duration, already bool) bool {
+	if lasted < s.suspectAfter {
+		return false
+	}
+	if !already {
+		s.target.RecordFailure(s.proxy.Now())
+		s.proxy.Count("silent_attempts_total", 1)
+	}
+	return true
+}
+
+// move ends the attempt if the request can be sent elsewhere, and reports whether it did.
+func (s *silence) move(ctx context.Context) bool {
+	next, ok := s.proxy.chooseElsewhere(ctx, s.job, s.x)
+	if !ok || s.lasted() < s.moveAfter {
+		return false
+	}
+	s.job.next = next
+	s.proxy.Count("silent_attempts_moved_total", 1)
+	s.proxy.Log.Info("endpoint is silent; the request goes on elsewhere", "id", s.job.work.ID, "endpoint", s.target.Row().ID, "silent-ms", s.lasted().Milliseconds(),
+		"next-endpoint", next.target.Row().ID, "arrivals", s.job.arrivals+1)
+	s.end(errSilent)
+	return true
+}
+
+// chooseElsewhere chooses the endpoint to which a request goes on whose attempt is in progress, and takes what the next
+// attempt needs; ok is false if there is none at which it is as safe: the next attempt may be the last one.
+func (p *Proxy) chooseElsewhere(ctx context.Context, j *job, x exchange) (next *choice, ok bool) {
+	if j.arrivals+1 >= j.work.Route.MaxAttempts || ctx.Err() != nil || !x.CanResume() {
+		return nil, false
+	}
+	if draining, left := p.Draining(); draining && p.expectedDuration(j.work) >= left {
+		return nil, false
+	}
+	next, refused := p.choose(ctx, j, j.arrivals+1, true)
+	return next, refused == nil
+}
+
+// isSound reports whether an endpoint has not failed since its last progress, and has room for another request without a
+// permit.
+func isSound(t *target.Target, now time.Time) bool {
+	failures, _ := t.Failures(now)
+	running, _ := t.Outstanding(now)
+	slots := t.Slots()
+	return failures == 0 && !t.Limit.InForce() && (slots == 0 || running < slots)
+}
--- a/standin/site.go
+++ b/standin/site.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -22,10 +23,7 @@
 const (
 	// heartbeatPeriod is the interval at which an endpoint writes its row.
 	heartbeatPeriod = 200 * time.Millisecond
-	// eventPeriod is the interval between the events of a stream, and streamEvents their number.
-	eventPeriod  = 20 * time.Millisecond
-	streamEvents = 12
-	percent      = 100
+	percent         = 100
 	// slowAnswerDelay is the time that requests with a path ending in /slow take.
 	slowAnswerDelay = 100 * time.Millisecond
 	// heldAnswerDelay is the time that requests with a path ending in /held take, before the head of their answer, and that
@@ -54,6 +52,8 @@
 	// ended is set once it was killed or has crashed.
 	ended  bool
 	faults siteFaults
+	// streaming counts the streams that it runs.
+	streaming atomic.Int32
 }
 
 // sitePlatform simulates the users' platform: store, platform calls and endpoints.
@@ -83,6 +83,8 @@
 	killed map[string]bool
 	// crashEvents holds the arrivals of requests with a crashing part, and the crashes.
 	crashEvents []crashEvent
+	// streamRuns holds the runs of streams that have ended, by request.
+	streamRuns map[string][]streamRun
 	// group runs the endpoints until ctx ends.
 	group *errgroup.Group
 	ctx   context.Context
@@ -99,7 +101,7 @@
 	p := &sitePlatform{
 		store:   &rowStore{rows: map[[2]string]siteRow{}, reads: map[string]int{}, muted: map[string]int{}, era: 1, operatorValues: map[string][]byte{}},
 		servers: map[string]*siteServer{}, runs: map[string]int{}, arrivals: map[string]int{}, limitEvents: map[string][]limitEvent{}, versions: map[string]int{}, reports: map[int64][]json.RawMessage{},
-		crashingParts: map[string]bool{}, killed: map[string]bool{}, scaleFences: map[string]int64{},
+		crashingParts: map[string]bool{}, killed: map[string]bool{}, scaleFences: map[string]int64{}, streamRuns: map[string][]streamRun{},
 	}
 	mux := http.NewServeMux()
 	p.store.handle(mux)
@@ -224,20 +226,6 @@
 	s.sendEvents(w, r)
 }
 
-// sendEvents answers a request with the events of a stream that follow the last one that its caller has.
-func (s *siteServer) sendEvents(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for n := last + 1; n <= streamEvents && r.Context().Err() == nil; n++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, s.id)
-		_ = http.NewResponseController(w).Flush()
-		time.Sleep(eventPeriod)
-		if strings.HasSuffix(r.URL.Path, "/stuck") {
-			hold(r.Context())
-		}
-	}
-}
-
 // delayAnswer delays the answer to a request by the time that its path asks for.
 func delayAnswer(r *http.Request) {
 	switch {
@@ -261,6 +249,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reply(w, map[string]any{
-		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "crashes": p.crashEvents, "status": p.store.statuses(), "era": p.store.currentEra(), "duties": p.dutyCalls,
+		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "crashes": p.crashEvents, "status": p.store.statuses(), "era": p.store.currentEra(), "duties": p.dutyCalls, "streams": p.streamRuns,
 	})
 }
--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -54,6 +54,8 @@
 	Reports map[string][]map[string]json.Number `json:"reports"`
 	// Crashes holds the arrivals of requests with a part that crashes endpoints, and the crashes.
 	Crashes []crashEvent `json:"crashes"`
+	// Streams holds the runs of streams that have ended, by request.
+	Streams map[string][]streamRun `json:"streams"`
 	// Duties holds the calls of the duties, in the order of their arrival.
 	Duties []dutyCall `json:"duties"`
 }
--- a/test/scene/stop_test.go
+++ b/test/scene/stop_test.go
@@ -28,12 +28,18 @@
 
 // newKeptCaller connects to a host with a first request.
 func (s *site) newKeptCaller(host int) *keptCaller {
-	c := &keptCaller{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, host: s.hosts[host].address}
-	DeferCleanup(c.client.CloseIdleConnections)
+	c := newCaller(s.hosts[host].address)
 	Expect(c.send("/open/x", time.Second).status).To(Equal(http.StatusOK))
 	return c
 }
 
+// newCaller returns a caller of the host at an address.
+func newCaller(address string) *keptCaller {
+	c := &keptCaller{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, host: address}
+	DeferCleanup(c.client.CloseIdleConnections)
+	return c
+}
+
 // keptAnswer is an answer with the time that it took.
 type keptAnswer struct {
 	siteAnswer
--- /dev/null
+++ b/test/scene/streams_test.go
@@ -0,0 +1,208 @@
+package scene_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// longRoute is a route of long streams that may be resumed, as part of a configuration.
+const longRoute = `,{"name":"long","host":"plans.example","prefix":"/stream/long/","kind":"streaming","resumable":true,"timeoutMs":15000,"targetLatencyMs":1000,"targetGapMs":300,"service":"plume","maxAttempts":2}`
+
+const (
+	// longDeadline is the deadline of requests on longRoute.
+	longDeadline = 15 * time.Second
+	// callerPatience is the pause after which callers of longRoute give a stream up.
+	callerPatience = 4 * time.Second
+)
+
+// streamRun is an endpoint's run of a stream, as recorded by the stand-in.
+type streamRun struct {
+	Endpoint    string `json:"endpoint"`
+	From        int    `json:"from"`
+	Last        int    `json:"last"`
+	Complete    bool   `json:"complete"`
+	StartMillis int64  `json:"start"`
+	EndMillis   int64  `json:"end"`
+}
+
+// streamAnswer is the answer to a request for a stream.
+type streamAnswer struct {
+	id     string
+	status int
+	// events holds the ids of the events, and longest is the longest time between two of them.
+	events  []string
+	longest time.Duration
+	// sent and ended are when the request was sent and its answer ended. The error is that of the connection.
+	sent, ended time.Time
+	err         error
+}
+
+// isWhole reports whether all events of a stream have come, once each and in order.
+func (a *streamAnswer) isWhole(events int) bool {
+	if a.err != nil || len(a.events) != events {
+		return false
+	}
+	for i, id := range a.events {
+		if id != strconv.Itoa(i+1) {
+			return false
+		}
+	}
+	return true
+}
+
+// bodyOf returns a request body: with a length, or in chunks that are sent with a pause between them.
+func bodyOf(chunks int, pause time.Duration) io.Reader {
+	if chunks == 0 {
+		return strings.NewReader("body")
+	}
+	return &chunkedBody{left: chunks, pause: pause}
+}
+
+// chunkedBody is a request body of unknown length that comes in parts.
+type chunkedBody struct {
+	left  int
+	pause time.Duration
+}
+
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	b.left--
+	time.Sleep(b.pause)
+	return copy(p, "chunk of the body "), nil
+}
+
+// stream sends a request for a stream and reads its events.
+func (c *keptCaller) stream(path string) streamAnswer {
+	return c.streamOf(path, bodyOf(0, 0), longDeadline, 0)
+}
+
+// streamOf sends a request with a body and a limit of generated tokens, 0 for none, and reads the events of the stream.
+func (c *keptCaller) streamOf(path string, body io.Reader, deadline time.Duration, tokens int) (a streamAnswer) {
+	a.id = nextRequestID()
+	r, err := http.NewRequest(http.MethodPost, "http://"+c.host+path, body)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	r.Host = "plans.example"
+	r.GetBody = nil
+	r.Header.Set("Dragonflyroute-Request-Id", a.id)
+	r.Header.Set("Dragonflyroute-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	r.Header.Set("Authorization", "Bearer k1")
+	if tokens > 0 {
+		r.Header.Set("Dragonflyroute-Token-Usage", fmt.Sprintf("100,%d", tokens))
+	}
+	a.sent = time.Now()
+	defer func() { a.ended = time.Now() }()
+	resp, err := c.client.Do(r)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a.status = resp.StatusCode
+	lines := bufio.NewScanner(resp.Body)
+	for last := time.Now(); lines.Scan(); {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			a.events = append(a.events, id)
+			a.longest = max(a.longest, time.Since(last))
+			last = time.Now()
+		}
+	}
+	a.err = lines.Err()
+	return a
+}
+
+// streams sends requests for streams to a host at the same time, each on a kept connection of its own and with further
+// parameters of the path, and calls meanwhile once they have all been sent.
+func (s *site) streams(host, count int, parameters string, meanwhile func()) []streamAnswer {
+	path := fmt.Sprintf("/stream/long/x?events=%d%s", longEvents, parameters)
+	answers := make([]streamAnswer, count)
+	var g sync.WaitGroup
+	for i := range count {
+		caller := s.newKeptCaller(host)
+		g.Go(func() { answers[i] = caller.stream(path) })
+	}
+	meanwhile()
+	g.Wait()
+	return answers
+}
+
+// longEvents is the number of events of the streams of streams.
+const longEvents = 40
+
+func expectWhole(answers []streamAnswer) {
+	GinkgoHelper()
+	var broken []string
+	for _, a := range answers {
+		if !a.isWhole(longEvents) {
+			broken = append(broken, fmt.Sprintf("%s: status %d, %d of %d events, error %v", a.id, a.status, len(a.events), longEvents, a.err))
+		}
+	}
+	Expect(broken).To(BeEmpty(), "%d of %d streams", len(broken), len(answers))
+}
+
+var _ = Describe("an endpoint that is silent for a while in the middle of its streams", func() {
+	// paused is the rest of a path whose streams pause after 8 events of a run, but for the milliseconds.
+	const paused = "&gap=20&after=8&pause="
+	newSite := func(hosts int) *site {
+		s := newSite(hosts)
+		s.configure(2, longRoute+onlyRoute(2), `"k1"`)
+		for i := range s.hosts {
+			Eventually(func() bool { return s.has(i, 2) }).Should(BeTrue())
+		}
+		return s
+	}
+
+	// Guards against streams that are cut at a planned stop since their sound endpoints were silent for a while.
+	It("goes on with them at a host that stops", func() {
+		s := newSite(2)
+		answers := s.streams(1, 6, paused+"1500", func() {
+			time.Sleep(200 * time.Millisecond)
+			s.hosts[1].signal(syscall.SIGTERM)
+		})
+		expectWhole(answers)
+	})
+
+	// Guards against streams that are cut as the retry budget runs out, though their endpoint would have gone on.
+	It("goes on with all of them, though only some may be repeated elsewhere", func() {
+		s := newSite(1)
+		expectWhole(s.streams(0, 120, paused+"1500&on=i-0", func() {}))
+	})
+
+	// Guards against streams that are cut as no other endpoint is left.
+	It("goes on with them if there is no other endpoint", func() {
+		s := newSite(1)
+		s.control("/kill?id=i-1")
+		s.control("/kill?id=i-2")
+		expectWhole(s.streams(0, 6, paused+"3000", func() {}))
+	})
+
+	// Guards against streams that stay with an endpoint which is silent for good.
+	It("has them go on elsewhere before their callers give up, if it stays silent", func() {
+		s := newSite(1)
+		answers := s.streams(0, 9, paused+"30000&on=i-0", func() {})
+		expectWhole(answers)
+		moved := 0
+		seen := s.record()
+		for _, a := range answers {
+			Expect(a.longest).To(BeNumerically("<", callerPatience))
+			if len(seen.Streams[a.id]) == 2 {
+				moved++
+			}
+		}
+		Expect(moved).To(BeNumerically(">", 0), "streams that began at the silent endpoint")
+	})
+})
