Take a stream late in a planned stop only if its deadline comes first

Cause: streams that may be resumed were taken through the whole drain by their expected duration. What may run at most once was already taken late only with a deadline before the stop. A stream that has begun can't get another answer at the stop; it breaks off.

Ruled out: losses without silences or late streams.

Change: the rule for what may run at most once holds for every stream. Idempotent calls are still taken by their expected duration: they get an error answer at the stop.

Tests: coordination/proxy 'a stream that may be resumed', late, asked that it be taken; it is refused now, as not run and with the time to come back, which costs its caller one more try in place of a cut answer. The two tests on expected durations use an idempotent call and the early part of a drain; 'is stopped while endpoints hold requests' expects the refusal, and that no endpoint had it.

--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -33,9 +33,9 @@
 	maxRefusedPermits = 4
 	// drainMargin times its expected duration must be left at a draining host for a stream to be accepted.
 	drainMargin = 1.25
-	// onceMinLeft is the fraction of a drain that must be left for a request to be accepted that may not be repeated and whose
-	// deadline comes after the stop.
-	onceMinLeft = 0.8
+	// cutMinLeft is the fraction of a drain that must be left for a request to be accepted whose answer would be cut off by the
+	// stop, and whose deadline comes after it.
+	cutMinLeft = 0.8
 	// maxSharedRatio is the largest ratio of a prompt's shared tokens to its tokens to prefill with which a request
 	// that fetches KV blocks from a donor still counts as a sample of prefill speed: how much of the shared part the
 	// engine had cached is unknown.
@@ -218,18 +218,22 @@
 	return fault.New(kind.Draining, "", "the host stops before the request is expected to end").WithRetryAfter(drainRetryAfter)
 }
 
-// fitsDrain reports whether a request may be accepted although the process ends its requests in the time left, at stop. One
-// that may not be repeated is lost to its caller if it is cut off, so that late in the drain its deadline must come first.
+// fitsDrain reports whether a request may be accepted although the process ends its requests in the time left, at stop. Late in
+// the drain, the deadline of one that must not be cut off must come first: what is expected of its duration may be wrong.
 func (p *Proxy) fitsDrain(w *work.Request, left time.Duration, stop time.Time) bool {
-	if !w.Route.Mode.Repeatable() && !w.Deadline.After(stop) {
+	if mustNotBeCut(w.Route.Mode) && !w.Deadline.After(stop) {
 		return true
 	}
-	if !w.Route.Mode.Repeatable() && left < time.Duration(onceMinLeft*float64(p.DrainPeriod())) {
+	if mustNotBeCut(w.Route.Mode) && left < time.Duration(cutMinLeft*float64(p.DrainPeriod())) {
 		return false
 	}
 	return p.expectedDuration(w) < left
 }
 
+// mustNotBeCut reports whether the stop of the process may cost a caller a request of a mode: it may not be repeated, or its
+// answer is a stream, which breaks off once it has begun. Other requests get an error answer and can be sent again.
+func mustNotBeCut(m mode.Mode) bool { return m != mode.Idempotent }
+
 // expectedDuration returns an upper estimate of a request's duration. A stream is estimated from the tokens that it may
 // generate, and not only from the route's longest recent request: a host that stops soon after its start has seen few
 // streams of a route.
