Bound what the HTTP library logs of bytes behind an answer

What callers would see (a scene with real processes): endpoints send bytes behind their answers, and requests of all callers hang for good. After a few connections net/http has filled the pipe of a standard error that nobody reads; where it is read, the log grows by up to 16 kB for each such connection.

Cause: http.Transport writes 'Unsolicited response received on idle HTTP channel' with the bytes to the standard logger, which writes to standard error without a bound, and does so with the lock of the connection held, which the transport takes with its own.

Ruled out: memory.

Change: what libraries write to the standard logger goes to the process's own log, which never blocks: the first 200 bytes of a line, one line a second, the others counted. The product's own interface logged to standard error in place; it has the same queue now.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -77,6 +77,7 @@
 	runtime.GOMAXPROCS(1)
 	out := outlog.New(os.Stdout)
 	log := hclog.New(&hclog.LoggerOptions{Name: "dragonflyroute", Level: hclog.LevelFromString(a.LogLevel), JSONFormat: true, Output: out})
+	redirectStandardLog(log)
 	current := newSettings(cfg, log)
 	s := newSite(current, log)
 	reloader := &reload.Reloader{Path: file, Data: data, Signals: reloads, Apply: current.apply, Log: log}
--- a/cmd_serve.go
+++ b/cmd_serve.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/transport/daemon"
+	"github.com/dragonflyroute/dragonflyroute/transport/outlog"
 	"github.com/dragonflyroute/dragonflyroute/transport/reload"
 )
 
@@ -31,12 +32,14 @@
 	if err != nil {
 		return err
 	}
+	out := outlog.New(os.Stderr)
 	log := hclog.New(&hclog.LoggerOptions{
 		Name:       "dragonflyroute",
 		Level:      hclog.LevelFromString(settings.LogLevel),
 		JSONFormat: true,
-		Output:     os.Stderr,
+		Output:     out,
 	})
+	redirectStandardLog(log)
 	d := &daemon.Daemon{Settings: settings, Log: log}
 	reloader := &reload.Reloader{Path: a.Settings, Data: data, Signals: reloads, Log: log, Apply: func(data []byte) error {
 		_, err := parseSettings(data)
@@ -47,6 +50,7 @@
 	}}
 	var g errgroup.Group
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	g.Go(func() error { return out.Run(taskCtx) })
 	g.Go(func() error { return reloader.Run(taskCtx) })
 	g.Go(func() error {
 		defer stop()
--- a/commands.go
+++ b/commands.go
@@ -4,16 +4,20 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"slices"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/transport/stdlog"
 )
 
 // The exit codes of every command.
@@ -81,6 +85,12 @@
 	return report(parsed.Run(reloads))
 }
 
+// redirectStandardLog has the process's log take what libraries write to the standard logger.
+func redirectStandardLog(to hclog.Logger) {
+	log.SetFlags(0)
+	log.SetOutput(&stdlog.Writer{Log: to, Now: time.Now})
+}
+
 // serves reports whether a command serves callers until it is told to stop.
 func serves(name string) bool {
 	return slices.ContainsFunc(commands, func(c command) bool { return c.name == name && c.serves })
--- a/standin/sitefaults.go
+++ b/standin/sitefaults.go
@@ -16,12 +16,13 @@
 	retryAfter string
 	// limit is the request limit that every response names, in requests per second; empty names none.
 	limit string
-	// endless names the part of the response that never ends: head, body, or empty for none.
+	// endless names the part of the response that never ends: head, body, event, comments or rest, which follows a complete
+	// answer; empty for none.
 	endless string
 }
 
 // setEndpointFaults replaces the faults of an endpoint:
-// /trouble?id=ID&leaving=1&pause=SECONDS&limit=PER-SECOND&endless=head|body.
+// /trouble?id=ID&leaving=1&pause=SECONDS&limit=PER-SECOND&endless=head|body|event|comments|rest.
 func (p *sitePlatform) setEndpointFaults(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	p.mu.Lock()
@@ -99,14 +100,27 @@
 	for name, values := range w.Header() {
 		head += name + ": " + values[0] + "\r\n"
 	}
-	if f.endless == "head" {
-		head += "A: "
-	} else {
-		head += "\r\n"
-	}
-	_, err = io.WriteString(c, head)
-	block := strings.Repeat("x", endlessBlockBytes)
+	begin, block := f.endlessParts()
+	_, err = io.WriteString(c, head+begin)
 	for err == nil {
 		_, err = io.WriteString(c, block)
 	}
 }
+
+// endlessParts returns what follows the head of an endless response, and what is then sent again and again.
+func (f siteFaults) endlessParts() (begin, block string) {
+	const streamHead = "Content-Type: text/event-stream\r\n\r\n"
+	block = strings.Repeat("x", endlessBlockBytes)
+	switch f.endless {
+	case "head":
+		return "A: ", block
+	case "event":
+		return streamHead + "id: 1\ndata: a\n\nid: 2\ndata: ", block
+	case "comments":
+		return streamHead + "id: 1\ndata: a\n\n", ": x\n\n"
+	case "rest":
+		return "Content-Length: 14\r\n\r\nanswer of some", block
+	default:
+		return "\r\n", block
+	}
+}
