--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -45,8 +45,11 @@
 type exchange interface {
 	// Attempt sends the request to endpoint t and forwards its answer. The endpoint fetches the KV cache of the prompt
 	// from donor, unless donor is nil. resume is the id of the event after which a stream continues, empty for a first
-	// attempt. begun is called at the first part of an answer, and whenever further events of a stream arrive.
+	// attempt. begun is called at the first part of an answer, and whenever further parts of it arrive.
 	Attempt(ctx context.Context, t, donor *target.Target, resume string, begun func()) result.Result
+	// Writing reports whether a part of the answer is being written to the caller, which may be slow to read it. It may be called
+	// during an attempt.
+	Writing() bool
 	// CanResume reports whether another endpoint can continue the answer after the part that the caller has. It may be called
 	// during an attempt.
 	CanResume() bool
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -62,6 +62,8 @@
 
 func (s *fakeExchange) Deliver() bool { return s.held }
 
+func (s *fakeExchange) Writing() bool { return false }
+
 func (s *fakeExchange) CanResume() bool { return !s.cannotResume }
 
 // fakeUsage counts the requests that started to run.
--- a/coordination/proxy/silence.go
+++ b/coordination/proxy/silence.go
@@ -124,6 +124,9 @@
 			return
 		case <-timer.C:
 		}
+		if s.x.Writing() {
+			s.progress()
+		}
 		lasted := s.lasted()
 		if suspected = s.suspect(lasted, suspected); !suspected {
 			timer.Reset(s.suspectAfter - lasted)
@@ -156,7 +159,7 @@
 // move ends the attempt if the request can be sent elsewhere, and reports whether it did.
 func (s *silence) move(ctx context.Context) bool {
 	next, ok := s.proxy.chooseElsewhere(ctx, s.job, s.x)
-	if !ok || s.lasted() < s.moveAfter {
+	if !ok || s.lasted() < s.moveAfter || s.x.Writing() {
 		return false
 	}
 	s.job.next = next
