End the connections of a stopping host in time though the store does not answer

What callers would see: at a planned stop while the store is silent, the listener and idle connections stay open until the process exits, with whatever arrives on them at that moment.

Cause: the drain waited for its row to be written and its leases to be released, which are tried until shortly before the kill, before it closed the listener.

Change: the announcements give up when the listener is to be closed.

Evidence: test/scene 'ends its connections in order before it exits' failed before ('incomplete' true).

--- a/test/scene/silence_test.go
+++ b/test/scene/silence_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -85,3 +87,24 @@
 	}
 	return a
 }
+
+var _ = Describe("a host that is stopped while the store leaves calls without an answer", func() {
+	// Guards against the writes of its row and of its lease holding up the end of its connections until the process exits.
+	It("ends its connections in order before it exits", func() {
+		s := newSite(2)
+		caller, idle := s.newKeptCaller(1), s.newKeptCaller(1)
+		defer idle.client.CloseIdleConnections()
+		s.control("/fault?silent")
+		s.hosts[1].signal(syscall.SIGTERM)
+		var answer keptAnswer
+		var g sync.WaitGroup
+		g.Go(func() {
+			time.Sleep(late)
+			answer = caller.send("/call/slow", time.Second)
+		})
+		Expect(s.hosts[1].wait()).To(Succeed())
+		g.Wait()
+		Expect(answer.err).NotTo(HaveOccurred())
+		Expect(s.hosts[1].output()).To(MatchRegexp(`"drained".*"active-requests":0,"incomplete":false`))
+	})
+})
--- a/transport/site/serve.go
+++ b/transport/site/serve.go
@@ -125,20 +125,7 @@
 	defer cancel()
 	answers := time.AfterFunc(grace-exitLead-answerLead, s.endRequests)
 	defer answers.Stop()
-	var g errgroup.Group
-	g.Go(func() error {
-		s.notifyPeers(ctx)
-		return nil
-	})
-	g.Go(func() error {
-		s.leases.Close(ctx)
-		return nil
-	})
-	g.Go(func() error {
-		s.join(ctx)
-		return nil
-	})
-	_ = g.Wait()
+	s.announceStop(ctx, kill.Add(-shutdownLead))
 	pause(ctx, time.Until(kill.Add(-shutdownLead)))
 	if err := requests.Close(); err != nil {
 		s.Log.Warn("cannot close the listener for callers", "error", err)
@@ -147,6 +134,21 @@
 	s.Log.Info("drained", "active-requests", s.inFlight.Load(), "incomplete", err != nil)
 }
 
+// announceStop tells peers that this host stops, releases its leases and writes its row, concurrently. It gives up at a time:
+// a store that does not answer must not hold up the end of the connections.
+func (s *Site) announceStop(ctx context.Context, until time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	var g errgroup.Group
+	for _, announce := range []func(context.Context){s.notifyPeers, s.leases.Close, s.join} {
+		g.Go(func() error {
+			announce(ctx)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
