Accept peers again after an error of accepting a connection

What callers would see: a host that ran out of descriptors for a moment is left out of address answers and of the fleet's figures for good, as no other host reaches it any more.

Cause: the loop that accepts peers ended at the first error.

Evidence: transport/peers 'accept connections again' failed before.

--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -10,6 +10,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,8 @@
 
 const (
 	callTimeout = time.Second
+	// acceptRetryDelay is the pause after an error of accepting a connection.
+	acceptRetryDelay = 50 * time.Millisecond
 	// trialsTimeout bounds one collection of trials, well below the term of any lease.
 	trialsTimeout = 250 * time.Millisecond
 	// trialsPeers bounds the peers asked in one collection of trials.
@@ -126,9 +129,14 @@
 	g.Go(func() error {
 		for {
 			conn, err := l.Accept()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return ctx.Err()
 			}
+			if err != nil {
+				// The process may be out of descriptors for a moment.
+				time.Sleep(acceptRetryDelay)
+				continue
+			}
 			p.accept(ctx, g, conn)
 		}
 	})
