Log of a stream that a stop cuts off for how long its endpoint had been silent

Change: such a line has cut-by-stop and silent-ms; cut_streams_total and cut_silent_streams_total count them. No change of what is done. Conclusion: a cut at the exit with a silence of more than the gap is the second hypothesis.

--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -172,6 +172,8 @@
 	// lastEndpoint is the endpoint of the last attempt, nil before the first, and lastDonor the one from which it fetched KV
 	// cache, nil for none.
 	lastEndpoint, lastDonor *target.Target
+	// lastWatch is the watch of the last attempt, nil if that was not watched.
+	lastWatch *silence
 }
 
 // Run makes attempts until the caller has an answer or the request fails. It returns nil when an answer was delivered,
@@ -191,7 +193,7 @@
 	for {
 		again, err := p.step(ctx, j, x)
 		if !again {
-			p.log(j, err)
+			p.log(j, err, p.cutFields(ctx, j, err))
 			return err
 		}
 	}
@@ -300,6 +302,7 @@
 	defer done()
 	p.countLimited(t, donor)
 	watch := p.watchFor(j, t, x, now)
+	j.lastWatch = watch
 	var answerBegun time.Time
 	send := func(ctx context.Context) result.Result {
 		return x.Attempt(ctx, t, donor, j.lastResult.LastEventID, func() {
@@ -423,8 +426,22 @@
 	return fault.New(kind.OutcomeUnknown, "", "%s", reason)
 }
 
-// log writes the request's log line.
-func (p *Proxy) log(j *job, err error) {
+// cutFields returns the fields of the log line of an answer that the stop of the process cuts off after its beginning, nil for
+// another one, and counts it. They tell whether its endpoint was at work.
+func (p *Proxy) cutFields(ctx context.Context, j *job, err error) []any {
+	if err == nil || !j.startCounted || !j.work.Route.Mode.Streams() || !cutByExit(ctx) {
+		return nil
+	}
+	silent := j.lastWatch.lasted()
+	p.Count("cut_streams_total", 1)
+	if j.work.Route.TargetGap > 0 && silent > j.work.Route.TargetGap {
+		p.Count("cut_silent_streams_total", 1)
+	}
+	return []any{"cut-by-stop", true, "silent-ms", silent.Milliseconds()}
+}
+
+// log writes the request's log line, with further fields.
+func (p *Proxy) log(j *job, err error, fields []any) {
 	now := p.Now()
 	line := []any{
 		"id", j.work.ID, "route", j.work.Route.Name, "backend", j.work.Backend, "account", j.work.Account, "revision", j.work.Revision,
@@ -435,6 +452,7 @@
 	if err != nil {
 		line = append(line, "reason", err.Error(), "broken-off", j.lastResult.Broken, "shared-parts", partNames(j.work.Shared))
 	}
+	line = append(line, fields...)
 	p.Log.Info("request ended", line...)
 }
 
--- a/coordination/proxy/silence.go
+++ b/coordination/proxy/silence.go
@@ -104,8 +104,11 @@
 	}
 }
 
-// lasted returns for how long the endpoint has been silent.
+// lasted returns for how long the endpoint has been silent, 0 without a watch.
 func (s *silence) lasted() time.Duration {
+	if s == nil {
+		return 0
+	}
 	at := s.progressAt.Load()
 	if at == 0 {
 		return 0
