Show that a stop cuts streams on which no endpoint is at work

What callers see: a stream that breaks off as the host exits, though another endpoint was free. Cause: a host ends its requests 7.45 s after the SIGTERM, whatever their endpoints do; the rule excuses that only where an endpoint was still at work in the last sixth of the grace period. Change: the stand-in's endpoints queue, pause again and again, retire, and record when they were idle. The judge of the scenes excuses a cut only if an endpoint worked on the stream in the last sixth (before: if its run ended then), and by the time at which the last byte of the body was sent.

--- a/standin/restore.go
+++ b/standin/restore.go
@@ -47,7 +47,7 @@
 	s.oldestVer = min(s.oldestVer, s.ver+1)
 	era, ver := s.era, s.ver
 	time.AfterFunc(operatorDelay, func() { s.rewriteOperator(era) })
-	time.AfterFunc(silentHeartbeats*heartbeatPeriod, func() { s.removeSilent(era, ver) })
+	time.AfterFunc(silentHeartbeats*s.heartbeat, func() { s.removeSilent(era, ver) })
 }
 
 func (s *rowStore) undo(c rowChange) {
--- a/standin/rows.go
+++ b/standin/rows.go
@@ -38,6 +38,9 @@
 
 // rowStore simulates the users' store: versioned rows, a change feed, and injected faults.
 type rowStore struct {
+	// heartbeat is the interval at which endpoints write their rows.
+	heartbeat time.Duration
+
 	mu   sync.Mutex
 	rows map[[2]string]siteRow
 	ver  int64
--- a/standin/site.go
+++ b/standin/site.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// heartbeatPeriod is the interval at which an endpoint writes its row.
-	heartbeatPeriod = 200 * time.Millisecond
-	percent         = 100
+	percent = 100
+	// retireIdle is the time without a stream after which an endpoint that drains ends.
+	retireIdle = 3 * time.Second
 	// slowAnswerDelay is the time that requests with a path ending in /slow take.
 	slowAnswerDelay = 100 * time.Millisecond
 	// heldAnswerDelay is the time that requests with a path ending in /held take, before the head of their answer, and that
@@ -34,6 +34,8 @@
 type siteCmd struct {
 	Listen    string `required:"" help:"Address of the store, the platform calls and the control calls."`
 	Endpoints int    `default:"3" help:"Number of endpoints to simulate."`
+	// Heartbeat is the interval at which an endpoint writes its row.
+	Heartbeat time.Duration `default:"200ms" help:"Interval of the endpoints' heartbeats."`
 }
 
 // siteServer simulates one endpoint of the users' platform.
@@ -49,9 +51,9 @@
 	stop        context.CancelFunc
 	// startMillis is its start time in Unix milliseconds.
 	startMillis int64
-	// ended is set once it was killed or has crashed.
-	ended  bool
-	faults siteFaults
+	// ended is set once it was killed or has crashed, and draining once its row says that it leaves.
+	ended, draining bool
+	faults          siteFaults
 	// streaming counts the streams that it runs.
 	streaming atomic.Int32
 }
@@ -59,8 +61,15 @@
 // sitePlatform simulates the users' platform: store, platform calls and endpoints.
 type sitePlatform struct {
 	store *rowStore
+	// heartbeat is the interval at which an endpoint writes its row.
+	heartbeat time.Duration
+
+	mu sync.Mutex
+	// silentUntil is the time before which endpoints send no events of streams.
+	silentUntil time.Time
+	// drained holds the requests that arrived at an endpoint since it reported that it drains, by endpoint, with their times.
+	drained map[string][]limitEvent
 
-	mu      sync.Mutex
 	servers map[string]*siteServer
 	// versions counts executions by version, runs counts them by request, and reports holds the usage reports by window.
 	versions map[string]int
@@ -99,7 +108,8 @@
 // Run serves the simulated platform until ctx ends.
 func (c *siteCmd) Run(ctx context.Context) error {
 	p := &sitePlatform{
-		store:   &rowStore{rows: map[[2]string]siteRow{}, reads: map[string]int{}, muted: map[string]int{}, era: 1, operatorValues: map[string][]byte{}},
+		heartbeat: c.Heartbeat, drained: map[string][]limitEvent{},
+		store:   &rowStore{heartbeat: c.Heartbeat, rows: map[[2]string]siteRow{}, reads: map[string]int{}, muted: map[string]int{}, era: 1, operatorValues: map[string][]byte{}},
 		servers: map[string]*siteServer{}, runs: map[string]int{}, arrivals: map[string]int{}, limitEvents: map[string][]limitEvent{}, versions: map[string]int{}, reports: map[int64][]json.RawMessage{},
 		crashingParts: map[string]bool{}, killed: map[string]bool{}, scaleFences: map[string]int64{}, streamRuns: map[string][]streamRun{},
 	}
@@ -107,6 +117,9 @@
 	p.store.handle(mux)
 	mux.HandleFunc("POST /kill", func(_ http.ResponseWriter, r *http.Request) { p.kill(r.URL.Query().Get("id")) })
 	mux.HandleFunc("POST /trouble", p.setEndpointFaults)
+	mux.HandleFunc("POST /drain", func(_ http.ResponseWriter, r *http.Request) { p.drain(r.URL.Query().Get("id")) })
+	mux.HandleFunc("POST /retire", func(_ http.ResponseWriter, r *http.Request) { p.retire(r.URL.Query().Get("id")) })
+	mux.HandleFunc("POST /silence", p.silence)
 	mux.HandleFunc("POST /usage", p.recordUsage)
 	mux.HandleFunc("POST /scale", p.recordScale)
 	mux.HandleFunc("POST /poison", p.addCrashingPart)
@@ -162,7 +175,7 @@
 			p.store.put("servers", s.id, s.row(n))
 			select {
 			case <-inner.Done():
-			case <-time.After(heartbeatPeriod):
+			case <-time.After(p.heartbeat):
 			}
 		}
 		return nil
@@ -171,12 +184,67 @@
 }
 
 func (s *siteServer) row(n int) []byte {
+	s.site.mu.Lock()
+	defer s.site.mu.Unlock()
+	state := "ready"
+	if s.draining {
+		state = "draining"
+	}
 	data, _ := json.Marshal(map[string]any{
-		"service": "plume", "address": s.address, "zone": "here", "version": s.version, "slots": 8, "state": "ready", "sequence": n, "born": s.startMillis,
+		"service": "plume", "address": s.address, "zone": "here", "version": s.version, "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": n, "born": s.startMillis,
 	})
 	return data
 }
 
+// drain has an endpoint report that it drains. It goes on serving.
+func (p *sitePlatform) drain(id string) {
+	p.mu.Lock()
+	s := p.servers[id]
+	if s != nil {
+		s.draining = true
+		p.drained[id] = []limitEvent{}
+	}
+	p.mu.Unlock()
+	if s != nil {
+		p.store.put("servers", id, s.row(-1))
+	}
+}
+
+// retire has an endpoint report that it drains, and ends it when it has run no stream for retireIdle.
+func (p *sitePlatform) retire(id string) {
+	p.drain(id)
+	p.mu.Lock()
+	s := p.servers[id]
+	p.mu.Unlock()
+	if s == nil {
+		return
+	}
+	p.group.Go(func() error {
+		for idleSince := time.Now(); time.Since(idleSince) < retireIdle && p.ctx.Err() == nil; time.Sleep(p.heartbeat) {
+			if s.streaming.Load() > 0 {
+				idleSince = time.Now()
+			}
+		}
+		p.kill(id)
+		return nil
+	})
+}
+
+// silence has all endpoints send no events of streams for a time: /silence?ms=N.
+func (p *sitePlatform) silence(_ http.ResponseWriter, r *http.Request) {
+	ms, _ := strconv.Atoi(r.URL.Query().Get("ms"))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silentUntil = time.Now().Add(time.Duration(ms) * time.Millisecond)
+}
+
+// silenceLeft returns the time for which endpoints still send no events.
+func (p *sitePlatform) silenceLeft() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Until(p.silentUntil)
+}
+
 // kill stops an endpoint without notice and removes its row. It waits one heartbeat period first, so that the endpoint
 // does not write the row again.
 func (p *sitePlatform) kill(id string) {
@@ -188,7 +256,7 @@
 		return
 	}
 	s.end(func() {})
-	time.Sleep(heartbeatPeriod)
+	time.Sleep(p.heartbeat)
 	p.store.remove("servers", id)
 }
 
@@ -249,6 +317,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reply(w, map[string]any{
-		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "crashes": p.crashEvents, "status": p.store.statuses(), "era": p.store.currentEra(), "duties": p.dutyCalls, "streams": p.streamRuns,
+		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "crashes": p.crashEvents, "status": p.store.statuses(), "era": p.store.currentEra(), "duties": p.dutyCalls, "streams": p.streamRuns, "drained": p.drained,
 	})
 }
--- a/standin/sitecrash.go
+++ b/standin/sitecrash.go
@@ -85,12 +85,12 @@
 
 // restart starts the next process of a crashed endpoint once it has been down for its time.
 func (s *siteServer) restart() {
-	time.Sleep(silentHeartbeats * heartbeatPeriod)
+	time.Sleep(silentHeartbeats * s.site.heartbeat)
 	s.site.store.remove("servers", s.id)
-	time.Sleep(max(0, s.site.downTime()-silentHeartbeats*heartbeatPeriod))
+	time.Sleep(max(0, s.site.downTime()-silentHeartbeats*s.site.heartbeat))
 	// Something else may use the port for a moment.
 	for s.site.ctx.Err() == nil && s.site.start(s.restarted()) != nil {
-		time.Sleep(heartbeatPeriod)
+		time.Sleep(s.site.heartbeat)
 	}
 }
 
--- a/standin/sitefaults.go
+++ b/standin/sitefaults.go
@@ -62,6 +62,9 @@
 	defer s.site.mu.Unlock()
 	s.site.arrivals[s.id]++
 	s.recordLimit(request)
+	if s.draining {
+		s.site.drained[s.id] = append(s.site.drained[s.id], limitEvent{AtMillis: time.Now().UnixMilli(), Request: request})
+	}
 	return s.faults
 }
 
--- a/standin/sitestream.go
+++ b/standin/sitestream.go
@@ -13,19 +13,27 @@
 const (
 	eventPeriod  = 20 * time.Millisecond
 	streamEvents = 12
+	// slotInterval is the time between two looks for a free slot.
+	slotInterval = 5 * time.Millisecond
 )
 
 // streamPlan is how an endpoint runs a stream: as the query of the request says,
-// ?events=N&gap=MS&slots=N&pause=MS&after=N&on=ID.
+// ?events=N&gap=MS&size=BYTES&slots=N&queue=1&pause=MS&after=N&every=1&on=ID.
 type streamPlan struct {
 	events int
+	// size is the least number of bytes of an event.
+	size int
+	// queue makes the run wait until the endpoint runs fewer streams than slots, before its first event and after each pause.
+	queue bool
 	// gap is the interval between events if the endpoint runs at most slots streams, and in proportion longer otherwise; no
 	// slots mean that it is always the same.
 	gap   time.Duration
 	slots int
-	// pause is how long the run is silent after its first events (after), at the endpoint on, or at all if that is empty.
+	// pause is how long the run is silent after its first events (after), or after every so many, at the endpoint on, or at all
+	// if that is empty.
 	pause time.Duration
 	after int
+	every bool
 	on    string
 }
 
@@ -41,6 +49,8 @@
 	ms, _ := strconv.Atoi(q.Get("pause"))
 	p.pause = time.Duration(ms) * time.Millisecond
 	p.after, _ = strconv.Atoi(q.Get("after"))
+	p.size, _ = strconv.Atoi(q.Get("size"))
+	p.queue, p.every = q.Get("queue") != "", q.Get("every") != ""
 	return p
 }
 
@@ -52,6 +62,20 @@
 	return p.gap * time.Duration(running) / time.Duration(p.slots)
 }
 
+// pausesAfter reports whether the run at an endpoint pauses after some events of it.
+func (p streamPlan) pausesAfter(events int, endpoint string) bool {
+	if p.pause == 0 || p.on != "" && p.on != endpoint {
+		return false
+	}
+	return events == p.after || p.every && p.after > 0 && events > 0 && events%p.after == 0
+}
+
+// span is a time, in Unix milliseconds.
+type span struct {
+	StartMillis int64 `json:"start"`
+	EndMillis   int64 `json:"end"`
+}
+
 // streamRun is a run of a stream that has ended.
 type streamRun struct {
 	Endpoint string `json:"endpoint"`
@@ -63,6 +87,16 @@
 	// StartMillis and EndMillis are when it started and ended, in Unix milliseconds.
 	StartMillis int64 `json:"start"`
 	EndMillis   int64 `json:"end"`
+	// Idle holds the times in which the endpoint did not work on it: it waited for a slot, or paused.
+	Idle []span `json:"idle"`
+}
+
+// idle runs f, during which the endpoint does not work on the run.
+func (r *streamRun) idle(f func()) {
+	s := span{StartMillis: time.Now().UnixMilli()}
+	f()
+	s.EndMillis = time.Now().UnixMilli()
+	r.Idle = append(r.Idle, s)
 }
 
 // sendEvents answers a request with the events of a stream that follow the last one that its caller has.
@@ -70,17 +104,15 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	plan := parsePlan(r.URL.Query())
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	s.streaming.Add(1)
-	defer s.streaming.Add(-1)
-	run := streamRun{Endpoint: s.id, From: last + 1, Last: last, StartMillis: time.Now().UnixMilli()}
+	run := &streamRun{Endpoint: s.id, From: last + 1, Last: last, StartMillis: time.Now().UnixMilli()}
+	run.idle(func() { s.enter(r, plan) })
+	padding := strings.Repeat("x", plan.size)
 	for n := last + 1; n <= plan.events && r.Context().Err() == nil; n++ {
-		if plan.pause > 0 && n == last+1+plan.after && (plan.on == "" || plan.on == s.id) {
-			wait(r, plan.pause)
-			if r.Context().Err() != nil {
-				break
-			}
+		s.pause(r, plan, run)
+		if r.Context().Err() != nil {
+			break
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, s.id)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s%s\n\n", n, s.id, padding)
 		_ = http.NewResponseController(w).Flush()
 		run.Last = n
 		wait(r, plan.interval(int(s.streaming.Load())))
@@ -88,11 +120,34 @@
 			hold(r.Context())
 		}
 	}
+	s.streaming.Add(-1)
 	run.Complete, run.EndMillis = r.Context().Err() == nil, time.Now().UnixMilli()
 	s.site.mu.Lock()
 	defer s.site.mu.Unlock()
 	id := r.Header.Get("Dragonflyroute-Request-Id")
-	s.site.streamRuns[id] = append(s.site.streamRuns[id], run)
+	s.site.streamRuns[id] = append(s.site.streamRuns[id], *run)
+}
+
+// pause waits as the plan asks for after the events of the run so far, without a slot, and while all endpoints are silent.
+func (s *siteServer) pause(r *http.Request, plan streamPlan, run *streamRun) {
+	if plan.pausesAfter(run.Last+1-run.From, s.id) {
+		s.streaming.Add(-1)
+		run.idle(func() {
+			wait(r, plan.pause)
+			s.enter(r, plan)
+		})
+	}
+	if left := s.site.silenceLeft(); left > 0 {
+		run.idle(func() { wait(r, left) })
+	}
+}
+
+// enter takes a slot for a run, and waits for a free one if the plan asks for that.
+func (s *siteServer) enter(r *http.Request, plan streamPlan) {
+	for s.streaming.Add(1) > int32(plan.slots) && plan.queue && r.Context().Err() == nil {
+		s.streaming.Add(-1)
+		wait(r, slotInterval)
+	}
 }
 
 // wait waits for a time or until the caller has left.
--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -58,6 +58,8 @@
 	Crashes []crashEvent `json:"crashes"`
 	// Streams holds the runs of streams that have ended, by request.
 	Streams map[string][]streamRun `json:"streams"`
+	// Drained holds the requests that arrived at an endpoint since it reported that it drains, by endpoint.
+	Drained map[string][]limitEvent `json:"drained"`
 	// Duties holds the calls of the duties, in the order of their arrival.
 	Duties []dutyCall `json:"duties"`
 }
@@ -70,6 +72,9 @@
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":%d},
  "tenants":[{"name":"mutual","apiKeys":[%s]}]}`
 
+// maxResolved is the largest number of addresses in an answer to a look-up.
+const maxResolved = 64
+
 // newPlatform starts the stand-in without hosts.
 func newPlatform(args ...string) *site {
 	address := freeAddress()
@@ -94,7 +99,7 @@
 	for i := range hosts {
 		Eventually(func() int { return s.readiness(s.hosts[i].ready) }).Should(Equal(http.StatusOK))
 	}
-	Eventually(func() int { return len(s.resolve(0)) }).Should(Equal(hosts))
+	Eventually(func() int { return len(s.resolve(0)) }).Should(Equal(min(hosts, maxResolved)))
 }
 
 func port(address string) int {
--- a/test/scene/stops_test.go
+++ b/test/scene/stops_test.go
@@ -132,14 +132,14 @@
 		return "", false
 	}
 	stopped, stops := k.stoppedAt[[2]int{a.host, a.start}]
-	if took := a.ended.Sub(a.sent); ran == 0 && took <= lossSlack+time.Second || took >= longDeadline {
+	if ran == 0 && (a.bodySent.IsZero() || a.ended.Sub(a.bodySent) <= lossSlack) || a.ended.Sub(a.sent) >= longDeadline {
 		return "", false
 	}
 	atWork := ""
 	for _, run := range runs {
-		ended := time.UnixMilli(run.EndMillis)
-		atWork += fmt.Sprintf(" %s %d to %d of %d for %d ms, complete %v;", run.Endpoint, run.From, run.Last, a.want, run.EndMillis-run.StartMillis, run.Complete)
-		if stops && ended.Sub(stopped) >= stopsGrace-lastSixth && a.sent.Sub(stopped) <= earlyInStop {
+		atWork += fmt.Sprintf(" %s %d to %d of %d for %d ms, complete %v, ended %d ms after the order to stop, idle %v;", run.Endpoint, run.From, run.Last, a.want,
+			run.EndMillis-run.StartMillis, run.Complete, run.EndMillis-stopped.UnixMilli(), run.Idle)
+		if stops && run.workedAfter(stopped.Add(stopsGrace-lastSixth)) && a.bodySent.Sub(stopped) <= earlyInStop {
 			return "", false
 		}
 	}
--- a/test/scene/streams_test.go
+++ b/test/scene/streams_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +23,8 @@
 const (
 	// longDeadline is the deadline of requests on longRoute.
 	longDeadline = 15 * time.Second
+	// maxLineBytes bounds a line of a stream.
+	maxLineBytes = 64 << 10
 	// callerPatience is the pause after which callers of longRoute give a stream up.
 	callerPatience = 4 * time.Second
 )
@@ -33,6 +37,22 @@
 	Complete    bool   `json:"complete"`
 	StartMillis int64  `json:"start"`
 	EndMillis   int64  `json:"end"`
+	// Idle holds the times in which the endpoint did not work on it.
+	Idle []struct {
+		StartMillis int64 `json:"start"`
+		EndMillis   int64 `json:"end"`
+	} `json:"idle"`
+}
+
+// workedAfter reports whether the endpoint worked on the stream at or after a time.
+func (r *streamRun) workedAfter(t time.Time) bool {
+	from := max(t.UnixMilli(), r.StartMillis)
+	for _, idle := range r.Idle {
+		if idle.StartMillis <= from {
+			from = max(from, idle.EndMillis)
+		}
+	}
+	return from < r.EndMillis
 }
 
 // streamAnswer is the answer to a request for a stream.
@@ -42,9 +62,10 @@
 	// events holds the ids of the events, and longest is the longest time between two of them.
 	events  []string
 	longest time.Duration
-	// sent and ended are when the request was sent and its answer ended. The error is that of the connection.
-	sent, ended time.Time
-	err         error
+	// sent and ended are when the request was sent and its answer ended, and bodySent is when its body had been read by the
+	// connection, zero if it was not. The error is that of the connection.
+	sent, bodySent, ended time.Time
+	err                   error
 }
 
 // isWhole reports whether all events of a stream have come, once each and in order.
@@ -72,10 +93,13 @@
 type chunkedBody struct {
 	left  int
 	pause time.Duration
+	// endedNanos is when it was read to its end, in Unix nanoseconds.
+	endedNanos atomic.Int64
 }
 
 func (b *chunkedBody) Read(p []byte) (int, error) {
 	if b.left == 0 {
+		b.endedNanos.Store(time.Now().UnixNano())
 		return 0, io.EOF
 	}
 	b.left--
@@ -83,13 +107,26 @@
 	return copy(p, "chunk of the body "), nil
 }
 
+// ended returns when the body was read to its end, the zero time if it was not.
+func (b *chunkedBody) ended() time.Time {
+	if nanos := b.endedNanos.Load(); nanos != 0 {
+		return time.Unix(0, nanos)
+	}
+	return time.Time{}
+}
+
 // stream sends a request for a stream and reads its events.
 func (c *keptCaller) stream(path string) streamAnswer {
 	return c.streamOf(path, bodyOf(0, 0), 0)
 }
 
 // streamOf sends a request with a body and a limit of generated tokens, 0 for none, and reads the events of the stream.
-func (c *keptCaller) streamOf(path string, body io.Reader, tokens int) (a streamAnswer) {
+func (c *keptCaller) streamOf(path string, body io.Reader, tokens int) streamAnswer {
+	return c.readStream(path, body, tokens, 0)
+}
+
+// readStream is streamOf for a caller that waits after each event before it reads the next one.
+func (c *keptCaller) readStream(path string, body io.Reader, tokens int, delay time.Duration) (a streamAnswer) {
 	a.id = nextRequestID()
 	r, err := http.NewRequest(http.MethodPost, "http://"+c.host+path, body)
 	if err != nil {
@@ -105,7 +142,13 @@
 		r.Header.Set("Dragonflyroute-Token-Usage", fmt.Sprintf("100,%d", tokens))
 	}
 	a.sent = time.Now()
-	defer func() { a.ended = time.Now() }()
+	a.bodySent = a.sent
+	defer func() {
+		a.ended = time.Now()
+		if chunks, ok := body.(*chunkedBody); ok {
+			a.bodySent = chunks.ended()
+		}
+	}()
 	resp, err := c.client.Do(r)
 	if err != nil {
 		a.err = err
@@ -114,10 +157,12 @@
 	defer func() { _ = resp.Body.Close() }()
 	a.status = resp.StatusCode
 	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxLineBytes)
 	for last := time.Now(); lines.Scan(); {
 		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
 			a.events = append(a.events, id)
 			a.longest = max(a.longest, time.Since(last))
+			time.Sleep(delay)
 			last = time.Now()
 		}
 	}
@@ -128,7 +173,12 @@
 // streams sends requests for streams to a host at the same time, each on a kept connection of its own and with further
 // parameters of the path, and calls meanwhile once they have all been sent.
 func (s *site) streams(host, count int, parameters string, meanwhile func()) []streamAnswer {
-	path := fmt.Sprintf("/stream/long/x?events=%d%s", longEvents, parameters)
+	return s.streamsOf(host, count, fmt.Sprintf("events=%d%s", longEvents, parameters), meanwhile)
+}
+
+// streamsOf is streams with all parameters of the path.
+func (s *site) streamsOf(host, count int, parameters string, meanwhile func()) []streamAnswer {
+	path := "/stream/long/x?" + parameters
 	answers := make([]streamAnswer, count)
 	var g sync.WaitGroup
 	for i := range count {
@@ -207,6 +257,33 @@
 	})
 })
 
+var _ = Describe("an endpoint that is silent as a host comes to the end of its stop", func() {
+	// Guards against streams that are cut at a planned stop while no endpoint is at work on them, though another one is free.
+	It("has its streams go on elsewhere before the host exits", func() {
+		s := newPlatform()
+		s.grace = stopsGrace
+		s.startHosts(2)
+		s.configure(2, longRoute+onlyRoute(2), `"k1"`)
+		for i := range s.hosts {
+			Eventually(func() bool { return s.has(i, 2) }).Should(BeTrue())
+		}
+		// The silence begins 6.2 s after the order to stop and would last until after the host's exit.
+		var stopped time.Time
+		answers := s.streamsOf(1, 6, "events=400&gap=20&after=320&pause=4000", func() {
+			time.Sleep(200 * time.Millisecond)
+			stopped = time.Now()
+			s.hosts[1].signal(syscall.SIGTERM)
+		})
+		Expect(s.hosts[1].wait()).To(Succeed())
+		seen := s.record()
+		lastPart := stopped.Add(stopsGrace - lastSixth)
+		for _, a := range answers {
+			Expect(slices.ContainsFunc(seen.Streams[a.id], func(r streamRun) bool { return r.workedAfter(lastPart) })).To(BeTrue(),
+				"%d events, ended %v after the order to stop; at endpoints: %+v", len(a.events), a.ended.Sub(stopped), seen.Streams[a.id])
+		}
+	})
+})
+
 var _ = Describe("a stream that comes late in a planned stop", func() {
 	// Guards against a stream that is taken as short, by what the host has seen since its start, and cut at its end.
 	It("is refused as not run if it may outlast the stop, though streams have been short", func() {
