Send silent streams on before a stop ends, so that an endpoint is at work on them

What callers saw: streams cut off as a host exits, after up to 1.6 s without an event, though another endpoint was free. Cause: an endpoint may be silent for 2.8 s (0.7 of the callers' patience) before its stream goes on elsewhere, and in a drain it went on only if it was expected to end before the exit. A silence that began in the last seconds was waited for until the exit cut it off with nothing more. Change: in the last 0.9 s of a drain a stream that may be resumed goes on elsewhere after one gap of silence, if another sound endpoint is expected to send its first token before the exit, and attempts and budget are left. Such a short silence counts neither against the endpoint nor against its version. The log says why a cut stream was kept. Why it works: a silence from before the last sixth has lasted a gap by then; one that begins later leaves the endpoint at work in it.

--- a/coordination/proxy/choice.go
+++ b/coordination/proxy/choice.go
@@ -46,7 +46,10 @@
 	if t == nil {
 		return nil, &refusal{reason: "the back end has no usable endpoint", wait: noEndpointRetryAfter}
 	}
-	if (elsewhere || !j.mayHaveRun) && now.Add(to.TimeToFirst).After(j.work.Deadline) {
+	if elsewhere && now.Add(to.TimeToFirst).After(p.answerBy(j, now)) {
+		return nil, &refusal{reason: "no endpoint is expected to go on with the answer in time", wait: refusedRetryAfter}
+	}
+	if !j.mayHaveRun && now.Add(to.TimeToFirst).After(j.work.Deadline) {
 		return nil, &refusal{reason: "no endpoint is expected to start the answer before the request's deadline", wait: refusedRetryAfter}
 	}
 	if refused := p.take(ctx, j, t, arrivals); refused != nil {
--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -266,7 +266,7 @@
 	j.paid = false
 	j.recordAttempt(next.target, p.attempt(ctx, j, next, x))
 	j.paid = j.paid || paid && !j.lastResult.Sent
-	if !cutByExit(ctx) {
+	if !j.endedByStop(ctx) {
 		next.recordTrial(j.work, j.lastResult)
 	}
 	return p.decide(ctx, j, x)
@@ -352,20 +352,25 @@
 	}
 }
 
-// recordResult updates the endpoint's state and the usage count from the result of an attempt. An attempt that the exit of
+// endedByStop reports whether the stop of the process, and not the endpoint, is why the last attempt ended early.
+func (j *job) endedByStop(ctx context.Context) bool {
+	return cutByExit(ctx) || j.lastWatch.movedEarly()
+}
+
+// recordResult updates the endpoint's state and the usage count from the result of an attempt. An attempt that the stop of
 // this process has ended does not count against the endpoint.
 func (p *Proxy) recordResult(ctx context.Context, j *job, t *target.Target, r result.Result, now time.Time) {
 	switch r.Ending {
 	case ending.AddressReused:
 		t.MarkLeaving()
 	case ending.Unknown, ending.Truncated:
-		if !cutByExit(ctx) {
+		if !j.endedByStop(ctx) {
 			t.RecordFailure(now)
 		}
 		p.countStart(j)
 	case ending.NotRun:
 		// An endpoint that asked for a pause, is leaving or is at its request limit has not failed.
-		if !r.Withheld && !t.Paused(now) && !t.Leaving() && !cutByExit(ctx) {
+		if !r.Withheld && !t.Paused(now) && !t.Leaving() && !j.endedByStop(ctx) {
 			t.RecordFailure(now)
 		}
 	case ending.Failed:
@@ -427,7 +432,8 @@
 }
 
 // cutFields returns the fields of the log line of an answer that the stop of the process cuts off after its beginning, nil for
-// another one, and counts it. They tell whether its endpoint was at work.
+// another one, and counts it. They tell whether its endpoint was at work, and
+// why the stream did not go on at another one.
 func (p *Proxy) cutFields(ctx context.Context, j *job, err error) []any {
 	if err == nil || !j.startCounted || !j.work.Route.Mode.Streams() || !cutByExit(ctx) {
 		return nil
@@ -437,7 +443,7 @@
 	if j.work.Route.TargetGap > 0 && silent > j.work.Route.TargetGap {
 		p.Count("cut_silent_streams_total", 1)
 	}
-	return []any{"cut-by-stop", true, "silent-ms", silent.Milliseconds()}
+	return []any{"cut-by-stop", true, "silent-ms", silent.Milliseconds(), "kept", j.lastWatch.keptReason()}
 }
 
 // log writes the request's log line, with further fields.
--- a/coordination/proxy/silence.go
+++ b/coordination/proxy/silence.go
@@ -30,8 +30,13 @@
 	// callMoveFraction is the fraction of the time left for an idempotent request after which a silent attempt may be
 	// abandoned in favour of another endpoint.
 	callMoveFraction = 0.4
-	// moveRetryInterval is the time between two looks whether a silent request can be sent elsewhere.
+	// moveRetryInterval is the time between two looks whether a silent request can be sent elsewhere, and maxLookInterval the
+	// longest time between two looks at an attempt.
 	moveRetryInterval = 200 * time.Millisecond
+	maxLookInterval   = 2 * time.Second
+	// exitLead is the end of a drain in which a stream may be continued at another endpoint after one gap of silence: what is
+	// silent at the exit is cut off with nothing more, and the other endpoint needs time to begin.
+	exitLead = 900 * time.Millisecond
 )
 
 // errSilent ends an attempt at a silent endpoint once the request can be sent elsewhere.
@@ -48,8 +53,14 @@
 	// suspectAfter and moveAfter are the times of silence after which the endpoint counts as failing, and after which the
 	// request may be sent elsewhere.
 	suspectAfter, moveAfter time.Duration
+	// exitAfter is moveAfter shortly before the exit of the process.
+	exitAfter time.Duration
 	// end ends the attempt.
 	end context.CancelCauseFunc
+	// kept is why the request could not be sent elsewhere at the last try, nil if it was not tried.
+	kept atomic.Pointer[string]
+	// early is set once the request was sent elsewhere before the endpoint counted as failing.
+	early atomic.Bool
 	// progressAt is when the endpoint last showed progress, in Unix nanoseconds, 0 while silence does not count yet.
 	progressAt atomic.Int64
 }
@@ -61,11 +72,12 @@
 	switch {
 	case w.Route.Mode == mode.Idempotent && j.arrivals+1 < w.Route.MaxAttempts:
 		s.moveAfter = time.Duration(callMoveFraction * float64(w.Deadline.Sub(now)))
-		s.suspectAfter = s.moveAfter
+		s.suspectAfter, s.exitAfter = s.moveAfter, s.moveAfter
 		s.progressAt.Store(now.UnixNano())
 	case w.Route.Mode == mode.Resumable && w.Route.TargetGap > 0:
 		s.suspectAfter = suspectGaps * w.Route.TargetGap
 		s.moveAfter = max(s.suspectAfter, time.Duration(streamMoveFraction*float64(patience(w.Route))))
+		s.exitAfter = w.Route.TargetGap
 		if j.lastResult.LastEventID != "" {
 			s.progressAt.Store(now.UnixNano())
 		}
@@ -118,7 +130,7 @@
 
 // watch looks at the attempt until ctx ends or the request can be sent elsewhere.
 func (s *silence) watch(ctx context.Context) {
-	timer := time.NewTimer(s.suspectAfter)
+	timer := time.NewTimer(s.untilLook(0))
 	defer timer.Stop()
 	suspected := false
 	for {
@@ -131,12 +143,9 @@
 			s.progress()
 		}
 		lasted := s.lasted()
-		if suspected = s.suspect(lasted, suspected); !suspected {
-			timer.Reset(s.suspectAfter - lasted)
-			continue
-		}
-		if lasted < s.moveAfter {
-			timer.Reset(s.moveAfter - lasted)
+		suspected = s.suspect(lasted, suspected)
+		if lasted < s.allowed() {
+			timer.Reset(s.untilLook(lasted))
 			continue
 		}
 		if s.move(ctx) {
@@ -146,6 +155,32 @@
 	}
 }
 
+// allowed returns the silence after which the request may be sent elsewhere at present.
+func (s *silence) allowed() time.Duration {
+	if untilExit, draining := s.untilExitLead(); draining && untilExit <= 0 {
+		return s.exitAfter
+	}
+	return s.moveAfter
+}
+
+// untilLook returns the time until the next look at an attempt whose silence has lasted for some time, and is allowed.
+func (s *silence) untilLook(lasted time.Duration) time.Duration {
+	left := min(maxLookInterval, s.allowed()-lasted)
+	if lasted < s.suspectAfter {
+		left = min(left, s.suspectAfter-lasted)
+	}
+	if untilExit, draining := s.untilExitLead(); draining && untilExit > 0 {
+		left = min(left, untilExit)
+	}
+	return left
+}
+
+// untilExitLead returns the time until exitLead begins, and whether the process is draining.
+func (s *silence) untilExitLead() (until time.Duration, draining bool) {
+	draining, left := s.proxy.Draining()
+	return left - exitLead, draining
+}
+
 // suspect reports whether the silence is so long that the endpoint counts as failing, and records that once for each
 // silence.
 func (s *silence) suspect(lasted time.Duration, already bool) bool {
@@ -161,11 +196,13 @@
 
 // move ends the attempt if the request can be sent elsewhere, and reports whether it did.
 func (s *silence) move(ctx context.Context) bool {
-	next, ok := s.proxy.chooseElsewhere(ctx, s.job, s.x)
-	if !ok || s.lasted() < s.moveAfter || s.x.Writing() {
+	next, reason := s.proxy.chooseElsewhere(ctx, s.job, s.x)
+	s.kept.Store(&reason)
+	if next == nil || s.lasted() < s.allowed() || s.x.Writing() {
 		return false
 	}
 	s.job.next = next
+	s.early.Store(s.lasted() < s.suspectAfter)
 	s.proxy.Count("silent_attempts_moved_total", 1)
 	s.proxy.Log.Info("endpoint is silent; the request goes on elsewhere", "id", s.job.work.ID, "endpoint", s.target.Row().ID, "silent-ms", s.lasted().Milliseconds(),
 		"next-endpoint", next.target.Row().ID, "arrivals", s.job.arrivals+1)
@@ -173,17 +210,54 @@
 	return true
 }
 
-// chooseElsewhere chooses the endpoint to which a request goes on whose attempt is in progress, and takes what the next
-// attempt needs; ok is false if there is none at which it is as safe: the next attempt may be the last one.
-func (p *Proxy) chooseElsewhere(ctx context.Context, j *job, x exchange) (next *choice, ok bool) {
-	if j.arrivals+1 >= j.work.Route.MaxAttempts || ctx.Err() != nil || !x.CanResume() {
-		return nil, false
+// movedEarly reports whether the request was sent elsewhere before the endpoint counted as failing; false without a watch.
+func (s *silence) movedEarly() bool { return s != nil && s.early.Load() }
+
+// keptReason returns why the request could not be sent elsewhere at the last try, empty if it was not tried.
+func (s *silence) keptReason() string {
+	if s == nil || s.kept.Load() == nil {
+		return ""
 	}
-	if draining, left := p.Draining(); draining && p.expectedDuration(j.work) >= left {
-		return nil, false
+	return *s.kept.Load()
+}
+
+// chooseElsewhere chooses the endpoint to which a request goes on whose attempt is in progress, and takes what the next
+// attempt needs. It returns nil and the reason if there is none at which it is as safe: the next attempt may be the last one.
+func (p *Proxy) chooseElsewhere(ctx context.Context, j *job, x exchange) (next *choice, reason string) {
+	switch {
+	case ctx.Err() != nil:
+		return nil, "the request has ended"
+	case j.arrivals+1 >= j.work.Route.MaxAttempts:
+		return nil, "the route allows no further attempt"
+	case !x.CanResume():
+		return nil, "no other endpoint can continue the answer"
+	case !p.fitsElsewhere(j):
+		return nil, "the host stops before another endpoint is expected to end the answer"
 	}
 	next, refused := p.choose(ctx, j, j.arrivals+1, true)
-	return next, refused == nil
+	if refused != nil {
+		return nil, refused.reason
+	}
+	return next, ""
+}
+
+// fitsElsewhere reports whether a draining process has the time for another attempt of a request: until it is expected to end, or
+// for a stream that the exit cuts off anyway, until it is expected to go on, which the choice of the endpoint decides.
+func (p *Proxy) fitsElsewhere(j *job) bool {
+	draining, left := p.Draining()
+	if !draining || p.expectedDuration(j.work) < left {
+		return true
+	}
+	return left <= exitLead && j.work.Route.Mode == mode.Resumable
+}
+
+// answerBy returns when the answer to a request must have begun: before its deadline, and before a draining process ends its
+// requests.
+func (p *Proxy) answerBy(j *job, now time.Time) time.Time {
+	if draining, left := p.Draining(); draining && now.Add(left).Before(j.work.Deadline) {
+		return now.Add(left)
+	}
+	return j.work.Deadline
 }
 
 // isSound reports whether an endpoint has not failed since its last progress, and has room for another request without a
