Cut begun streams 0.2 s later in a stop, and send only those on that were silent from before its last part

Cause: a silence that the exit itself makes no difference to was treated like one that it cuts off; and begun streams were cut at the time that final answers need, though they get none. Change: begun streams are cut 50 ms before the exit in place of 250 ms. The last part of a drain, in which an endpoint must be at work, follows from the grace period (its last sixth, less the leads); in its second half a stream that has been silent since before it goes on elsewhere, after a gap at the least. kept is the first reason of a silence.

--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -6,6 +6,7 @@
 	"errors"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -144,6 +145,11 @@
 	// OnExit has end called when the process is about to exit and every request needs its final answer. The function that
 	// it returns takes that back.
 	OnExit func(end func()) (remove func() bool)
+	// OnCut is OnExit for streams that have begun: they get no other answer, and end later, by CutDelay.
+	OnCut    func(end func()) (remove func() bool)
+	CutDelay time.Duration
+	// LastPart returns the time, before streams that have begun are cut off, in which an endpoint is to be at work on each.
+	LastPart func() time.Duration
 	// Now returns the time.
 	Now func() time.Time
 	// Count adds to a counter of the process.
@@ -167,8 +173,10 @@
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun   bool
 	startCounted bool
-	lastResult   result.Result
-	timeToFirst  time.Duration
+	// streaming is set once the answer is a stream that has begun.
+	streaming   atomic.Bool
+	lastResult  result.Result
+	timeToFirst time.Duration
 	// lastEndpoint is the endpoint of the last attempt, nil before the first, and lastDonor the one from which it fetched KV
 	// cache, nil for none.
 	lastEndpoint, lastDonor *target.Target
@@ -186,10 +194,9 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	remove := p.OnExit(func() { end(errExit) })
-	defer remove()
 	p.Retries.Deposit(w.Backend)
 	j := &job{work: w, attempted: map[*target.Target]bool{}}
+	defer p.endAtExit(j, func() { end(errExit) })()
 	for {
 		again, err := p.step(ctx, j, x)
 		if !again {
@@ -199,6 +206,21 @@
 	}
 }
 
+// endAtExit has end called when the process is about to exit: at the time for final answers, or later if the answer is a stream
+// that has begun by then. The function that it returns takes that back.
+func (p *Proxy) endAtExit(j *job, end func()) (remove func()) {
+	removeExit := p.OnExit(func() {
+		if !j.streaming.Load() {
+			end()
+		}
+	})
+	removeCut := p.OnCut(end)
+	return func() {
+		removeExit()
+		removeCut()
+	}
+}
+
 // errExit ends the requests of a process that is about to exit.
 var errExit = fault.New(kind.Draining, "", "the host stops")
 
@@ -312,6 +334,7 @@
 			}
 			t.RecordProgress(p.Now())
 			p.countStart(j)
+			j.streaming.Store(j.work.Route.Mode.Streams())
 			watch.progress()
 		})
 	}
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -123,6 +123,8 @@
 	exitAt time.Time
 	// exit has the request that is running ended, as at the end of a drain.
 	exit func()
+	// cut has the request that is running ended, as at the cut of streams that have begun.
+	cut func()
 }
 
 func newFixture(endpoints int) *fixture {
@@ -148,9 +150,15 @@
 			f.exit = end
 			return func() bool { return true }
 		},
-		Now:   time.Now,
-		Count: func(string, int64) {},
-		Log:   hclog.NewNullLogger(),
+		OnCut: func(end func()) func() bool {
+			f.cut = end
+			return func() bool { return true }
+		},
+		CutDelay: 200 * time.Millisecond,
+		LastPart: func() time.Duration { return time.Second },
+		Now:      time.Now,
+		Count:    func(string, int64) {},
+		Log:      hclog.NewNullLogger(),
 	}
 	return f
 }
--- a/coordination/proxy/silence.go
+++ b/coordination/proxy/silence.go
@@ -34,9 +34,9 @@
 	// longest time between two looks at an attempt.
 	moveRetryInterval = 200 * time.Millisecond
 	maxLookInterval   = 2 * time.Second
-	// exitLead is the end of a drain in which a stream may be continued at another endpoint after one gap of silence: what is
-	// silent at the exit is cut off with nothing more, and the other endpoint needs time to begin.
-	exitLead = 900 * time.Millisecond
+	// lastMoveFraction is the fraction of the last part of a drain, at its end, in which a stream that has been silent since
+	// before it goes on elsewhere: most silences end by themselves, and the other endpoint needs time to begin.
+	lastMoveFraction = 0.5
 )
 
 // errSilent ends an attempt at a silent endpoint once the request can be sent elsewhere.
@@ -53,11 +53,11 @@
 	// suspectAfter and moveAfter are the times of silence after which the endpoint counts as failing, and after which the
 	// request may be sent elsewhere.
 	suspectAfter, moveAfter time.Duration
-	// exitAfter is moveAfter shortly before the exit of the process.
-	exitAfter time.Duration
+	// gap is the silence of a stream that its callers accept, 0 for a call.
+	gap time.Duration
 	// end ends the attempt.
 	end context.CancelCauseFunc
-	// kept is why the request could not be sent elsewhere at the last try, nil if it was not tried.
+	// kept is why the request could not be sent elsewhere at the first try in the present silence, nil if it was not tried.
 	kept atomic.Pointer[string]
 	// early is set once the request was sent elsewhere before the endpoint counted as failing.
 	early atomic.Bool
@@ -72,12 +72,12 @@
 	switch {
 	case w.Route.Mode == mode.Idempotent && j.arrivals+1 < w.Route.MaxAttempts:
 		s.moveAfter = time.Duration(callMoveFraction * float64(w.Deadline.Sub(now)))
-		s.suspectAfter, s.exitAfter = s.moveAfter, s.moveAfter
+		s.suspectAfter = s.moveAfter
 		s.progressAt.Store(now.UnixNano())
 	case w.Route.Mode == mode.Resumable && w.Route.TargetGap > 0:
 		s.suspectAfter = suspectGaps * w.Route.TargetGap
 		s.moveAfter = max(s.suspectAfter, time.Duration(streamMoveFraction*float64(patience(w.Route))))
-		s.exitAfter = w.Route.TargetGap
+		s.gap = w.Route.TargetGap
 		if j.lastResult.LastEventID != "" {
 			s.progressAt.Store(now.UnixNano())
 		}
@@ -113,6 +113,7 @@
 func (s *silence) progress() {
 	if s != nil {
 		s.progressAt.Store(s.proxy.Now().UnixNano())
+		s.kept.Store(nil)
 	}
 }
 
@@ -155,12 +156,14 @@
 	}
 }
 
-// allowed returns the silence after which the request may be sent elsewhere at present.
+// allowed returns the silence after which the request may be sent elsewhere at present. Shortly before begun answers are cut
+// off, that of a stream is one which began before the last part of the drain: its endpoint would not be at work in all of it.
 func (s *silence) allowed() time.Duration {
-	if untilExit, draining := s.untilExitLead(); draining && untilExit <= 0 {
-		return s.exitAfter
+	if until, draining := s.untilLastMove(); s.gap == 0 || !draining || until > 0 {
+		return s.moveAfter
 	}
-	return s.moveAfter
+	left, last := s.proxy.untilCut()
+	return min(s.moveAfter, max(s.gap, last-left))
 }
 
 // untilLook returns the time until the next look at an attempt whose silence has lasted for some time, and is allowed.
@@ -169,16 +172,20 @@
 	if lasted < s.suspectAfter {
 		left = min(left, s.suspectAfter-lasted)
 	}
-	if untilExit, draining := s.untilExitLead(); draining && untilExit > 0 {
-		left = min(left, untilExit)
+	if until, draining := s.untilLastMove(); draining && until > 0 {
+		left = min(left, until)
 	}
 	return left
 }
 
-// untilExitLead returns the time until exitLead begins, and whether the process is draining.
-func (s *silence) untilExitLead() (until time.Duration, draining bool) {
-	draining, left := s.proxy.Draining()
-	return left - exitLead, draining
+// untilLastMove returns the time until the end of the drain in which silent streams go on elsewhere, and whether the process is
+// draining.
+func (s *silence) untilLastMove() (until time.Duration, draining bool) {
+	if draining, _ = s.proxy.Draining(); !draining {
+		return 0, false
+	}
+	left, last := s.proxy.untilCut()
+	return left - time.Duration(lastMoveFraction*float64(last)), true
 }
 
 // suspect reports whether the silence is so long that the endpoint counts as failing, and records that once for each
@@ -197,7 +204,9 @@
 // move ends the attempt if the request can be sent elsewhere, and reports whether it did.
 func (s *silence) move(ctx context.Context) bool {
 	next, reason := s.proxy.chooseElsewhere(ctx, s.job, s.x)
-	s.kept.Store(&reason)
+	if next == nil {
+		s.kept.CompareAndSwap(nil, &reason)
+	}
 	if next == nil || s.lasted() < s.allowed() || s.x.Writing() {
 		return false
 	}
@@ -213,7 +222,8 @@
 // movedEarly reports whether the request was sent elsewhere before the endpoint counted as failing; false without a watch.
 func (s *silence) movedEarly() bool { return s != nil && s.early.Load() }
 
-// keptReason returns why the request could not be sent elsewhere at the last try, empty if it was not tried.
+// keptReason returns why the request could not be sent elsewhere at the first try in the present silence, empty if it was not
+// tried.
 func (s *silence) keptReason() string {
 	if s == nil || s.kept.Load() == nil {
 		return ""
@@ -242,19 +252,31 @@
 }
 
 // fitsElsewhere reports whether a draining process has the time for another attempt of a request: until it is expected to end, or
-// for a stream that the exit cuts off anyway, until it is expected to go on, which the choice of the endpoint decides.
+// for a stream that is cut off anyway, until it is expected to go on, which the choice of the endpoint decides.
 func (p *Proxy) fitsElsewhere(j *job) bool {
 	draining, left := p.Draining()
 	if !draining || p.expectedDuration(j.work) < left {
 		return true
 	}
-	return left <= exitLead && j.work.Route.Mode == mode.Resumable
+	untilCut, last := p.untilCut()
+	return untilCut <= time.Duration(lastMoveFraction*float64(last)) && j.work.Route.Mode == mode.Resumable
 }
 
-// answerBy returns when the answer to a request must have begun: before its deadline, and before a draining process ends its
-// requests.
+// untilCut returns the time until a draining process cuts begun answers off, and the length of the last part of the drain: that in
+// which an endpoint is to be at work on each of them.
+func (p *Proxy) untilCut() (left, last time.Duration) {
+	_, left = p.Draining()
+	return left + p.CutDelay, p.LastPart()
+}
+
+// answerBy returns when the answer to a request must go on: before its deadline, and before a draining process cuts it off.
 func (p *Proxy) answerBy(j *job, now time.Time) time.Time {
-	if draining, left := p.Draining(); draining && now.Add(left).Before(j.work.Deadline) {
+	draining, _ := p.Draining()
+	left, _ := p.untilCut()
+	if j.work.Route.Mode != mode.Resumable {
+		left -= p.CutDelay
+	}
+	if draining && now.Add(left).Before(j.work.Deadline) {
 		return now.Add(left)
 	}
 	return j.work.Deadline
--- a/transport/site/serve.go
+++ b/transport/site/serve.go
@@ -111,6 +111,11 @@
 	exitLead = 300 * time.Millisecond
 	// answerLead is the time before the exit at which all requests still in flight get their final answers.
 	answerLead = 250 * time.Millisecond
+	// cutLead is the time before the exit at which streams that have begun are cut off.
+	cutLead = 50 * time.Millisecond
+	// lastPartFraction is the part of the grace period, at its end, in which an endpoint is to be at work on each stream that is
+	// cut off: one in so many.
+	lastPartFraction = 6
 )
 
 // drain stops the process. Address answers omit this host at once. It then notifies its peers, releases its leases and
@@ -125,6 +130,8 @@
 	defer cancel()
 	answers := time.AfterFunc(grace-exitLead-answerLead, s.endRequests)
 	defer answers.Stop()
+	cuts := time.AfterFunc(grace-exitLead-cutLead, s.cutStreams)
+	defer cuts.Stop()
 	s.announceStop(ctx, kill.Add(-shutdownLead))
 	pause(ctx, time.Until(kill.Add(-shutdownLead)))
 	if err := requests.Close(); err != nil {
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -211,12 +211,16 @@
 	// exiting ends, by endRequests, when every request needs its final answer.
 	exiting     context.Context
 	endRequests context.CancelFunc
+	// cutting ends, by cutStreams, when streams that have begun are cut off.
+	cutting    context.Context
+	cutStreams context.CancelFunc
 }
 
 // Prepare builds the parts that do not depend on the handlers.
 func (s *Site) Prepare() {
 	s.incarnation = time.Now().UnixNano()
 	s.exiting, s.endRequests = context.WithCancel(context.Background())
+	s.cutting, s.cutStreams = context.WithCancel(context.Background())
 	s.Meter = meter.New()
 	s.idle.Limit, s.idle.Count = s.idleLimit, s.Meter.Count
 	s.Policy = &policy.Policy{}
@@ -243,6 +247,9 @@
 		Draining:    s.Leaving,
 		DrainPeriod: func() time.Duration { return s.Grace() - exitLead - answerLead },
 		OnExit:      func(end func()) func() bool { return context.AfterFunc(s.exiting, end) },
+		OnCut:       func(end func()) func() bool { return context.AfterFunc(s.cutting, end) },
+		CutDelay:    answerLead - cutLead,
+		LastPart:    func() time.Duration { return max(0, s.Grace()/lastPartFraction-exitLead-cutLead) },
 		Now:         time.Now,
 		Count:       s.Meter.Count,
 		Log:         s.Log,
