Answer a request that arrives between the end of an idle wait and the close of its connection

What callers saw: a request on a kept connection whose connection ended without an answer; no endpoint had it, and the host has no line on it.

Cause: the end of an idle wait, at the operator's limit or at a stop, is a deadline that ends the pending read; the goroutine closes the connection when it gets to run. Bytes that arrive between the two lie unread, as a read whose deadline has passed does not return them. A host that gets no processor time meanwhile makes the two as far apart as that lasts.

Change: a read that the end of a wait has ended reads once more what has arrived, without waiting.

--- a/transport/idle/idle.go
+++ b/transport/idle/idle.go
@@ -14,7 +14,8 @@
 
 // Closer closes idle connections after a limit that may change while the process runs, and at a stop.
 //
-// A connection is not closed directly: a deadline ends its pending read, upon which the server closes it. It is idle only
+// A connection is not closed directly: a deadline ends its pending read, upon which the server closes it unless bytes of a
+// request have arrived meanwhile. It is idle only
 // until the first byte of the next request has been read, which the connections of Listener report: the server itself
 // reports it as idle until it has read the whole header. Shutdown of http.Server goes by that report and closes directly, so
 // that Drain is used in its place.
@@ -42,6 +43,8 @@
 	timer *time.Timer
 	// expired is set once the deadline is set that ends the wait.
 	expired bool
+	// looking is set from a last look for bytes of a request, after the wait was ended, to the end of the wait.
+	looking bool
 }
 
 // Listener returns a listener whose connections the Closer follows.
@@ -118,6 +121,20 @@
 	c.endWait(conn)
 }
 
+// beginLook takes the deadline away by which the wait of a connection was ended, for a last look for bytes of a request. It reports
+// whether the connection still waits.
+func (c *Closer) beginLook(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.open[conn]
+	if s == nil || !s.idle || !s.expired {
+		return false
+	}
+	s.looking = true
+	_ = conn.SetReadDeadline(time.Time{})
+	return true
+}
+
 // endWait ends the wait of a connection. If the wait has expired meanwhile, the connection goes on without the deadline. The
 // caller holds c.mu.
 func (c *Closer) endWait(conn net.Conn) {
@@ -184,15 +201,19 @@
 
 // end ends the wait of a connection.
 func (s *state) end() {
-	s.idle = false
+	s.idle, s.looking = false, false
 	if s.timer != nil {
 		s.timer.Stop()
 		s.timer = nil
 	}
 }
 
-// expire sets a deadline that has passed, so that a pending read of an idle connection ends.
+// expire sets a deadline that has passed, so that a pending read of an idle connection ends. One that has ended is left to the
+// server, which closes the connection unless a request has arrived.
 func expire(conn net.Conn, s *state) {
+	if s.looking {
+		return
+	}
 	s.expired = true
 	_ = conn.SetReadDeadline(time.Unix(1, 0))
 }
--- a/transport/idle/idle_test.go
+++ b/transport/idle/idle_test.go
@@ -82,10 +82,7 @@
 		_ = server.Close()
 		serving.Wait()
 	})
-	conn, err := net.Dial("tcp", l.Addr().String())
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(conn.Close)
-	return &caller{conn: conn, in: bufio.NewReader(conn)}, func() error {
+	return connect(l), func() error {
 		_ = l.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
@@ -93,6 +90,14 @@
 	}
 }
 
+// connect returns a connection to a listener.
+func connect(l net.Listener) *caller {
+	conn, err := net.Dial("tcp", l.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	return &caller{conn: conn, in: bufio.NewReader(conn)}
+}
+
 func (c *caller) send(body string) {
 	_, err := fmt.Fprintf(c.conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	Expect(err).NotTo(HaveOccurred())
