--- a/standin/rows.go
+++ b/standin/rows.go
@@ -56,6 +56,8 @@
 	// down makes every call fail with status 503. loseResponses carries out every call and closes the connection without
 	// a response. silent answers no call, also none that waits, and never does so later on the same connection.
 	down, loseResponses, silent bool
+	// slow is by how much calls, and answers to the operator, are delayed.
+	slow time.Duration
 	// muted counts, by table, how often the feed requests that waited were left without an answer.
 	muted map[string]int
 }
@@ -91,17 +93,21 @@
 	mux.HandleFunc("PUT /op/{key}", func(_ http.ResponseWriter, r *http.Request) {
 		value, _ := io.ReadAll(r.Body)
 		s.putOperator(r.PathValue("key"), value)
+		time.Sleep(s.delay())
 	})
 }
 
 // setFaults replaces the faults of the store and carries out those that last no time:
-// /fault?down&lost&silent&compact&mute=TABLE&restore=SECONDS, where mute leaves the feed requests that wait for a table's
-// changes without an answer, and restore brings back the rows of that many seconds ago.
+// /fault?down&lost&silent&slow=SECONDS&compact&mute=TABLE&restore=SECONDS, where slow delays calls, and the operator's answers, by
+// that many seconds, mute leaves the feed requests that wait for a table's changes without an answer, and restore brings back the
+// rows of that many seconds ago.
 func (s *rowStore) setFaults(_ http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q := r.URL.Query()
 	s.down, s.loseResponses, s.silent = q.Has("down"), q.Has("lost"), q.Has("silent")
+	slow, _ := strconv.ParseFloat(q.Get("slow"), 64)
+	s.slow = time.Duration(slow * float64(time.Second))
 	if q.Has("mute") {
 		s.muted[q.Get("mute")]++
 	}
@@ -134,6 +140,7 @@
 		if s.isSilent() {
 			leaveUnanswered(r)
 		}
+		time.Sleep(s.delay())
 		next(w, r)
 		if lost {
 			panic(http.ErrAbortHandler)
@@ -141,6 +148,13 @@
 	}
 }
 
+// delay returns by how much calls are delayed.
+func (s *rowStore) delay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slow
+}
+
 func (s *rowStore) isSilent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
