End idle connections of the product's own interface with a look for a request that has arrived

What callers saw: on the product's own interface, requests on kept connections that end without an answer when the process did not run for a while around the end of the idle limit.

Change: the idle limit is the Closer's, and the counted connection shows the one in the kernel.

--- a/test/scene/config_test.go
+++ b/test/scene/config_test.go
@@ -98,22 +98,62 @@
 	return sent, lost
 }
 
-// rawOpen sends a request on a connection, and returns a function that reads the answer.
-func rawOpen(conn net.Conn) (receive func() error) {
-	_, err := fmt.Fprintf(conn, "POST /open/x HTTP/1.1\r\nHost: plans.example\r\nDragonflyroute-Request-Id: %s\r\nDragonflyroute-Deadline-Ms: 8000\r\nContent-Length: 4\r\n\r\nbody", nextRequestID())
-	return func() error {
-		if err != nil {
-			return err
+// rawOpen returns the bytes of a request on the route open.
+func rawOpen() string {
+	return fmt.Sprintf("POST /open/x HTTP/1.1\r\nHost: plans.example\r\nDragonflyroute-Request-Id: %s\r\nDragonflyroute-Deadline-Ms: 8000\r\nContent-Length: 4\r\n\r\nbody", nextRequestID())
+}
+
+// rawEntries returns the bytes of a request to the product's own interface.
+func rawEntries() string { return "GET /v1/entries HTTP/1.1\r\nHost: entries.example\r\n\r\n" }
+
+// answered reads an answer from a connection.
+func answered(conn net.Conn) error {
+	if err := conn.SetReadDeadline(time.Now().Add(waitLimit)); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// stall has connections send a first request each, and another one at a time after it, while the process does not run until a
+// later time. It returns those without an answer.
+func stall(p *process, request func() string, from, until time.Duration) (lost []string) {
+	conns := make([]net.Conn, frozenConnections)
+	for i := range conns {
+		conn, err := net.Dial("tcp", p.address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		conns[i] = conn
+	}
+	send := func() {
+		for _, conn := range conns {
+			_, err := io.WriteString(conn, request())
+			Expect(err).NotTo(HaveOccurred())
 		}
-		_ = conn.SetReadDeadline(time.Now().Add(waitLimit))
-		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil {
-			return err
+	}
+	start := time.Now()
+	send()
+	for _, conn := range conns {
+		Expect(answered(conn)).To(Succeed())
+	}
+	last := time.Now()
+	time.Sleep(time.Until(start.Add(from)))
+	p.signal(syscall.SIGSTOP)
+	send()
+	time.Sleep(time.Until(last.Add(until)))
+	p.signal(syscall.SIGCONT)
+	for _, conn := range conns {
+		if err := answered(conn); err != nil {
+			lost = append(lost, err.Error())
 		}
-		defer func() { _ = resp.Body.Close() }()
-		_, err = io.Copy(io.Discard, resp.Body)
-		return err
 	}
+	GinkgoWriter.Printf("%d requests, %d lost\n", len(conns), len(lost))
+	return lost
 }
 
 var _ = Describe("changes of the configuration on the users' platform", func() {
@@ -155,34 +195,13 @@
 		s.idleTimeoutMs = shortIdleMs
 		s.configure(2, onlyRoute(2), `"k1"`)
 		Eventually(func() bool { return s.has(0, 2) }).Should(BeTrue())
-		conns := make([]net.Conn, frozenConnections)
-		for i := range conns {
-			conn, err := net.Dial("tcp", s.hosts[0].address)
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(conn.Close)
-			conns[i] = conn
-		}
-		start := time.Now()
-		for _, conn := range conns {
-			Expect(rawOpen(conn)()).To(Succeed())
-		}
-		answered := time.Now()
-		time.Sleep(time.Until(start.Add(shortIdleAnnounced - 300*time.Millisecond)))
-		s.hosts[0].signal(syscall.SIGSTOP)
-		receive := make([]func() error, len(conns))
-		for i, conn := range conns {
-			receive[i] = rawOpen(conn)
-		}
-		Expect(time.Now()).To(BeTemporally("<", start.Add(shortIdleAnnounced)), "the requests are sent in time")
-		time.Sleep(time.Until(answered.Add(shortIdleMs*time.Millisecond + 200*time.Millisecond)))
-		s.hosts[0].signal(syscall.SIGCONT)
-		var lost []string
-		for i := range receive {
-			if err := receive[i](); err != nil {
-				lost = append(lost, err.Error())
-			}
-		}
-		GinkgoWriter.Printf("%d requests, %d lost\n", len(conns), len(lost))
-		Expect(lost).To(BeEmpty())
+		const limit = shortIdleMs * time.Millisecond
+		Expect(stall(s.hosts[0].process, rawOpen, shortIdleAnnounced-300*time.Millisecond, limit+200*time.Millisecond)).To(BeEmpty())
+	})
+
+	// Guards against the same at the other interface, whose idle limit is 500 ms here.
+	It("answers the requests that have come meanwhile, on the product's own interface", func() {
+		s := newSystem(1, 1)
+		Expect(stall(s.entryHosts[0], rawEntries, 300*time.Millisecond, 700*time.Millisecond)).To(BeEmpty())
 	})
 })
--- a/transport/front/front.go
+++ b/transport/front/front.go
@@ -52,6 +52,9 @@
 	borrowFraction = 0.9
 	// shutdownTimeout bounds the wait for open connections at shutdown.
 	shutdownTimeout = 2 * time.Second
+	// serverIdleMargin is how much later than by the idle limit the HTTP server itself closes an idle connection, without a
+	// look for a request that has arrived.
+	serverIdleMargin = 5 * time.Minute
 )
 
 // Front is the HTTP server of an entry host.
@@ -138,13 +141,13 @@
 	if err != nil {
 		return fault.Wrap(kind.Internal, err, "build the HTTP routes")
 	}
-	closer := &idle.Closer{}
+	closer := &idle.Closer{Limit: f.Settings.Intervals.AddressTTL.Duration}
 	s := &http.Server{
 		Handler:           app,
 		ConnState:         closer.ConnState,
 		ReadHeaderTimeout: f.Settings.Bounds.ReadTimeout.Duration(),
 		ReadTimeout:       f.Settings.Bounds.ReadTimeout.Duration(),
-		IdleTimeout:       f.Settings.Intervals.AddressTTL.Duration(),
+		IdleTimeout:       f.Settings.Intervals.AddressTTL.Duration() + serverIdleMargin,
 		MaxHeaderBytes:    f.Settings.Bounds.MaxHeaderBytes,
 		ErrorLog:          f.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
--- a/transport/front/listen.go
+++ b/transport/front/listen.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
@@ -65,6 +67,14 @@
 	once     sync.Once
 }
 
+// SyscallConn returns the connection in the kernel, if there is one.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	if inner, ok := c.Conn.(syscall.Conn); ok {
+		return inner.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // Close closes the connection and frees its place in the limit.
 func (c *countedConn) Close() error {
 	c.once.Do(func() { c.listener.open.Add(-1) })
