Reject rows that lack a field which endpoints write

Cause: a row with 'service', 'address' and 'state' only, under the endpoint's id, was taken for a new start of the endpoint, as version and start time differ, and what the endpoint had said of itself no longer held. The row of the scene 'odd rows' gets the two fields that it lacked, so that its odd field is what is judged. Open, in the postmortem: an unknown id whose row lacks 'born' only; what an endpoint says in an answer that ends while its row is spoiled; the grace period after an outage.

--- a/coordination/syncer/syncer.go
+++ b/coordination/syncer/syncer.go
@@ -9,6 +9,8 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/state/endreg"
@@ -24,7 +26,8 @@
 // Syncer applies rows of the endpoint list to the registry.
 //
 // Rows that expired while the list was unavailable are written again shortly after its recovery, so that a missing
-// endpoint stays in use during a grace period. A row that can't be decoded counts as missing.
+// endpoint stays in use during a grace period. A row that can't be decoded counts as missing, and so does one without the
+// endpoint's start if the endpoint has named it: it is another writer's.
 //
 // When the store is restored from a copy, rows return that are older than what this process knows: of endpoints that have
 // left or have been started anew since. Such a row is not used unless it is written again, or is still there after the
@@ -182,6 +185,9 @@
 		return false
 	}
 	row, err := s.Decode(r.Key, r.Value)
+	if err == nil && row.StartMillis == 0 && s.startKnown(row.ID) {
+		err = fault.New(kind.BadRequest, "born", "is missing in the row of endpoint %s, which has named its start", row.ID)
+	}
 	if err != nil {
 		s.logUnreadable(r.Key, r.Version, err)
 		return false
@@ -194,6 +200,14 @@
 	return true
 }
 
+// startKnown reports whether the newest row of an endpoint named its start, also if it has been removed since.
+func (s *Syncer) startKnown(id endpt.ID) bool {
+	if t := s.Registry.Get(id); t != nil {
+		return t.Row().StartMillis != 0
+	}
+	return s.gone[id] != 0
+}
+
 // logUnreadable logs a row that can't be decoded, once until it can be.
 func (s *Syncer) logUnreadable(key string, version int64, err error) {
 	if s.unreadable == nil {
--- a/test/scene/odd_test.go
+++ b/test/scene/odd_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -27,7 +28,7 @@
 	It("end no host and keep none from following the endpoints and the other hosts", func() {
 		s := newSite(2)
 		deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
-		endpoint := `{"service":"plume","zone":"here","version":"v1","state":"ready","slots":8,"address":"127.0.0.1:9"`
+		endpoint := `{"service":"plume","zone":"here","version":"v1","state":"ready","slots":8,"coldRemainingMs":0,"sequence":1,"address":"127.0.0.1:9"`
 		host := `{"id":"odd-%d","address":"127.0.0.1:9","peers":"127.0.0.1:9","state":"live","data-centre":"here"`
 		for i, odd := range []string{
 			`"address":"127.0.0.1:0"`, `"address":"127.0.0.1:70000"`, `"address":"127.0.0.1"`, `"address":"x\r\ny:1"`, `"address":7`, `"state":"asleep"`,
@@ -63,3 +64,55 @@
 		}
 	})
 })
+
+// spoilRow writes rows that lack most fields under the id of an endpoint, between those that the endpoint writes, for a time.
+func (s *site) spoilRow(id string, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		s.putRow("servers", id, `{"service":"plume","address":"`+s.platform.address+`","state":"ready"}`)
+	}
+}
+
+var _ = Describe("rows with missing fields under an endpoint's id", func() {
+	// Guards against requests that are cut off or repeated, or sent to the other writer's address, and against an endpoint that
+	// stays out of use once its own row is back.
+	It("leave its streams where they are, and the endpoint in use once its own row is back", func() {
+		s := newSite(1)
+		s.configure(2, longRoute+onlyRoute(2), `"k1"`)
+		Eventually(func() bool { return s.has(0, 2) }).Should(BeTrue())
+		answers := s.streams(0, 9, "&gap=60", func() {
+			time.Sleep(300 * time.Millisecond)
+			for end := time.Now().Add(time.Second); time.Now().Before(end); {
+				s.spoilRow("i-0", 100*time.Millisecond)
+				Expect(s.callStatus(0)).To(Equal(http.StatusOK))
+			}
+		})
+		expectWhole(answers)
+		seen := s.record()
+		at := map[string]int{}
+		for _, a := range answers {
+			Expect(seen.Streams[a.id]).To(HaveLen(1))
+			at[seen.Streams[a.id][0].Endpoint]++
+		}
+		Expect(at).To(HaveKey("i-0"))
+		Eventually(func() int { return s.record().Arrivals["i-0"] + 0*s.callStatus(0) }, "3s").Should(BeNumerically(">", seen.Arrivals["i-0"]))
+	})
+
+	// Guards against requests to an endpoint that drains, sent since another writer's row called it ready.
+	It("do not bring it back into use while it drains", func() {
+		s := newSite(1)
+		s.control("/drain?id=i-0")
+		time.Sleep(time.Second)
+		before := len(s.record().Drained["i-0"])
+		var g sync.WaitGroup
+		defer g.Wait()
+		const spoiled = 2 * time.Second
+		g.Go(func() {
+			defer GinkgoRecover()
+			s.spoilRow("i-0", spoiled)
+		})
+		for end := time.Now().Add(spoiled); time.Now().Before(end); {
+			Expect(s.callStatus(0)).To(Equal(http.StatusOK))
+		}
+		Expect(s.record().Drained["i-0"]).To(HaveLen(before))
+	})
+})
