Count the age of a table's copy from the start of a long poll's answer

What callers see: nothing yet seen. A copy counted as at most 0.5 s old when a long poll's answer was complete, however long it had taken to arrive, so that hosts that depend on that age could leave a change unread, such as an endpoint's draining. Cause: the watcher knows only when the read returned. Ruled out: reads that do not wait; their age counts from the sending. Change: the store's client says how long the answer took to arrive. After one that took over 0.5 s the next read does not wait, so that a reader's copy is not counted as old, by which all hosts would read the store, until its next long poll ends; that is one call for each such answer. The scripted tables of the tests return the new value; what they check is the same.

--- a/coordination/reader/fleet_test.go
+++ b/coordination/reader/fleet_test.go
@@ -70,8 +70,9 @@
 }
 
 // Changes reads the table's one row.
-func (m *member) Changes(ctx context.Context, _ int64, _ time.Duration) ([]record.Record, int64, error) {
-	return m.Snapshot(ctx)
+func (m *member) Changes(ctx context.Context, _ int64, _ time.Duration) ([]record.Record, int64, time.Duration, error) {
+	rows, version, err := m.Snapshot(ctx)
+	return rows, version, 0, err
 }
 
 func newCluster(n int) *cluster {
--- a/coordination/watch/restore_test.go
+++ b/coordination/watch/restore_test.go
@@ -56,11 +56,11 @@
 	return t.after(0), t.era.Qualify(t.ver), nil
 }
 
-func (t *restorable) Changes(_ context.Context, after int64, _ time.Duration) ([]record.Record, int64, error) {
+func (t *restorable) Changes(_ context.Context, after int64, _ time.Duration) ([]record.Record, int64, time.Duration, error) {
 	if eras.Of(after) != t.era {
-		return nil, 0, fault.New(kind.Conflict, "after", "restored")
+		return nil, 0, 0, fault.New(kind.Conflict, "after", "restored")
 	}
-	return t.after(eras.Local(after)), t.era.Qualify(t.ver), nil
+	return t.after(eras.Local(after)), t.era.Qualify(t.ver), 0, nil
 }
 
 // view is a host's copy of the table.
--- a/coordination/watch/watch.go
+++ b/coordination/watch/watch.go
@@ -35,8 +35,9 @@
 type source interface {
 	// Snapshot returns all rows and the version from which changes follow.
 	Snapshot(ctx context.Context) (rows []record.Record, version int64, err error)
-	// Changes returns the rows changed after a version: as soon as there are any, at the latest after wait (long poll).
-	Changes(ctx context.Context, after int64, wait time.Duration) (rows []record.Record, version int64, err error)
+	// Changes returns the rows changed after a version: as soon as there are any, at the latest after wait (long poll), and
+	// how long ago the answer began to arrive.
+	Changes(ctx context.Context, after int64, wait time.Duration) (rows []record.Record, version int64, arriving time.Duration, err error)
 }
 
 // Watcher reads a snapshot of a table and then its changes, until its context ends.
@@ -75,6 +76,8 @@
 	version  int64
 	synced   bool
 	failures int
+	// confirmNext is set by an answer that took long to arrive. It is used by Read only.
+	confirmNext bool
 	// mustRead is set when there are changes too long for other hosts to pass on.
 	mustRead bool
 	// confirmedAt is the latest time at which the table is known to have had the version.
@@ -166,21 +169,23 @@
 		return w.handleRead(rows, version, true, sent, err)
 	}
 	wait := w.pollWait()
-	rows, version, err := w.Source.Changes(ctx, version, wait)
+	rows, version, arriving, err := w.Source.Changes(ctx, version, wait)
 	if wait > 0 {
-		// With a long poll the answer is made at its end, so it is as recent as the arrival less the transit time.
-		sent = latest(sent, w.Now().Add(-maxTransit))
+		// With a long poll the answer is made at its end, so it is as recent as the start of its arrival less the transit time.
+		sent = latest(sent, w.Now().Add(-arriving-maxTransit))
 	}
+	w.confirmNext = wait > 0 && arriving > maxTransit
 	return w.handleRead(rows, version, false, sent, err)
 }
 
 // pollWait returns how long the next read waits for changes. The read after a failed one does not wait: changes may have been
-// missed, and the next answer may be lost as well.
+// missed, and the next answer may be lost as well. Nor does the read after an answer that took long to arrive, as the copy's age
+// would have other hosts read the table too.
 func (w *Watcher) pollWait() time.Duration {
 	w.mu.Lock()
 	failed := w.failures > 0
 	w.mu.Unlock()
-	if failed || w.LongPollWait == nil {
+	if failed || w.confirmNext || w.LongPollWait == nil {
 		return 0
 	}
 	return w.LongPollWait()
--- a/coordination/watch/watch_test.go
+++ b/coordination/watch/watch_test.go
@@ -36,14 +36,14 @@
 	return []record.Record{{Key: "k"}}, int64(10 * s.snapshots), nil
 }
 
-func (s *source) Changes(_ context.Context, after int64, wait time.Duration) ([]record.Record, int64, error) {
+func (s *source) Changes(_ context.Context, after int64, wait time.Duration) ([]record.Record, int64, time.Duration, error) {
 	s.after = append(s.after, after)
 	s.waits = append(s.waits, wait)
 	if len(s.after) > len(s.script) {
 		s.end()
-		return nil, after, nil
+		return nil, after, 0, nil
 	}
-	return nil, after + 1, s.script[len(s.after)-1]
+	return nil, after + 1, 0, s.script[len(s.after)-1]
 }
 
 // longPoll is the time for which the reads of a scripted table wait for changes.
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -64,7 +64,7 @@
 	Commit(ctx context.Context, t table.Txn) (int64, error)
 	Read(ctx context.Context, key string) (record.Record, error)
 	Snapshot(ctx context.Context) (rows []record.Record, version int64, err error)
-	Changes(ctx context.Context, after int64, wait time.Duration) (rows []record.Record, version int64, err error)
+	Changes(ctx context.Context, after int64, wait time.Duration) (rows []record.Record, version int64, arriving time.Duration, err error)
 }
 
 // platformCalls are the platform calls that only the holder of the fleet's lease may make.
