Write usage that the store refuses again after pauses that grow, other hosts after the readers

Cause: each host whose usage no reader had acknowledged wrote it every 0.25 s until the store took it, and every host began 2 s after the window's end: the readers' writes were refused, so that all others came on top. Change: coordination/writer holds the decision, without a network. A refused write waits 1, 2 and 3 s, half of it by chance. Other hosts leave usage to the readers for 0.25 of the deadline more and spread their writes over the next 0.2, before the report stops waiting at 0.75. A window that waits keeps its place as the next one ends.

--- a/transport/site/usage.go
+++ b/transport/site/usage.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
+	"github.com/dragonflyroute/dragonflyroute/coordination/writer"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/table"
 	"github.com/dragonflyroute/dragonflyroute/protocol/window"
@@ -30,21 +32,22 @@
 // usage. A reader writes its own usage and that of the hosts that poll it; another host writes its own only if no reader
 // has acknowledged it.
 func (s *Site) writeUsage(ctx context.Context) error {
-	lastWritten := s.usage.WindowNumber(time.Now())
+	w := &writer.Writer{
+		Final: func(now time.Time) (int64, time.Time) {
+			window := s.usage.WindowNumber(now) - 1
+			return window, s.usage.WindowEnd(window)
+		},
+		Delay:    func() time.Duration { return s.Schedule().UsageDelay() },
+		Deadline: s.UsageDeadline,
+		IsReader: s.polls.IsReader,
+		Acked:    s.polls.UsageAcked,
+		Write:    s.writeUsageRows,
+		Random:   rand.Float64,
+	}
+	w.Start(time.Now())
 	return ticks.Every(usageCheckInterval, func(ctx context.Context) {
-		now := time.Now()
-		current := s.usage.WindowNumber(now)
-		schedule := s.Schedule()
-		if current == lastWritten || !schedule.Large() || now.Before(s.usage.WindowEnd(current-1).Add(schedule.UsageDelay())) {
-			return
-		}
-		isReader := s.polls.IsReader()
-		if !isReader && s.polls.UsageAcked() >= current-1 {
-			lastWritten = current
-			return
-		}
-		if s.writeUsageRows(ctx, current-1, isReader) {
-			lastWritten = current
+		if s.Schedule().Large() {
+			w.Step(ctx, time.Now())
 		}
 	})(ctx)
 }
