--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -234,6 +234,18 @@
 	s.Balancer = &choose.Balancer{Rand: rand.Float64, Speed: s.speed, DataCentre: s.DataCentre, HostCount: s.hosts}
 	s.pacer = &pacer.Pacer{Self: s.Host, Live: s.liveHosts, Known: s.hosts, Endpoints: s.Registry, Peers: exchange{s}, Now: time.Now, Log: s.Log}
 	s.buildPrompts()
+	s.buildProxy()
+	s.reclaimSignal = make(chan struct{}, 1)
+	s.syncer = &syncer.Syncer{Registry: s.Registry, Decode: s.DecodeEndpoint, Expiry: expiryHeartbeats * s.EndpointHeartbeat, OnReclaim: s.onReclaim, Now: time.Now, Log: s.Log}
+	s.buildMoves()
+	s.buildPeers()
+	s.buildPolls()
+	s.buildTables()
+	s.buildLeaseHolder()
+}
+
+// buildProxy builds what runs requests, with the ends that a stop sets to them.
+func (s *Site) buildProxy() {
 	s.Proxy = &proxy.Proxy{
 		Endpoints:   s.Registry,
 		Permits:     s.pacer,
@@ -254,13 +266,6 @@
 		Count:       s.Meter.Count,
 		Log:         s.Log,
 	}
-	s.reclaimSignal = make(chan struct{}, 1)
-	s.syncer = &syncer.Syncer{Registry: s.Registry, Decode: s.DecodeEndpoint, Expiry: expiryHeartbeats * s.EndpointHeartbeat, OnReclaim: s.onReclaim, Now: time.Now, Log: s.Log}
-	s.buildMoves()
-	s.buildPeers()
-	s.buildPolls()
-	s.buildTables()
-	s.buildLeaseHolder()
 }
 
 // hostCountTTL is how long the number of hosts is cached, as each request needs it several times.
