Keep the rate of cold endpoints over all hosts, and send nothing new to an evacuated data centre

Cause: no host read that an endpoint is cold, or that the operator evacuates a data centre. Ruled out: permits of one host for each request (a message each, and nothing while the granter fails over); leaving cold endpoints out (no room when all are cold). Change: a cold endpoint has four senders by rendezvous hashing over the listed hosts, each with a quarter of the rate, evenly spaced (coordination/warmer, state/warmup). An endpoint that accepts no connection may be cold when it does again; hosts tell each other with their load figures. An evacuation is a row of the operator's table, marked on the endpoints and checked at the choice and before the first byte; the autoscaler leaves the data centre out.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -139,6 +139,7 @@
 	s.Status = tableClient(statusTable)
 	s.ConfigKey = codec.ConfigKey
 	s.IsMoveRequest = codec.IsMove
+	s.EvacuatedCentre = codec.EvacuatedCentre
 	s.DecodeMove = codec.Move
 	s.EncodeMoveStatus = codec.Status
 	s.DecodeConfig = codec.Config
@@ -179,6 +180,7 @@
 		UsageDeadline:         cfg.UsageDeadline,
 		EndpointDrain:         cfg.EndpointDrain,
 		ConfigApply:           cfg.ConfigApply,
+		Evacuate:              cfg.Evacuate,
 		Contact:               cfg.Contact,
 		EndpointHeartbeat:     cfg.EndpointHeartbeat,
 		ReportsUsage:          cfg.ReportsUsage,
--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -81,8 +81,9 @@
 
 // Pick returns the usable endpoint of least cost among those compared.
 //
-// Endpoints that are leaving, have asked for a pause or are at their request limit are never chosen; those in backoff
-// after a failure only when no other is compared.
+// Those compared are a random sample, the session's homes, the endpoint that has most of the prompt cached, and the cold
+// endpoints to which only this process and a few others may send. Endpoints that are leaving, in an evacuated data centre, have asked for a pause, are at their request limit or too cold
+// are never chosen; those in backoff after a failure only when no other is compared.
 func (b *Balancer) Pick(all []*target.Target, w *work.Request, used func(*target.Target) bool, now time.Time) pick {
 	if w.PromptTokens == 0 {
 		return b.spread(all, w, used, now)
@@ -95,7 +96,7 @@
 		if !accepts(t, now) || used(t) {
 			continue
 		}
-		if sample != nil && !homes.has(t) && t != donor && !sample[t] {
+		if sample != nil && !homes.has(t) && t != donor && !sample[t] && !t.Warmup.Cold(now) {
 			continue
 		}
 		p := b.estimate(t, w, homes, donor, donorUncached, now)
@@ -120,32 +121,35 @@
 
 // accepts reports whether an endpoint accepts requests from this process.
 func accepts(t *target.Target, now time.Time) bool {
-	return !t.Leaving() && !now.Before(acceptsFrom(t))
+	return !t.Leaving() && !t.Evacuated() && !now.Before(acceptsFrom(t, now))
 }
 
-// acceptsFrom returns the time from which an endpoint that is not leaving accepts requests from this process.
-func acceptsFrom(t *target.Target) time.Time {
-	paused, held := t.PausedUntil(), t.Limit.HeldUntil()
-	if held.After(paused) {
-		return held
+// acceptsFrom returns the time from which an endpoint that is neither leaving nor evacuated accepts requests from this
+// process.
+func acceptsFrom(t *target.Target, now time.Time) time.Time {
+	from := t.PausedUntil()
+	for _, held := range []time.Time{t.Limit.HeldUntil(), t.Warmup.HeldUntil(now)} {
+		if held.After(from) {
+			from = held
+		}
 	}
-	return paused
+	return from
 }
 
 // canDonate reports whether other endpoints may fetch KV cache from an endpoint: a fetch is work too, so not from one that
-// limits its requests.
+// limits its requests or is cold.
 func canDonate(t *target.Target, now time.Time) bool {
-	return !t.Limit.InForce() && accepts(t, now)
+	return !t.Limit.InForce() && !t.Warmup.Cold(now) && accepts(t, now)
 }
 
 // untilAccepting returns the time until the first endpoint accepts requests, zero when one of them does now.
 func untilAccepting(all []*target.Target, now time.Time) time.Duration {
 	var first time.Duration
 	for _, t := range all {
-		if t.Leaving() {
+		if t.Leaving() || t.Evacuated() {
 			continue
 		}
-		left := acceptsFrom(t).Sub(now)
+		left := acceptsFrom(t, now).Sub(now)
 		if left <= 0 {
 			return 0
 		}
--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -333,6 +333,7 @@
 				answerBegun = p.Now()
 			}
 			t.RecordProgress(p.Now())
+			t.Warmup.Answered(p.Now())
 			p.countStart(j)
 			j.streaming.Store(j.work.Route.Mode.Streams())
 			watch.progress()
@@ -349,8 +350,12 @@
 	return r
 }
 
-// countLimited counts an attempt that uses an endpoint with a request limit, itself or as a donor of KV cache.
+// countLimited counts an attempt that uses an endpoint with a request limit, itself or as a donor of KV cache, or one that is
+// cold.
 func (p *Proxy) countLimited(t, donor *target.Target) {
+	if t.Warmup.Cold(p.Now()) {
+		p.Count("cold_requests_total", 1)
+	}
 	if t.Limit.InForce() {
 		p.Count("limited_requests_total", 1)
 	}
@@ -395,6 +400,7 @@
 		// An endpoint that asked for a pause, is leaving or is at its request limit has not failed.
 		if !r.Withheld && !t.Paused(now) && !t.Leaving() && !j.endedByStop(ctx) {
 			t.RecordFailure(now)
+			p.recordRefusal(t, r, now)
 		}
 	case ending.Failed:
 		p.countStart(j)
@@ -402,6 +408,14 @@
 	}
 }
 
+// recordRefusal records that an endpoint may have been restarted if it did not accept a connection.
+func (p *Proxy) recordRefusal(t *target.Target, r result.Result, now time.Time) {
+	if r.Sent || r.Status != 0 || !t.Warmup.Refused(now) {
+		return
+	}
+	p.Log.Info("endpoint accepts no connections; it may be cold when it does again", "endpoint", t.Row().ID, "backend", t.Row().Backend, "reason", r.Reason)
+}
+
 // decide returns whether to make another attempt after the last one, and otherwise the error to answer with.
 func (p *Proxy) decide(ctx context.Context, j *job, x exchange) (again bool, err error) {
 	switch j.lastResult.Ending {
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -445,3 +445,23 @@
 		Expect(f.prompts.results).To(Equal([]result.Result{unknown}))
 	})
 })
+
+var _ = Describe("An endpoint of a back end whose cold endpoints are limited", func() {
+	coldAfter := func(r result.Result) bool {
+		f, s := newFixture(1), &fakeExchange{results: []result.Result{r}}
+		t := f.registry.All()[0]
+		t.Warmup.Time = func() time.Duration { return time.Minute }
+		t.Warmup.Interval = func() (time.Duration, bool) { return 0, true }
+		_ = f.proxy.Run(context.Background(), request(mode.Once, 1), s)
+		return t.Warmup.Cold(time.Now())
+	}
+
+	// Guards against many hosts sending to an endpoint that comes back from a crash before its row says so.
+	It("may be cold once it did not accept a connection, and only then", func() {
+		Expect(coldAfter(unsent)).To(BeTrue())
+		Expect(coldAfter(full)).To(BeFalse())
+		Expect(coldAfter(unknown)).To(BeFalse())
+		Expect(coldAfter(failed)).To(BeFalse())
+		Expect(coldAfter(result.Result{Ending: ending.NotRun, Withheld: true})).To(BeFalse())
+	})
+})
--- a/coordination/scaler/scaler.go
+++ b/coordination/scaler/scaler.go
@@ -55,6 +55,8 @@
 	// Demand returns a back end's demand as the number of fully utilised endpoints that it would occupy; known is false
 	// while the endpoints' speed is only an estimate.
 	Demand func(backend label.Name, now time.Time) (demand float64, known bool)
+	// Evacuated reports whether no new work goes to a data centre's endpoints; nil means that none is evacuated.
+	Evacuated func(in centre.ID) bool
 	// Platform accepts orders.
 	Platform platform
 	// Held returns the fencing number while the process holds the lease; it is called before each order.
@@ -206,21 +208,15 @@
 	return n
 }
 
-// offers returns the live, starting and refused endpoints of a back end in each data centre.
+// offers returns the live, starting and refused endpoints of a back end in each data centre that is not evacuated. The
+// endpoints of an evacuated one stay as they are, and the others have to bear its load.
 func (s *Scaler) offers(b *back.Backend, now time.Time) []offer.Offer {
 	var out []offer.Offer
 	for _, in := range slices.Sorted(maps.Keys(b.OnDemandPrices)) {
-		o := offer.Offer{DataCentre: in, Backend: b.Name}
-		for _, t := range s.Endpoints.ByBackend(b.Name) {
-			row := t.Row()
-			switch {
-			case row.DataCentre != in || t.Leaving():
-			case row.Reclaimable:
-				o.Live++
-			default:
-				o.OnDemandHosts++
-			}
+		if s.Evacuated != nil && s.Evacuated(in) {
+			continue
 		}
+		o := s.count(b, in, now)
 		g := group{backend: b.Name, dataCentre: in, reclaimable: true}
 		o.ReclaimableRefused = now.Before(s.refusedUntil[g])
 		o.Starting = s.starting(g, o.Live, b.BootTime, now)
@@ -231,6 +227,26 @@
 	return out
 }
 
+// count returns the live endpoints of a back end in a data centre.
+func (s *Scaler) count(b *back.Backend, in centre.ID, now time.Time) offer.Offer {
+	o := offer.Offer{DataCentre: in, Backend: b.Name}
+	for _, t := range s.Endpoints.ByBackend(b.Name) {
+		row := t.Row()
+		if row.DataCentre != in || t.Leaving() {
+			continue
+		}
+		if t.Warmup.Cold(now) {
+			o.Cold++
+		}
+		if row.Reclaimable {
+			o.Live++
+		} else {
+			o.OnDemandHosts++
+		}
+	}
+	return o
+}
+
 // starting returns the number of endpoints that were ordered within the boot time and are not live yet.
 func (s *Scaler) starting(g group, live int, boot time.Duration, now time.Time) int {
 	o := s.orders[g]
--- a/coordination/scaler/scaler_test.go
+++ b/coordination/scaler/scaler_test.go
@@ -71,6 +71,13 @@
 	return sum
 }
 
+// coldMinute limits the requests to endpoints that are cold, for a minute.
+type coldMinute struct{}
+
+func (coldMinute) Time(label.Name) time.Duration { return time.Minute }
+
+func (coldMinute) Interval(*roster.Row) (time.Duration, bool) { return time.Second, true }
+
 type fixture struct {
 	scaler    *scaler.Scaler
 	cloud     *cloud
@@ -180,6 +187,46 @@
 		Expect(ordered).To(HaveKey(centre.ID("c")))
 	})
 
+	// Guards against orders in a data centre that is evacuated, and against the others being left with too few.
+	It("orders nothing in an evacuated data centre, and what it bore in the others", func() {
+		b := newFixture()
+		b.scaler.Evacuated = func(in centre.ID) bool { return in == "b" }
+		for _, in := range []string{"a", "b", "c"} {
+			b.add(in, 2, true)
+		}
+		b.step(0)
+		b.step(3 * time.Second)
+		ordered := map[centre.ID]int{}
+		for _, o := range b.cloud.orders {
+			ordered[o.dataCentre] += o.n
+		}
+		Expect(ordered).NotTo(HaveKey(centre.ID("b")))
+		Expect(ordered).To(HaveKeyWithValue(centre.ID("a"), BeNumerically(">=", 4)))
+		Expect(ordered).To(HaveKeyWithValue(centre.ID("c"), BeNumerically(">=", 4)))
+	})
+
+	// Guards against on-demand endpoints being let go for reclaimable ones that bear little yet.
+	It("keeps on-demand endpoints until the reclaimable ones in their place are warm", func() {
+		b := newFixture()
+		b.registry.Warmer = coldMinute{}
+		b.demand = 3
+		for _, in := range []string{"a", "b", "c"} {
+			b.add(in, 3, true)
+			b.add(in, 2, false)
+		}
+		for _, t := range b.registry.All() {
+			if t.Row().Reclaimable {
+				t.Warmup.Announced(time.Minute, b.now)
+			}
+		}
+		b.step(0)
+		b.step(3 * time.Second)
+		b.step(5 * time.Second)
+		for _, o := range b.cloud.orders {
+			Expect(o.reclaimable || o.n >= 1).To(BeTrue(), "%+v", o)
+		}
+	})
+
 	It("orders nothing without the lease", func() {
 		b := newFixture()
 		b.add("a", 3, false)
--- a/coordination/sizing/sizing.go
+++ b/coordination/sizing/sizing.go
@@ -84,7 +84,7 @@
 		}
 		return need
 	}
-	shortNow := shortfall(demand, offers, func(i int) int { return offers[i].Live })
+	shortNow := shortfall(demand, offers, func(i int) int { return max(0, offers[i].Live-offers[i].Cold) })
 	shortLater := shortfall(demand, offers, func(i int) int { return obtainable(offers[i], out[i]) })
 	unmet := assign(shortNow, func(o offer.Offer) int { return o.OnDemandHosts + o.OnDemandStarting })
 	assign(shortLater-(shortNow-unmet), func(o offer.Offer) int { return b.MaxEndpoints - o.Live - o.Starting })
--- a/coordination/syncer/syncer.go
+++ b/coordination/syncer/syncer.go
@@ -176,6 +176,10 @@
 	if oldErr != nil || err != nil {
 		return oldErr != nil && err != nil
 	}
+	if old.ColdMillis >= updated.ColdMillis && updated.ColdMillis > 0 {
+		// The time that is left of the same start shrinks with each write.
+		updated.ColdMillis = old.ColdMillis
+	}
 	return old == updated
 }
 
@@ -196,10 +200,24 @@
 	delete(s.missing, row.ID)
 	delete(s.gone, row.ID)
 	s.Registry.Put(row)
+	s.recordCold(row)
 	s.recordState(row, r.Version)
 	return true
 }
 
+// recordCold records that the row of an endpoint says that it is cold.
+func (s *Syncer) recordCold(row roster.Row) {
+	t := s.Registry.Get(row.ID)
+	if row.ColdMillis == 0 || t == nil {
+		return
+	}
+	now := s.Now()
+	if !t.Warmup.Cold(now) {
+		s.Log.Info("endpoint is cold", "endpoint", row.ID, "backend", row.Backend, "for-ms", row.ColdMillis)
+	}
+	t.Warmup.Announced(time.Duration(row.ColdMillis)*time.Millisecond, now)
+}
+
 // startKnown reports whether the newest row of an endpoint named its start, also if it has been removed since.
 func (s *Syncer) startKnown(id endpt.ID) bool {
 	if t := s.Registry.Get(id); t != nil {
--- a/coordination/syncer/syncer_test.go
+++ b/coordination/syncer/syncer_test.go
@@ -1,6 +1,7 @@
 package syncer_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/state/endreg"
@@ -33,6 +35,44 @@
 	return roster.Row{ID: endpt.ID(id), Address: id, Backend: "plume", State: state, Reclaimable: true}, nil
 }
 
+// coldMillis decodes a row that holds only how long its endpoint is cold.
+func coldMillis(id string, data []byte) (roster.Row, error) {
+	ms, err := strconv.ParseInt(string(data), 10, 64)
+	return roster.Row{ID: endpt.ID(id), Address: id, Backend: "plume", State: roster.Live, ColdMillis: ms}, err
+}
+
+var _ = Describe("Syncer of endpoints that are cold for a while", func() {
+	registry, now := &endreg.Registry{Warmer: secondCold{}}, time.Unix(1000, 0)
+	s := &syncer.Syncer{Registry: registry, Decode: coldMillis, Now: func() time.Time { return now }, Log: hclog.NewNullLogger()}
+
+	It("records how long each is cold, also when it is cold again", func() {
+		s.Replace([]record.Record{{Key: "a", Value: []byte("3000")}, {Key: "b", Value: []byte("0")}})
+		Expect(registry.Get("a").Warmup.Cold(now.Add(2999 * time.Millisecond))).To(BeTrue())
+		Expect(registry.Get("a").Warmup.Cold(now.Add(3 * time.Second))).To(BeFalse())
+		Expect(registry.Get("b").Warmup.Cold(now)).To(BeFalse())
+		now = now.Add(time.Minute)
+		s.Apply([]record.Record{{Key: "b", Value: []byte("500")}})
+		Expect(registry.Get("b").Warmup.Cold(now)).To(BeTrue())
+	})
+
+	// Guards against each write of a cold endpoint being passed on to all hosts.
+	It("takes rows for the same that only differ in the time left of one start", func() {
+		for _, c := range []struct {
+			old, updated string
+			same         bool
+		}{{"3000", "1800", true}, {"0", "0", true}, {"1800", "0", false}, {"0", "3000", false}, {"1800", "3000", false}} {
+			Expect(s.Equivalent("a", []byte(c.old), []byte(c.updated))).To(Equal(c.same), "%s, then %s", c.old, c.updated)
+		}
+	})
+})
+
+// secondCold limits the requests to endpoints that are cold.
+type secondCold struct{}
+
+func (secondCold) Time(label.Name) time.Duration { return time.Second }
+
+func (secondCold) Interval(*roster.Row) (time.Duration, bool) { return time.Second, true }
+
 var _ = Describe("Syncer", func() {
 	var (
 		s        *syncer.Syncer
--- a/protocol/back/back.go
+++ b/protocol/back/back.go
@@ -6,6 +6,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
+	"github.com/dragonflyroute/dragonflyroute/protocol/pace"
 )
 
 // Backend is a back end: a pool of endpoints that serve the same requests.
@@ -30,6 +31,10 @@
 	MaxEndpoints int
 	// BootTime is the time from the start of a new endpoint until it serves requests.
 	BootTime time.Duration
+	// ColdTime is how long an endpoint is cold after its start, and ColdRate the requests per second that all entry hosts
+	// together may send to a cold endpoint; 0 means that they are not limited.
+	ColdTime time.Duration
+	ColdRate pace.Pace
 	// ReclaimablePriceRatio is the price of a reclaimable endpoint divided by that of an on-demand one; 0 means that
 	// there are no reclaimable endpoints.
 	ReclaimablePriceRatio float64
--- a/protocol/offer/offer.go
+++ b/protocol/offer/offer.go
@@ -23,6 +23,8 @@
 	// Live is the number of reclaimable hosts that accept requests, and Starting of those that are still loading weights.
 	Live     int `json:"live"`
 	Starting int `json:"starting"`
+	// Cold is the number of live hosts, reclaimable and on-demand, that do not yet bear a full load.
+	Cold int `json:"cold,omitempty"`
 	// OnDemandHosts is the number of on-demand hosts, live and starting.
 	OnDemandHosts int `json:"on-demand"`
 	// OnDemandStarting is the number of on-demand hosts that are still loading weights.
--- a/protocol/roster/roster.go
+++ b/protocol/roster/roster.go
@@ -47,6 +47,8 @@
 	Slots int `json:"slots,omitempty"`
 	// StartMillis is the start of the server in Unix milliseconds, 0 when not reported.
 	StartMillis int64 `json:"born-ms,omitempty"`
+	// ColdMillis is the time for which the server was still cold when it wrote the row, in milliseconds.
+	ColdMillis int64 `json:"cold-ms,omitempty"`
 	// PeerAddress is the address at which an entry host serves its peers, empty for endpoints.
 	PeerAddress string `json:"peers,omitempty"`
 	// Weight is an entry host's relative weight in address answers, at most 1; 0 when not reported.
--- a/protocol/stats/stats.go
+++ b/protocol/stats/stats.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
+	"github.com/dragonflyroute/dragonflyroute/protocol/cold"
 	"github.com/dragonflyroute/dragonflyroute/protocol/crash"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/linear"
@@ -36,6 +37,8 @@
 	// RequestLimits holds what endpoints have told the hosts themselves of their request limits, by endpoint; the newest
 	// counts.
 	RequestLimits map[string]notice.Notice `json:"request-limits,omitempty"`
+	// Cold holds what the hosts themselves found of endpoints that are cold or may be, by endpoint; the newest counts.
+	Cold map[string]cold.Report `json:"cold,omitempty"`
 	// Prompts holds what the hosts know of prompt parts that may crash endpoints, by the part's hash.
 	Prompts map[uint64]crash.Report `json:"prompts,omitempty"`
 }
@@ -57,6 +60,7 @@
 	s.InFlight = addSigned(s.InFlight, other.InFlight, 1)
 	s.PrefillTokens = addSigned(s.PrefillTokens, other.PrefillTokens, 1)
 	s.RequestLimits = newestLimits(s.RequestLimits, other.RequestLimits)
+	s.Cold = newestReports(s.Cold, other.Cold)
 	s.Prompts = mergePrompts(s.Prompts, other.Prompts)
 }
 
@@ -64,9 +68,10 @@
 // The factor is below 1 when some hosts are counted twice, which happens after they change the host that they report to.
 func (s *Stats) ScaleFactor(hosts int) float64 { return float64(hosts) / float64(s.Hosts) }
 
-// OnlyAccounts returns a copy with the account statistics, and with what is known of endpoints' limits and of prompts, only.
+// OnlyAccounts returns a copy with the account statistics, and with what is known of endpoints' limits, of cold endpoints and of
+// prompts, only.
 func (s *Stats) OnlyAccounts() *Stats {
-	return &Stats{Hosts: s.Hosts, Demand: s.Demand, Admitted: s.Admitted, Coverage: s.Coverage, AgeSum: s.AgeSum, AccountsOnly: true, RequestLimits: s.RequestLimits, Prompts: s.Prompts}
+	return &Stats{Hosts: s.Hosts, Demand: s.Demand, Admitted: s.Admitted, Coverage: s.Coverage, AgeSum: s.AgeSum, AccountsOnly: true, RequestLimits: s.RequestLimits, Cold: s.Cold, Prompts: s.Prompts}
 }
 
 // WithAccounts returns a copy in which newer values replace those that OnlyAccounts keeps.
@@ -74,7 +79,7 @@
 	out := *s
 	out.Hosts, out.Coverage, out.AgeSum = accounts.Hosts, accounts.Coverage, accounts.AgeSum
 	out.Demand, out.Admitted = accounts.Demand, accounts.Admitted
-	out.RequestLimits, out.Prompts = accounts.RequestLimits, accounts.Prompts
+	out.RequestLimits, out.Cold, out.Prompts = accounts.RequestLimits, accounts.Cold, accounts.Prompts
 	return &out
 }
 
@@ -89,6 +94,10 @@
 		n.Age += max(0, age)
 		out.RequestLimits[id] = n
 	}
+	out.Cold = nil
+	for id, r := range s.Cold {
+		out.Cold = put(out.Cold, id, r.AgedBy(max(0, age)))
+	}
 	out.Prompts = nil
 	for hash, r := range s.Prompts {
 		out.Prompts = put(out.Prompts, hash, r.AgedBy(max(0, age)))
@@ -97,7 +106,7 @@
 }
 
 // Without returns the totals less those of some of the hosts in them. Values do not fall below 0. The linear fits and
-// AgeSum are not reduced, and the request limits and prompts stay.
+// AgeSum are not reduced, and the request limits, the reports of cold endpoints and the prompts stay.
 func (s *Stats) Without(part *Stats) *Stats {
 	out := &Stats{}
 	out.Add(s)
@@ -127,6 +136,16 @@
 	return a
 }
 
+// newestReports adds the reports of b to a and returns a; of two reports on an endpoint, the one that supersedes the other counts.
+func newestReports(a, b map[string]cold.Report) map[string]cold.Report {
+	for id, r := range b {
+		if old, ok := a[id]; !ok || r.Supersedes(old) {
+			a = put(a, id, r)
+		}
+	}
+	return a
+}
+
 // mergePrompts adds the reports of b to a and returns a.
 func mergePrompts(a, b map[uint64]crash.Report) map[uint64]crash.Report {
 	for hash, r := range b {
--- a/protocol/stats/stats_test.go
+++ b/protocol/stats/stats_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/cold"
 	"github.com/dragonflyroute/dragonflyroute/protocol/notice"
 	"github.com/dragonflyroute/dragonflyroute/protocol/stats"
 )
@@ -48,3 +49,20 @@
 		Expect(limited(old).Without(limited(newer)).RequestLimits["e"]).To(Equal(old))
 	})
 })
+
+var _ = Describe("Reports of cold endpoints", func() {
+	It("keep the newest of each endpoint's latest start, and grow older", func() {
+		a := &stats.Stats{Cold: map[string]cold.Report{
+			"e": {StartMillis: 1, Suspected: true, Age: time.Second}, "f": {StartMillis: 2, Age: time.Minute},
+		}}
+		b := &stats.Stats{Cold: map[string]cold.Report{
+			"e": {StartMillis: 1, Left: 3 * time.Second, Age: 100 * time.Millisecond}, "f": {StartMillis: 1, Suspected: true},
+		}}
+		var sum stats.Stats
+		sum.Add(a)
+		sum.Add(b)
+		Expect(sum.Cold).To(Equal(map[string]cold.Report{"e": b.Cold["e"], "f": a.Cold["f"]}))
+		Expect(sum.OnlyAccounts().AgedBy(time.Second).Cold["e"]).To(Equal(cold.Report{StartMillis: 1, Left: 2 * time.Second, Age: 1100 * time.Millisecond}))
+		Expect(a.Cold["e"].Suspected).To(BeTrue())
+	})
+})
--- a/state/endreg/endreg.go
+++ b/state/endreg/endreg.go
@@ -7,23 +7,38 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/state/limits"
 	"github.com/dragonflyroute/dragonflyroute/state/target"
+	"github.com/dragonflyroute/dragonflyroute/state/warmup"
 )
 
+type warmer interface {
+	// Time returns how long an endpoint of a back end is cold after its start, 0 if its requests are not limited then.
+	Time(backend label.Name) time.Duration
+	// Interval returns the least time between two requests of this process to a cold endpoint; ok is false if it must send
+	// none.
+	Interval(r *roster.Row) (interval time.Duration, ok bool)
+}
+
 // Registry holds the listed endpoints.
 //
 // All methods may be called concurrently.
 type Registry struct {
+	// Warmer limits the requests to cold endpoints; nil limits none. It is set before the first Put.
+	Warmer warmer
+
 	mu   sync.RWMutex
 	byID map[endpt.ID]*target.Target
 	// removed holds the reports of endpoints that are no longer listed, as they may be listed again.
 	removed   map[endpt.ID]selfReport
 	byBackend map[label.Name][]*target.Target
 	all       []*target.Target
+	// evacuated holds the data centres to whose endpoints no new work may be sent.
+	evacuated map[centre.ID]bool
 }
 
 // selfReport holds what one incarnation of an endpoint has reported of itself to this process.
@@ -32,6 +47,7 @@
 	leavingReported bool
 	pausedUntil     time.Time
 	limit           *limits.Limit
+	warmup          *warmup.Warmup
 }
 
 // maxRemoved bounds the endpoints whose reports are kept after their removal.
@@ -55,19 +71,51 @@
 	if old != nil {
 		old.MarkLeaving()
 	}
-	t := target.New(r)
+	t := reg.newTarget(r)
 	if report, ok := reg.removed[r.ID]; ok && sameIncarnation(&report.row, &r) {
 		if report.leavingReported {
 			t.RecordLeaving()
 		}
 		t.PauseUntil(report.pausedUntil)
-		t.Limit = report.limit
+		t.Limit, t.Warmup = report.limit, report.warmup
 	}
 	delete(reg.removed, r.ID)
 	reg.byID[r.ID] = t
 	reg.rebuildIndex()
 }
 
+// newTarget returns the target of a new incarnation. The caller holds reg.mu.
+func (reg *Registry) newTarget(r roster.Row) *target.Target {
+	t := target.New(r)
+	t.SetEvacuated(reg.evacuated[r.DataCentre])
+	if reg.Warmer != nil {
+		t.Warmup.Time = func() time.Duration { return reg.Warmer.Time(r.Backend) }
+		t.Warmup.Interval = func() (time.Duration, bool) { return reg.Warmer.Interval(&r) }
+	}
+	return t
+}
+
+// SetEvacuated replaces the data centres to whose endpoints no new work may be sent. The endpoints of one that is no longer
+// evacuated count as just restarted: they may have become cold meanwhile.
+func (reg *Registry) SetEvacuated(evacuated map[centre.ID]bool, now time.Time) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	reg.evacuated = evacuated
+	for _, t := range reg.all {
+		isEvacuated := evacuated[t.Row().DataCentre]
+		if t.SetEvacuated(isEvacuated) && !isEvacuated {
+			t.Warmup.Restarted(now)
+		}
+	}
+}
+
+// Evacuated reports whether no new work may be sent to the endpoints of a data centre.
+func (reg *Registry) Evacuated(in centre.ID) bool {
+	reg.mu.RLock()
+	defer reg.mu.RUnlock()
+	return reg.evacuated[in]
+}
+
 // RecordLeaving records a peer's message that the incarnation of an endpoint that started at startMillis, in Unix
 // milliseconds, is leaving. It reports whether that is the listed incarnation and was not yet known to be leaving.
 func (reg *Registry) RecordLeaving(id endpt.ID, startMillis int64) bool {
@@ -102,13 +150,13 @@
 }
 
 func (reg *Registry) keepSelfReport(t *target.Target) {
-	if !t.LeavingReported() && t.PausedUntil().IsZero() && !t.Limit.InForce() {
+	if !t.LeavingReported() && t.PausedUntil().IsZero() && !t.Limit.InForce() && !t.Warmup.Active() {
 		return
 	}
 	if reg.removed == nil || len(reg.removed) >= maxRemoved {
 		reg.removed = map[endpt.ID]selfReport{}
 	}
-	reg.removed[t.Row().ID] = selfReport{row: *t.Row(), leavingReported: t.LeavingReported(), pausedUntil: t.PausedUntil(), limit: t.Limit}
+	reg.removed[t.Row().ID] = selfReport{row: *t.Row(), leavingReported: t.LeavingReported(), pausedUntil: t.PausedUntil(), limit: t.Limit, warmup: t.Warmup}
 }
 
 // Retain removes every endpoint whose id is not in ids.
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -211,6 +211,17 @@
 	}
 }
 
+// Listed returns the other hosts on the platform's list, whether they answer or not.
+func (f *Fleet) Listed() []beat.Heartbeat {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	out := make([]beat.Heartbeat, 0, len(f.listed))
+	for id, row := range f.listed {
+		out = append(out, beat.Heartbeat{Host: id, DataCentre: row.DataCentre, Weight: row.Weight})
+	}
+	return out
+}
+
 // Contacts returns the peer addresses to send heartbeats to, sorted and without duplicates.
 func (f *Fleet) Contacts() []string {
 	f.mu.RLock()
--- a/state/target/target.go
+++ b/state/target/target.go
@@ -9,11 +9,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/cold"
 	"github.com/dragonflyroute/dragonflyroute/protocol/notice"
 	"github.com/dragonflyroute/dragonflyroute/protocol/result"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/work"
 	"github.com/dragonflyroute/dragonflyroute/state/limits"
+	"github.com/dragonflyroute/dragonflyroute/state/warmup"
 )
 
 const (
@@ -40,6 +42,8 @@
 type Target struct {
 	// Limit is the request limit that the endpoint names.
 	Limit *limits.Limit
+	// Warmup limits this process's requests while the endpoint is cold.
+	Warmup *warmup.Warmup
 
 	row     atomic.Pointer[roster.Row]
 	hash    uint64
@@ -48,6 +52,8 @@
 	leaving bool
 	// leavingReported is set when the endpoint itself has reported that it is leaving.
 	leavingReported bool
+	// evacuated is set while no new work may be sent to the endpoint's data centre.
+	evacuated atomic.Bool
 	// pausedUntil is the time before which the endpoint has asked this process to send no requests.
 	pausedUntil time.Time
 
@@ -81,7 +87,7 @@
 
 // New returns a target for a row.
 func New(r roster.Row) *Target {
-	t := &Target{Limit: &limits.Limit{}, left: make(chan struct{}), slowdown: 1, hash: xxhash.Sum64String(string(r.ID))}
+	t := &Target{Limit: &limits.Limit{}, Warmup: &warmup.Warmup{}, left: make(chan struct{}), slowdown: 1, hash: xxhash.Sum64String(string(r.ID))}
 	t.SetRow(r)
 	return t
 }
@@ -125,6 +131,14 @@
 	return t.leavingReported
 }
 
+// SetEvacuated sets whether the endpoint's data centre is evacuated, and reports whether that changed.
+func (t *Target) SetEvacuated(evacuated bool) (changed bool) {
+	return t.evacuated.Swap(evacuated) != evacuated
+}
+
+// Evacuated reports whether no new work may be sent to the endpoint because its data centre is evacuated.
+func (t *Target) Evacuated() bool { return t.evacuated.Load() }
+
 // PauseUntil records that the endpoint has asked for no requests from this process before until; a time earlier than
 // a previous one has no effect.
 func (t *Target) PauseUntil(until time.Time) {
@@ -153,6 +167,14 @@
 	return n, known, firstHand
 }
 
+// ColdReport returns what this process itself found of how cold the endpoint's present process is; ok is false if there is
+// nothing to report.
+func (t *Target) ColdReport(now time.Time) (r cold.Report, ok bool) {
+	r, ok = t.Warmup.Report(now)
+	r.StartMillis = t.Row().StartMillis
+	return r, ok
+}
+
 // Left returns a channel that is closed when the endpoint is known to be leaving.
 func (t *Target) Left() <-chan struct{} { return t.left }
 
--- a/transport/site/heartbeat.go
+++ b/transport/site/heartbeat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
+	"github.com/dragonflyroute/dragonflyroute/protocol/cold"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/notice"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
@@ -55,6 +56,7 @@
 		InFlight:      map[string]int{},
 		PrefillTokens: map[string]int64{},
 		RequestLimits: map[string]notice.Notice{},
+		Cold:          map[string]cold.Report{},
 		Prompts:       s.prompts.Blame.Reports(now),
 	}
 	out.Demand, out.Admitted = s.Rates.LocalUsage(now)
@@ -70,6 +72,9 @@
 		if n, ok := ownNotice(t, now); ok {
 			out.RequestLimits[id] = n
 		}
+		if r, ok := t.ColdReport(now); ok {
+			out.Cold[id] = r
+		}
 	}
 	return out
 }
@@ -92,6 +97,14 @@
 	s.Log.Info("endpoint's request limit changed, by another host's report", "endpoint", t.Row().ID, "limited", n.InForce, "per-second", n.PerSecond, "age-ms", n.Age.Milliseconds())
 }
 
+// mergeCold merges what other hosts found of an endpoint that is cold, or may be.
+func (s *Site) mergeCold(t *target.Target, r cold.Report, now time.Time) {
+	if r.StartMillis != t.Row().StartMillis || !t.Warmup.Merge(r, now) {
+		return
+	}
+	s.Log.Info("endpoint may be cold, by another host's report", "endpoint", t.Row().ID, "age-ms", r.Age.Milliseconds())
+}
+
 // setOthers applies the sum of other hosts' load statistics. It scales sums of load to the number of hosts known: hosts
 // missing from the sum are assumed to have the average load, and hosts counted twice do not raise the total.
 func (s *Site) setOthers(others *stats.Stats, now time.Time) {
@@ -111,6 +124,9 @@
 		if n, ok := others.RequestLimits[id]; ok {
 			s.mergeLimit(t, n, now)
 		}
+		if r, ok := others.Cold[id]; ok {
+			s.mergeCold(t, r, now)
+		}
 	}
 }
 
--- a/transport/site/lease.go
+++ b/transport/site/lease.go
@@ -72,6 +72,7 @@
 	s.scaler = &scaler.Scaler{
 		Endpoints:    s.Registry,
 		Demand:       s.demand,
+		Evacuated:    s.Registry.Evacuated,
 		Platform:     &leasedCalls{s},
 		Held:         func() (int64, bool) { return s.leases.Held(leaseKey) },
 		OnStaleFence: s.onStaleFence,
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -101,7 +102,7 @@
 	s.tables = map[string]*watch.Watcher{
 		operatorTable: {
 			Name: operatorTable, Source: s.Operator, LongPollWait: func() time.Duration { return s.Schedule().OperatorWait() },
-			OnSnapshot: s.applyOperator, OnChanges: s.applyOperator, ReadDelay: s.readDelay(s.ConfigApply),
+			OnSnapshot: s.replaceOperator, OnChanges: s.applyOperator, ReadDelay: s.readDelay(s.operatorApply()),
 		},
 		endpointsTable: {
 			Name: endpointsTable, Source: s.Endpoints, Interval: s.endpointsInterval,
@@ -155,9 +156,72 @@
 	s.syncer.Recovered(outage, ago)
 }
 
-// applyOperator applies rows of the operator's table: the configuration and requested moves.
+// operatorApply returns the time within which a change of the operator's table must take effect on every host.
+func (s *Site) operatorApply() time.Duration {
+	if s.Evacuate > 0 {
+		return min(s.ConfigApply, s.Evacuate)
+	}
+	return s.ConfigApply
+}
+
+// replaceOperator applies a snapshot of the operator's table: an evacuation whose row is not in it has ended.
+func (s *Site) replaceOperator(all []record.Record) {
+	before := s.evacuated
+	s.evacuated = map[centre.ID]bool{}
+	for _, r := range all {
+		if in, ok := s.EvacuatedCentre(r.Key); ok && !r.Deleted {
+			s.evacuated[in] = true
+			s.logEvacuation(in, before[in], true, r.Version)
+		}
+	}
+	for in := range before {
+		s.logEvacuation(in, true, s.evacuated[in], 0)
+	}
+	s.Registry.SetEvacuated(maps.Clone(s.evacuated), time.Now())
+	if len(s.evacuated) > 0 || len(before) > 0 {
+		s.onReclaim()
+	}
+	s.applyOperator(all)
+}
+
+// setEvacuated starts or ends the evacuation of a data centre.
+func (s *Site) setEvacuated(in centre.ID, evacuated bool, version int64) {
+	s.logEvacuation(in, s.evacuated[in], evacuated, version)
+	if s.evacuated == nil {
+		s.evacuated = map[centre.ID]bool{}
+	}
+	s.evacuated[in] = evacuated
+	s.Registry.SetEvacuated(maps.Clone(s.evacuated), time.Now())
+	s.onReclaim()
+}
+
+// logEvacuation logs a change of whether a data centre is evacuated; version is that of the row, 0 for a snapshot without it.
+func (s *Site) logEvacuation(in centre.ID, before, now bool, version int64) {
+	switch {
+	case now && !before:
+		s.Log.Info("data centre is evacuated; no new work goes to its endpoints", "data-centre", in, "endpoints", s.endpointsIn(in), "version", version)
+	case before && !now:
+		s.Log.Info("evacuation of a data centre has ended", "data-centre", in, "endpoints", s.endpointsIn(in), "version", version)
+	}
+}
+
+// endpointsIn returns the number of endpoints in a data centre.
+func (s *Site) endpointsIn(in centre.ID) int {
+	n := 0
+	for _, t := range s.Registry.All() {
+		if t.Row().DataCentre == in {
+			n++
+		}
+	}
+	return n
+}
+
+// applyOperator applies rows of the operator's table: the configuration, evacuations and requested moves.
 func (s *Site) applyOperator(all []record.Record) {
 	for _, r := range all {
+		if in, ok := s.EvacuatedCentre(r.Key); ok && s.evacuated[in] == r.Deleted {
+			s.setEvacuated(in, !r.Deleted, r.Version)
+		}
 		if s.IsMoveRequest(r.Key) && !r.Deleted {
 			s.requestMove(r)
 		}
@@ -311,6 +375,12 @@
 	return nearby.Nearby{MaxHosts: maxAddresses, Self: s.Host}.Addresses(from, live)
 }
 
+// listedHosts returns the entry hosts on the platform's list, this one included; ok is false while the list is not known.
+func (s *Site) listedHosts() (hosts []beat.Heartbeat, ok bool) {
+	self := beat.Heartbeat{Host: s.Host, DataCentre: s.DataCentre, Weight: s.Capacity}
+	return append(s.fleet.Listed(), self), s.tables[hostsTable].Version() > 0
+}
+
 // liveHosts returns the entry hosts that accept requests, this one first unless it is draining.
 func (s *Site) liveHosts(now time.Time) []beat.Heartbeat {
 	var out []beat.Heartbeat
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -30,6 +30,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
 	"github.com/dragonflyroute/dragonflyroute/coordination/syncer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/tally"
+	"github.com/dragonflyroute/dragonflyroute/coordination/warmer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/watch"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
@@ -124,6 +125,11 @@
 	// DecodeConfig and DecodeEndpoint decode the operator's configuration and the row of an endpoint.
 	DecodeConfig   func(data []byte) (*rules.Config, error)
 	DecodeEndpoint func(id string, data []byte) (roster.Row, error)
+	// EvacuatedCentre returns the data centre that a key of the operator's table evacuates while its row is there; ok is false
+	// for another key.
+	EvacuatedCentre func(key string) (in centre.ID, ok bool)
+	// Evacuate is the time within which an evacuation must take effect on every host, 0 for ConfigApply.
+	Evacuate time.Duration
 	// IsMoveRequest reports whether a key of the operator's table belongs to a requested move, DecodeMove decodes such a
 	// row, and EncodeMoveStatus returns the row that reports a move's status to the operator.
 	IsMoveRequest    func(key string) bool
@@ -178,6 +184,8 @@
 	hostCount atomic.Pointer[hostCount]
 	// hostRows holds the rows of the entry hosts. Only the watcher of their table uses it.
 	hostRows map[string]roster.Row
+	// evacuated holds the data centres that the operator's table evacuates. Only the watcher of that table uses it.
+	evacuated map[centre.ID]bool
 	// rowVersion is the version of this host's own row as last written, 0 before.
 	rowVersion atomic.Int64
 	// rowListed is set while the hosts' table as last read has the row of this start of the host.
@@ -224,7 +232,7 @@
 	s.Meter = meter.New()
 	s.idle.Limit, s.idle.Count = s.idleLimit, s.Meter.Count
 	s.Policy = &policy.Policy{}
-	s.Registry = &endreg.Registry{}
+	s.Registry = &endreg.Registry{Warmer: &warmer.Warmer{Self: s.Host, Listed: s.listedHosts, Policy: s.Policy, Now: time.Now}}
 	s.usage = &usage.Usage{WindowLength: s.UsageWindow}
 	s.flow = &flow.Flow{}
 	s.speed = &speed.Speed{}
@@ -329,7 +337,7 @@
 	add(s.prompts.Run)
 	add(s.writeUsage)
 	add(ticks.Every(expiryInterval, func(context.Context) { s.syncer.Expire() }))
-	add(ticks.Every(gaugeInterval, func(context.Context) { s.Meter.Gauge("limited_endpoints", float64(s.limitedEndpoints())) }))
+	add(ticks.Every(gaugeInterval, func(context.Context) { s.gaugeEndpoints() }))
 	add(func(c context.Context) error {
 		select {
 		case <-ctx.Done():
@@ -344,15 +352,24 @@
 	return err
 }
 
-// limitedEndpoints returns the number of endpoints with a request limit.
-func (s *Site) limitedEndpoints() int {
-	n := 0
+// gaugeEndpoints updates the gauges of the endpoints that get fewer requests than others, or none.
+func (s *Site) gaugeEndpoints() {
+	now := time.Now()
+	limited, coldOnes, evacuated := 0, 0, 0
 	for _, t := range s.Registry.All() {
 		if t.Limit.InForce() {
-			n++
+			limited++
+		}
+		if t.Warmup.Cold(now) {
+			coldOnes++
+		}
+		if t.Evacuated() {
+			evacuated++
 		}
 	}
-	return n
+	s.Meter.Gauge("limited_endpoints", float64(limited))
+	s.Meter.Gauge("cold_endpoints", float64(coldOnes))
+	s.Meter.Gauge("evacuated_endpoints", float64(evacuated))
 }
 
 type listeners struct{ requests, ready, addresses, peers, metrics net.Listener }
