Have requests placed by the host that knows what their endpoints still have to do

Cause: in a large fleet a host sends each endpoint a request every few seconds, and the others' counts are older than most prompts take to prefill, so that quick requests wait behind long prompts while other endpoints are free. Ruled out: more candidates by the same old counts (tried before, hosts meet at the same endpoint). Change: endpoints are divided into shards; one host keeps the ledger of a shard, places the requests of all hosts there by what each endpoint has yet to do, its lasting and its momentary speed, and hears when answers begin and end. A host whose keeper does not answer within 60 ms chooses alone, as do small fleets.

--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/path"
 	"github.com/dragonflyroute/dragonflyroute/protocol/work"
@@ -56,6 +57,8 @@
 	Speed speed
 	// DataCentre is the data centre of this process.
 	DataCentre centre.ID
+	// Placer has requests placed by the host that knows the endpoints' load; nil means that this process chooses alone.
+	Placer placer
 	// HostCount returns the number of entry hosts, this one included; nil means one.
 	HostCount func() int
 
@@ -70,11 +73,15 @@
 	Donor *target.Target
 	// PrefillTokens is the number of prompt tokens that the endpoint is expected to prefill.
 	PrefillTokens int64
+	// AheadTokens is the number of prompt tokens that the endpoint is expected to prefill before those.
+	AheadTokens int64
 	// TimeToFirst is the expected time to the first part of the answer.
 	TimeToFirst time.Duration
 	// RetryAfter is the time until the first endpoint accepts requests again; it is set only without a Target, when all
 	// endpoints have asked for a pause or are at their request limits.
 	RetryAfter time.Duration
+	// Grant is the place that another host gave the request, zero if this process chose alone.
+	Grant grant.Grant
 
 	cost time.Duration
 }
@@ -99,7 +106,7 @@
 		if sample != nil && !homes.has(t) && t != donor && !sample[t] && !t.Warmup.Cold(now) {
 			continue
 		}
-		p := b.estimate(t, w, homes, donor, donorUncached, now)
+		p := b.estimate(t, w, homes, donor, donorUncached, b.reported(t, now), now)
 		switch {
 		case backingOff(t, now):
 			fallback = cheaper(fallback, p)
@@ -171,7 +178,7 @@
 func (b *Balancer) firstUsable(all []*target.Target, w *work.Request, used func(*target.Target) bool, now time.Time) pick {
 	for _, t := range all {
 		if accepts(t, now) && !used(t) {
-			return b.estimate(t, w, homes{}, nil, 0, now)
+			return b.estimate(t, w, homes{}, nil, 0, b.reported(t, now), now)
 		}
 	}
 	return pick{}
@@ -274,15 +281,28 @@
 	return since < min(maxBackoff, minBackoff<<min(n-1, 4))
 }
 
+// load is what an endpoint has to do, and how fast it is.
+type load struct {
+	running  int
+	prefill  int64
+	slowdown float64
+}
+
+// reported returns an endpoint's load as this process and the reports of others know it.
+func (b *Balancer) reported(t *target.Target, now time.Time) load {
+	running, prefill := t.Outstanding(now)
+	return load{running: running, prefill: prefill, slowdown: t.Slowdown()}
+}
+
 // estimate returns one endpoint as a candidate with its cost; donor is known to have all but donorUncached tokens of the
 // prompt cached.
-func (b *Balancer) estimate(t *target.Target, w *work.Request, home homes, donor *target.Target, donorUncached int64, now time.Time) pick {
-	running, prefill := t.Outstanding(now)
+func (b *Balancer) estimate(t *target.Target, w *work.Request, home homes, donor *target.Target, donorUncached int64, l load, now time.Time) pick {
+	running, prefill := l.running, l.prefill
 	slots := slotsOf(t)
-	p := pick{Target: t, PrefillTokens: t.Uncached(w, now)}
+	p := pick{Target: t, PrefillTokens: t.Uncached(w, now), AheadTokens: prefill}
 	if w.PromptTokens > 0 {
 		recomputed := b.planFetch(&p, w, home, donor, donorUncached)
-		p.TimeToFirst = multiply(t.Slowdown(), b.Speed.TimeToFirstToken(w.Backend, prefill+p.PrefillTokens))
+		p.TimeToFirst = multiply(l.slowdown, b.Speed.TimeToFirstToken(w.Backend, prefill+p.PrefillTokens))
 		p.cost = multiply(recomputeFactor, b.Speed.TimeToFirstToken(w.Backend, recomputed)-b.Speed.TimeToFirstToken(w.Backend, 0))
 	}
 	if queued := running - slots + 1; queued > 0 {
--- a/coordination/proxy/choice.go
+++ b/coordination/proxy/choice.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/result"
 	"github.com/dragonflyroute/dragonflyroute/protocol/work"
 	"github.com/dragonflyroute/dragonflyroute/state/target"
@@ -16,6 +17,10 @@
 	donor *target.Target
 	// prefillTokens is the number of prompt tokens that target is expected to prefill.
 	prefillTokens int64
+	// grant is the place that another host gave the request, zero if this process chose alone, and aheadTokens the prompt
+	// tokens before it.
+	grant       grant.Grant
+	aheadTokens int64
 	// recordTrial counts the result of the attempt for the move of a version.
 	recordTrial func(w *work.Request, r result.Result)
 }
@@ -38,7 +43,10 @@
 	now := p.Now()
 	version := p.Canary.Choose(j.work)
 	excluded := func(t *target.Target) bool { return j.excluded(t) || elsewhere && !isSound(t, now) }
-	to := p.Balancer.Pick(version.Filter(p.Endpoints.ByBackend(j.work.Backend)), j.work, excluded, now)
+	all := p.Endpoints.ByBackend(j.work.Backend)
+	usable := version.Filter(all)
+	alone := elsewhere || len(usable) < len(all)
+	to := p.Balancer.Place(ctx, usable, j.work, excluded, alone, now)
 	t := to.Target
 	if t == nil && to.RetryAfter > 0 {
 		return nil, &refusal{reason: "all endpoints of the back end asked for a pause or are at their request limits", wait: to.RetryAfter}
@@ -50,13 +58,15 @@
 		return nil, &refusal{reason: "no endpoint is expected to go on with the answer in time", wait: refusedRetryAfter}
 	}
 	if !j.mayHaveRun && now.Add(to.TimeToFirst).After(j.work.Deadline) {
+		p.Balancer.Release(to.Grant)
 		return nil, &refusal{reason: "no endpoint is expected to start the answer before the request's deadline", wait: refusedRetryAfter}
 	}
 	if refused := p.take(ctx, j, t, arrivals); refused != nil {
+		p.Balancer.Release(to.Grant)
 		return nil, refused
 	}
 	record := func(w *work.Request, r result.Result) { p.Canary.Record(version, t, w, r) }
-	return &choice{target: t, donor: to.Donor, prefillTokens: to.PrefillTokens, recordTrial: record}, nil
+	return &choice{target: t, donor: to.Donor, prefillTokens: to.PrefillTokens, grant: to.Grant, aheadTokens: to.AheadTokens, recordTrial: record}, nil
 }
 
 // take takes what an attempt at an endpoint needs: a permit, a debit of the retry budget if the request has arrived before, and
--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -319,6 +319,9 @@
 	t, donor, prefillTokens := c.target, c.donor, c.prefillTokens
 	now := p.Now()
 	_, ahead := t.Outstanding(now)
+	if c.grant.ID != 0 {
+		ahead = c.aheadTokens
+	}
 	p.Flow.Add(j.work.Backend, prefillTokens, now)
 	begun, done := t.Begin(j.work, prefillTokens, now)
 	defer done()
@@ -331,6 +334,7 @@
 			begun()
 			if answerBegun.IsZero() {
 				answerBegun = p.Now()
+				p.Balancer.Begun(c.grant, answerBegun.Sub(now), t.Slowness(answerBegun))
 			}
 			t.RecordProgress(p.Now())
 			t.Warmup.Answered(p.Now())
@@ -346,7 +350,7 @@
 	if ahead == 0 && r.TimeToFirst > 0 && prefillTokens > 0 && (donor == nil || float64(j.work.SharedTokens()) < maxSharedRatio*float64(prefillTokens)) {
 		p.Speed.Add(j.work.Backend, prefillTokens, r.TimeToFirst)
 	}
-	p.recordResult(ctx, j, t, r, now)
+	p.Balancer.Ended(c.grant, p.recordResult(ctx, j, t, r, now))
 	return r
 }
 
@@ -385,27 +389,29 @@
 	return cutByExit(ctx) || j.lastWatch.movedEarly()
 }
 
-// recordResult updates the endpoint's state and the usage count from the result of an attempt. An attempt that the stop of
-// this process has ended does not count against the endpoint.
-func (p *Proxy) recordResult(ctx context.Context, j *job, t *target.Target, r result.Result, now time.Time) {
+// recordResult updates the endpoint's state and the usage count from the result of an attempt, and reports whether the
+// endpoint has failed. An attempt that the stop of this process has ended does not count against the endpoint.
+func (p *Proxy) recordResult(ctx context.Context, j *job, t *target.Target, r result.Result, now time.Time) (failed bool) {
 	switch r.Ending {
 	case ending.AddressReused:
 		t.MarkLeaving()
 	case ending.Unknown, ending.Truncated:
-		if !j.endedByStop(ctx) {
-			t.RecordFailure(now)
-		}
+		failed = !j.endedByStop(ctx)
 		p.countStart(j)
 	case ending.NotRun:
 		// An endpoint that asked for a pause, is leaving or is at its request limit has not failed.
-		if !r.Withheld && !t.Paused(now) && !t.Leaving() && !j.endedByStop(ctx) {
-			t.RecordFailure(now)
+		failed = !r.Withheld && !t.Paused(now) && !t.Leaving() && !j.endedByStop(ctx)
+		if failed {
 			p.recordRefusal(t, r, now)
 		}
 	case ending.Failed:
 		p.countStart(j)
 	case ending.Delivered, ending.CallerGone:
 	}
+	if failed {
+		t.RecordFailure(now)
+	}
+	return failed
 }
 
 // recordRefusal records that an endpoint may have been restarted if it did not accept a connection.
--- a/protocol/result/result.go
+++ b/protocol/result/result.go
@@ -35,6 +35,9 @@
 	Waiting int
 	// Slots is the number of requests that the endpoint can run concurrently.
 	Slots int
+	// SlownessPercent is the time that work takes at the endpoint at this moment, in percent of the usual time, 0 when it is
+	// not reported.
+	SlownessPercent int
 	// Reason describes the failure in a few words.
 	Reason string
 }
--- a/state/target/target.go
+++ b/state/target/target.go
@@ -68,6 +68,11 @@
 	cachedParts map[uint64]time.Time
 	newlyCached []newPart
 
+	// slownessPercent is the time that work takes at the endpoint, in percent of the usual time, as it last reported it at
+	// slownessAt.
+	slownessPercent int
+	slownessAt      time.Time
+
 	failedAt   time.Time
 	failures   int
 	progressAt time.Time
@@ -291,6 +296,30 @@
 	}
 }
 
+// ReportSlowness records the time that work takes at the endpoint at this moment, in percent of the usual time; 0 is none.
+func (t *Target) ReportSlowness(percent int, now time.Time) {
+	if percent <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.slownessPercent, t.slownessAt = percent, now
+}
+
+// slownessTime is how long a report of the momentary slowness holds.
+const slownessTime = 400 * time.Millisecond
+
+// Slowness returns the time that work takes at the endpoint at present as a multiple of the usual time, 0 when the last report
+// is too old.
+func (t *Target) Slowness(now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.slownessAt) > slownessTime {
+		return 0
+	}
+	return float64(t.slownessPercent) / 100
+}
+
 // RecordFailure records a failed attempt.
 func (t *Target) RecordFailure(now time.Time) {
 	t.mu.Lock()
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -10,13 +10,16 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/event"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
+	"github.com/dragonflyroute/dragonflyroute/protocol/task"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 )
@@ -215,6 +218,12 @@
 // OfferCatalogue adopts a catalogue if it is newer than the current one.
 func (p *peerService) OfferCatalogue(c *catlog.Catalogue) { p.d.catalogue.Offer(c) }
 
+// Place places nothing, as endpoints tell this interface their load.
+func (p *peerService) Place(task.Task) grant.Grant { return grant.Grant{} }
+
+// Record does nothing, as nothing is placed.
+func (p *peerService) Record([]event.Event) {}
+
 // Permit grants nothing: the endpoints of the product's own interface name no request limits.
 func (p *peerService) Permit(q permit.Permit) permit.Permit { return q }
 
--- a/transport/peers/client.go
+++ b/transport/peers/client.go
@@ -13,12 +13,15 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/event"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
+	"github.com/dragonflyroute/dragonflyroute/protocol/task"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 	"github.com/dragonflyroute/dragonflyroute/transport/spans"
@@ -38,6 +41,18 @@
 	return got, err
 }
 
+// Place asks another host to place a request.
+func (p *Peers) Place(ctx context.Context, address string, t task.Task) (grant.Grant, error) {
+	var got grant.Grant
+	err := p.call(ctx, address, methodPlace, t, &got)
+	return got, err
+}
+
+// Report tells another host what became of the requests that it placed.
+func (p *Peers) Report(ctx context.Context, address string, events []event.Event) error {
+	return p.call(ctx, address, methodEvents, events, &accepted{})
+}
+
 // Permit requests a permit for one request to an endpoint that limits its requests.
 func (p *Peers) Permit(ctx context.Context, address string, req permit.Permit) (permit.Permit, error) {
 	var got permit.Permit
@@ -138,7 +153,9 @@
 	defer p.release(c)
 	if err := c.conn.Call(ctx, method, params, result); err != nil {
 		var answered *jsonrpc2.Error
-		if !errors.As(err, &answered) {
+		late := method == methodPlace && errors.Is(err, context.DeadlineExceeded)
+		if !errors.As(err, &answered) && !late {
+			// A request is not placed for long, so a late answer does not show that the connection is dead.
 			p.drop(address, c)
 		}
 		return fault.Wrap(kind.Unavailable, err, "call to peer %s: %s", address, method)
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -21,11 +21,14 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/event"
+	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
+	"github.com/dragonflyroute/dragonflyroute/protocol/task"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 )
@@ -43,6 +46,8 @@
 	methodReturn    = "limit-return"
 	methodQuery     = "tables-query"
 	methodPermit    = "permit-request"
+	methodPlace     = "place-request"
+	methodEvents    = "place-events"
 )
 
 const (
@@ -78,6 +83,10 @@
 	Query(q query.Query) reply.Reply
 	// Permit answers a request for a permit to send one request to an endpoint that limits its requests.
 	Permit(p permit.Permit) permit.Permit
+	// Place places a request at an endpoint of a shard that this process keeps.
+	Place(t task.Task) grant.Grant
+	// Record records what became of placed requests.
+	Record(events []event.Event)
 	// Return ends a loan that its borrower returns before the end of its term.
 	Return(returned loan.Loan)
 }
@@ -276,6 +285,13 @@
 		return handleParams(r, service.Query)
 	case methodPermit:
 		return handleParams(r, service.Permit)
+	case methodPlace:
+		return handleParams(r, service.Place)
+	case methodEvents:
+		return handleParams(r, func(events []event.Event) accepted {
+			service.Record(events)
+			return accepted{OK: true}
+		})
 	case methodReturn:
 		return handleParams(r, func(returned loan.Loan) accepted {
 			service.Return(returned)
--- a/transport/peers/peers_test.go
+++ b/transport/peers/peers_test.go
@@ -17,10 +17,13 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/event"
+	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
+	"github.com/dragonflyroute/dragonflyroute/protocol/task"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 	"github.com/dragonflyroute/dragonflyroute/transport/peers"
@@ -42,6 +45,8 @@
 func (echo) Lend(req loan.Loan) loan.Loan              { return req }
 func (echo) Return(loan.Loan)                          {}
 func (echo) Permit(p permit.Permit) permit.Permit      { return p }
+func (echo) Place(t task.Task) grant.Grant             { return grant.Grant{ID: 1, PrefillTokens: t.PromptTokens} }
+func (echo) Record([]event.Event)                      {}
 func (echo) Query(query.Query) reply.Reply             { return reply.Reply{} }
 
 // serveEarlierVersion answers heartbeats like a peer that does not know any method added since, and counts its connections.
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -19,6 +19,8 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
+	"github.com/dragonflyroute/dragonflyroute/protocol/event"
+	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
@@ -27,6 +29,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/table"
+	"github.com/dragonflyroute/dragonflyroute/protocol/task"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 	"github.com/dragonflyroute/dragonflyroute/state/mirror"
@@ -419,6 +422,12 @@
 // Permit answers another host's request for a permit.
 func (p *peerService) Permit(q permit.Permit) permit.Permit { return p.s.pacer.Grant(q) }
 
+// Place places another host's request at an endpoint of a shard that this host keeps.
+func (p *peerService) Place(t task.Task) grant.Grant { return p.s.ledger.Place(t) }
+
+// Record records what became of requests that this host placed.
+func (p *peerService) Record(events []event.Event) { p.s.ledger.Record(events) }
+
 // AcceptRequest returns false: a leaving host does not hand over requests here, as callers reconnect by themselves.
 func (p *peerService) AcceptRequest(ticket.Ticket) bool { return false }
 
--- a/transport/site/polls.go
+++ b/transport/site/polls.go
@@ -5,10 +5,13 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
+	"github.com/dragonflyroute/dragonflyroute/protocol/event"
+	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/stats"
+	"github.com/dragonflyroute/dragonflyroute/protocol/task"
 	"github.com/dragonflyroute/dragonflyroute/protocol/window"
 )
 
@@ -44,6 +47,16 @@
 	return e.peers.Permit(ctx, h.PeerAddress, p)
 }
 
+// Place asks another host to place a request.
+func (e exchange) Place(ctx context.Context, h beat.Heartbeat, t task.Task) (grant.Grant, error) {
+	return e.peers.Place(ctx, h.PeerAddress, t)
+}
+
+// Report tells another host what became of the requests that it placed.
+func (e exchange) Report(ctx context.Context, h beat.Heartbeat, events []event.Event) error {
+	return e.peers.Report(ctx, h.PeerAddress, events)
+}
+
 // Usage returns the number of the newest window whose counts in this process are final, and the newest windows.
 func (e exchange) Usage(now time.Time) (through int64, windows []window.Window) {
 	return e.usage.WindowNumber(now) - 1, e.usage.Own()
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -18,7 +18,9 @@
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
+	"github.com/dragonflyroute/dragonflyroute/coordination/ledger"
 	"github.com/dragonflyroute/dragonflyroute/coordination/pacer"
+	"github.com/dragonflyroute/dragonflyroute/coordination/placer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/poison"
 	"github.com/dragonflyroute/dragonflyroute/coordination/polls"
 	"github.com/dragonflyroute/dragonflyroute/coordination/proxy"
@@ -168,6 +170,8 @@
 	peers        *peers.Peers
 	syncer       *syncer.Syncer
 	pacer        *pacer.Pacer
+	ledger       *ledger.Ledger
+	placer       *placer.Placer
 	prompts      *poison.Guard
 	// tables holds the watchers of the platform's tables, which read them from the store or get them from peers.
 	tables map[string]*watch.Watcher
@@ -240,6 +244,12 @@
 	s.fleet = &fleet.Fleet{Self: s.Host, Timeout: heartbeatTimeout}
 	s.Rates = &rates.Rates{Hosts: s.hosts, Slack: s.RateSlack, Window: s.RateWindow, Rand: rand.Float64, Started: time.Now()}
 	s.Balancer = &choose.Balancer{Rand: rand.Float64, Speed: s.speed, DataCentre: s.DataCentre, HostCount: s.hosts}
+	s.ledger = &ledger.Ledger{Endpoints: s.Registry, Speed: s.speed, FirstID: s.incarnation, Rand: rand.Float64, Now: time.Now}
+	s.placer = &placer.Placer{
+		Self: s.Host, DataCentre: s.DataCentre, Enabled: func() bool { return s.Schedule().Large() }, Live: s.liveHosts, Ledger: s.ledger, Peers: exchange{s},
+		Rand: rand.Float64, Now: time.Now, Count: s.Meter.Count, Log: s.Log,
+	}
+	s.Balancer.Placer = s.placer
 	s.pacer = &pacer.Pacer{Self: s.Host, Live: s.liveHosts, Known: s.hosts, Endpoints: s.Registry, Peers: exchange{s}, Now: time.Now, Log: s.Log}
 	s.buildPrompts()
 	s.buildProxy()
@@ -335,6 +345,7 @@
 	add(s.gossipLoop)
 	add(s.runLeaseHolder)
 	add(s.prompts.Run)
+	add(s.placer.Run)
 	add(s.writeUsage)
 	add(ticks.Every(expiryInterval, func(context.Context) { s.syncer.Expire() }))
 	add(ticks.Every(gaugeInterval, func(context.Context) { s.gaugeEndpoints() }))
