--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -106,7 +106,7 @@
 		if sample != nil && !homes.has(t) && t != donor && !sample[t] && !t.Warmup.Cold(now) {
 			continue
 		}
-		p := b.estimate(t, w, homes, donor, donorUncached, b.reported(t, w, now), now)
+		p := b.estimate(t, w, homes, donor, donorUncached, b.reported(t, now), now)
 		switch {
 		case backingOff(t, now):
 			fallback = cheaper(fallback, p)
@@ -178,7 +178,7 @@
 func (b *Balancer) firstUsable(all []*target.Target, w *work.Request, used func(*target.Target) bool, now time.Time) pick {
 	for _, t := range all {
 		if accepts(t, now) && !used(t) {
-			return b.estimate(t, w, homes{}, nil, 0, b.reported(t, w, now), now)
+			return b.estimate(t, w, homes{}, nil, 0, b.reported(t, now), now)
 		}
 	}
 	return pick{}
@@ -281,18 +281,17 @@
 	return since < min(maxBackoff, minBackoff<<min(n-1, 4))
 }
 
-// load is what an endpoint has to do, how fast it is, and how many of a prompt's tokens it would prefill.
+// load is what an endpoint has to do, and how fast it is.
 type load struct {
 	running  int
 	prefill  int64
 	slowdown float64
-	uncached int64
 }
 
 // reported returns an endpoint's load as this process and the reports of others know it.
-func (b *Balancer) reported(t *target.Target, w *work.Request, now time.Time) load {
+func (b *Balancer) reported(t *target.Target, now time.Time) load {
 	running, prefill := t.Outstanding(now)
-	return load{running: running, prefill: prefill, slowdown: t.Slowdown(), uncached: t.Uncached(w, now)}
+	return load{running: running, prefill: prefill, slowdown: t.Slowdown()}
 }
 
 // estimate returns one endpoint as a candidate with its cost; donor is known to have all but donorUncached tokens of the
@@ -300,7 +299,7 @@
 func (b *Balancer) estimate(t *target.Target, w *work.Request, home homes, donor *target.Target, donorUncached int64, l load, now time.Time) pick {
 	running, prefill := l.running, l.prefill
 	slots := slotsOf(t)
-	p := pick{Target: t, PrefillTokens: l.uncached, AheadTokens: prefill}
+	p := pick{Target: t, PrefillTokens: t.Uncached(w, now), AheadTokens: prefill}
 	if w.PromptTokens > 0 {
 		recomputed := b.planFetch(&p, w, home, donor, donorUncached)
 		p.TimeToFirst = multiply(l.slowdown, b.Speed.TimeToFirstToken(w.Backend, prefill+p.PrefillTokens))
--- a/coordination/choose/placed.go
+++ b/coordination/choose/placed.go
@@ -51,7 +51,7 @@
 	var best pick
 	for _, t := range all {
 		if t.Warmup.Cold(now) && accepts(t, now) && !used(t) && !backingOff(t, now) {
-			best = cheaper(best, b.estimate(t, w, homes{}, nil, 0, b.reported(t, w, now), now))
+			best = cheaper(best, b.estimate(t, w, homes{}, nil, 0, b.reported(t, now), now))
 		}
 	}
 	return best
--- a/coordination/ledger/book.go
+++ b/coordination/ledger/book.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"time"
 
-	"github.com/dragonflyroute/dragonflyroute/protocol/work"
 	"github.com/dragonflyroute/dragonflyroute/state/target"
 )
 
@@ -29,8 +28,6 @@
 	// running counts the requests that have not ended, and prefill the prompt tokens of those that have not begun.
 	running int
 	prefill int64
-	// unbegun counts the requests that have not begun by the parts of their prompts: the endpoint will have them cached.
-	unbegun map[uint64]int
 	// slowdown is the moving average of the time to first token as a multiple of the expected one, less what is momentary.
 	slowdown float64
 	// slowness is how slow the endpoint said it was at slownessAt, as a multiple of the usual time.
@@ -41,38 +38,10 @@
 }
 
 // add counts a request that was placed at the endpoint.
-func (b *book) add(e *entry, now time.Time) {
+func (b *book) add(tokens int64, now time.Time) {
 	b.running++
-	b.prefill += e.tokens
+	b.prefill += tokens
 	b.usedAt = now
-	if b.unbegun == nil {
-		b.unbegun = map[uint64]int{}
-	}
-	for _, hash := range e.parts {
-		b.unbegun[hash]++
-	}
-}
-
-// begin counts a request whose answer begins, or never will.
-func (b *book) begin(e *entry) {
-	b.prefill -= e.tokens
-	for _, hash := range e.parts {
-		if b.unbegun[hash]--; b.unbegun[hash] <= 0 {
-			delete(b.unbegun, hash)
-		}
-	}
-}
-
-// unread returns the tokens of a prompt that are not in those of the requests that have not begun.
-func (b *book) unread(w *work.Request) int64 {
-	left := w.PromptTokens
-	for _, p := range w.Parts {
-		if b.unbegun[p.Hash] == 0 {
-			break
-		}
-		left -= p.Tokens
-	}
-	return max(0, left)
 }
 
 // observe records the time to first token of a request, and how slow the endpoint says it was then, 0 if it does not.
--- a/coordination/ledger/ledger.go
+++ b/coordination/ledger/ledger.go
@@ -13,7 +13,6 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/task"
-	"github.com/dragonflyroute/dragonflyroute/protocol/work"
 	"github.com/dragonflyroute/dragonflyroute/state/target"
 )
 
@@ -69,8 +68,6 @@
 type entry struct {
 	target *target.Target
 	book   *book
-	// parts holds the hashes of the prompt's parts, which the endpoint has cached once the answer has begun.
-	parts  []uint64
 	tokens int64
 	// expected is the expected time to the first part of the answer if the endpoint is as fast as others.
 	expected time.Duration
@@ -87,18 +84,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
+	known := func(e *target.Target) (running int, prefill int64, slowdown float64) {
+		return l.book(e, now).load(e, now)
+	}
 	all := l.Endpoints.ByBackend(t.Backend)
 	donor := choose.ByID(all, t.Donor)
-	to := l.balancer(t.DataCentre).PickKnown(candidates(all, &t), donor, t.DonorUncached, w, books{l, now}, now)
+	to := l.balancer(t.DataCentre).PickKnown(candidates(all, &t), donor, t.DonorUncached, w, known, now)
 	if to.Target == nil || len(l.entries) >= maxEntries {
 		return grant.Grant{}
 	}
+	to.Target.AddCached(t.Parts, now)
 	g := grant.Grant{Endpoint: to.Target.Row().ID, PrefillTokens: to.PrefillTokens, AheadTokens: to.AheadTokens, TimeToFirst: to.TimeToFirst}
 	if to.Donor != nil {
 		g.Donor = to.Donor.Row().ID
 	}
 	g.ID = l.enter(&entry{
-		target: to.Target, parts: t.Parts, tokens: to.PrefillTokens, endsAt: now.Add(t.Left + endSlack),
+		target: to.Target, tokens: to.PrefillTokens, endsAt: now.Add(t.Left + endSlack),
 		expected:  l.Speed.TimeToFirstToken(t.Backend, to.AheadTokens+to.PrefillTokens),
 		overdueAt: now.Add(overdueFactor*to.TimeToFirst + overdueSlack),
 	}, now)
@@ -133,7 +134,7 @@
 		l.entries = map[int64]*entry{}
 	}
 	e.book = l.book(e.target, now)
-	e.book.add(e, now)
+	e.book.add(e.tokens, now)
 	l.count++
 	id := l.FirstID + l.count
 	l.entries[id] = e
@@ -174,7 +175,6 @@
 	}
 	if e.Begun && !p.begun {
 		p.target.RecordProgress(now)
-		p.target.AddCached(p.parts, now)
 		p.book.observe(e.First, p.expected, e.Slowness, now)
 	}
 	if e.Failed {
@@ -193,7 +193,7 @@
 func (e *entry) begin() {
 	if !e.begun {
 		e.begun = true
-		e.book.begin(e)
+		e.book.prefill -= e.tokens
 	}
 }
 
@@ -219,19 +219,3 @@
 		}
 	}
 }
-
-// books is the ledger as of one moment, for a choice that its lock guards.
-type books struct {
-	ledger *Ledger
-	now    time.Time
-}
-
-// Load returns an endpoint's running requests, the prompt tokens that it has yet to prefill, and its slowdown.
-func (b books) Load(t *target.Target) (running int, prefill int64, slowdown float64) {
-	return b.ledger.book(t, b.now).load(t, b.now)
-}
-
-// Uncached returns the tokens of a prompt that an endpoint would prefill after the requests that are placed there.
-func (b books) Uncached(t *target.Target, w *work.Request) int64 {
-	return min(t.Uncached(w, b.now), b.ledger.book(t, b.now).unread(w))
-}
