Keep sessions at their keepers while endpoints come and go

Cause: a session's shard was that of the endpoint that ranks highest for it, and the number of shards followed from the number of endpoints. Change: the number of shards follows from the configuration's bounds, and a session's shard is drawn by rendezvous hashing over the shards, weighted by their endpoints. With 20 of 140 endpoints gone under a tenth of the sessions move.

--- a/coordination/placer/fleet_test.go
+++ b/coordination/placer/fleet_test.go
@@ -16,7 +16,9 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ledger"
 	"github.com/dragonflyroute/dragonflyroute/coordination/placer"
+	"github.com/dragonflyroute/dragonflyroute/protocol/back"
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
+	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/event"
 	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
@@ -239,6 +241,13 @@
 	return nil
 }
 
+// policy is a configuration with one back end.
+type policy struct{}
+
+func (policy) Backend(label.Name) *back.Backend {
+	return &back.Backend{Autoscaled: true, MaxEndpoints: 94, OnDemandPrices: map[centre.ID]float64{"a": 1, "b": 1, "c": 1}}
+}
+
 // newKeepers returns the keepers of a fleet, and a placer for each host.
 func (s *sim) newKeepers() (*keepers, []*placer.Placer, *endreg.Registry) {
 	reg := &endreg.Registry{}
@@ -254,7 +263,7 @@
 		live = append(live, beat.Heartbeat{Host: id})
 		k.ledgers[id] = &ledger.Ledger{Endpoints: reg, Speed: fixedSpeed{}, FirstID: int64(i) << 32, Rand: s.random.Float64, Now: now}
 		placers = append(placers, &placer.Placer{
-			Self: id, Enabled: func() bool { return true }, Live: func(time.Time) []beat.Heartbeat { return live }, Ledger: k.ledgers[id], Peers: k,
+			Self: id, Enabled: func() bool { return true }, Policy: policy{}, Live: func(time.Time) []beat.Heartbeat { return live }, Ledger: k.ledgers[id], Peers: k,
 			Rand: s.random.Float64, Now: now, Count: func(string, int64) {}, Log: hclog.NewNullLogger(),
 		})
 	}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/ledger"
 	"github.com/dragonflyroute/dragonflyroute/coordination/place"
+	"github.com/dragonflyroute/dragonflyroute/protocol/back"
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
@@ -24,8 +26,10 @@
 )
 
 const (
-	// shardEndpoints is the least average number of endpoints in a shard: enough for one of them to be free.
+	// shardEndpoints is the least number of endpoints that are divided into shards, and shardCapacity the least number that
+	// each shard has on average if a back end has as many as it may: about twice as many as it has usually.
 	shardEndpoints = 10
+	shardCapacity  = 24
 	// askTimeout bounds one request to a keeper. A request that is not placed by then goes where this host alone thinks best.
 	askTimeout = 60 * time.Millisecond
 	// suspendTime is how long a keeper that did not answer is not asked again.
@@ -43,6 +47,11 @@
 	maxEvents = 1_024
 )
 
+type policy interface {
+	// Backend returns a back end, nil when it is not known.
+	Backend(name label.Name) *back.Backend
+}
+
 type peers interface {
 	// Place asks another host to place a request.
 	Place(ctx context.Context, h beat.Heartbeat, t task.Task) (grant.Grant, error)
@@ -59,13 +68,16 @@
 //
 // The endpoints of a back end are divided into shards by hash. The keeper of a shard is the live host that ranks highest by
 // rendezvous hashing; it knows what all hosts have sent there. A prompt's session decides the shard, so that its keeper also
-// knows which endpoint has the prompt cached. All methods may be called concurrently.
+// knows which endpoint has the prompt cached. Endpoints come and go without changing the shards of the sessions, but for the few
+// that move to even the load out. All methods may be called concurrently.
 type Placer struct {
 	// Self names this host and DataCentre its location.
 	Self       host.ID
 	DataCentre centre.ID
 	// Enabled reports whether requests are placed by keepers at present.
 	Enabled func() bool
+	// Policy returns the definitions of back ends.
+	Policy policy
 	// Live returns the hosts that accept requests.
 	Live func(now time.Time) []beat.Heartbeat
 	// Ledger is this host's own.
@@ -109,13 +121,13 @@
 
 // Place returns the place of a request at one of a back end's endpoints; ok is false if no keeper has placed it.
 func (p *Placer) Place(ctx context.Context, w *work.Request, all []*target.Target, excluded []endpt.ID) (g grant.Grant, ok bool) {
-	shards := shardCount(len(all))
+	shards := p.shardCount(w.Backend, len(all))
 	if w.PromptTokens == 0 || len(all) < shardEndpoints || !p.Enabled() {
 		return grant.Grant{}, false
 	}
 	t := task.Task{Backend: w.Backend, Shards: shards, DataCentre: p.DataCentre, Priority: w.Priority, TargetLatency: w.Route.TargetLatency, Left: w.Deadline.Sub(p.Now()), Excluded: excluded}
 	t.SetPrompt(w)
-	t.Shard = ledger.Shard(home(all, w.SessionHash(), p.Rand).Hash(), shards)
+	t.Shard = p.shardOf(w.SessionHash(), all, shards)
 	if g, ok = p.ask(ctx, t); !ok {
 		p.Count("placements_failed_total", 1)
 		return g, false
@@ -150,24 +162,37 @@
 	return first
 }
 
-// shardCount returns the number of shards, a power of two so that it seldom changes.
-func shardCount(endpoints int) int {
+// shardCount returns the number of a back end's shards, a power of two. It follows from the configuration where that says how many
+// endpoints there may be, so that all hosts agree on it while endpoints come and go.
+func (p *Placer) shardCount(backend label.Name, endpoints int) int {
+	capacity := 2 * endpoints
+	if b := p.Policy.Backend(backend); b != nil && b.Autoscaled {
+		capacity = b.MaxEndpoints * len(b.OnDemandPrices)
+	}
 	n := 1
-	for 2*n*shardEndpoints <= endpoints {
+	for 2*n*shardCapacity <= capacity {
 		n *= 2
 	}
 	return n
 }
 
-// home returns the endpoint that ranks highest for a session by rendezvous hashing, a random one without a session.
-func home(all []*target.Target, session uint64, random func() float64) *target.Target {
+// shardOf returns the shard that ranks highest for a session by rendezvous hashing, weighted by the endpoints that may get
+// requests, and that of a random endpoint without a session.
+func (p *Placer) shardOf(session uint64, all []*target.Target, shards int) int {
 	if session == 0 {
-		return all[int(random()*float64(len(all)))]
+		return ledger.Shard(all[int(p.Rand()*float64(len(all)))].Hash(), shards)
 	}
-	best, highest := all[0], uint64(0)
+	weights := make([]float64, shards)
 	for _, t := range all {
-		if rank := mix(t.Hash() ^ session); rank > highest {
-			best, highest = t, rank
+		if !t.Leaving() && !t.Evacuated() {
+			weights[ledger.Shard(t.Hash(), shards)]++
+		}
+	}
+	best, highest := 0, 0.0
+	for i, weight := range weights {
+		uniform := (float64(mix(session^mix(uint64(i+1)))>>11) + 0.5) / (1 << 53)
+		if score := -weight / math.Log(uniform); score > highest {
+			best, highest = i, score
 		}
 	}
 	return best
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -48,6 +48,21 @@
 		}
 	})
 
+	// Guards against sessions that lose their cached prompts whenever an endpoint anywhere comes or goes.
+	It("keeps nearly all sessions at their keepers while endpoints come and go", func() {
+		s := newSim(1)
+		_, placers, reg := s.newKeepers()
+		moved := 0
+		for session := uint64(2); session < 402; session += 2 {
+			before, _ := placers[0].Place(ctx, prompt(session), reg.ByBackend("plume"), nil)
+			after, _ := placers[0].Place(ctx, prompt(session), reg.ByBackend("plume")[20:], nil)
+			if after.Keeper.Host != before.Keeper.Host {
+				moved++
+			}
+		}
+		Expect(moved).To(BeNumerically("<", 20))
+	})
+
 	It("sends no request to an excluded, cold or evacuated endpoint", func() {
 		s := newSim(1)
 		_, placers, reg := s.newKeepers()
