--- /dev/null
+++ b/coordination/placer/explain.go
@@ -0,0 +1,60 @@
+package placer
+
+import (
+	"context"
+	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/coordination/ledger"
+	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
+	"github.com/dragonflyroute/dragonflyroute/protocol/dryrun"
+	"github.com/dragonflyroute/dragonflyroute/protocol/task"
+	"github.com/dragonflyroute/dragonflyroute/protocol/work"
+	"github.com/dragonflyroute/dragonflyroute/state/target"
+)
+
+type explainer interface {
+	// Explain returns where a host, which may be this one, would place a request at present.
+	Explain(ctx context.Context, h beat.Heartbeat, t task.Task) (dryrun.Result, error)
+}
+
+// Explain returns the place that Place would return for a request, and why; ok is false if no keeper would place it. Nothing
+// is placed, and a keeper that does not answer is not suspended for it.
+//
+// A request without a session goes to a shard that is drawn anew each time.
+func (p *Placer) Explain(ctx context.Context, hosts explainer, w *work.Request, all []*target.Target) (r dryrun.Result, ok bool) {
+	if w.PromptTokens == 0 || len(all) < shardEndpoints || !p.Enabled() {
+		return dryrun.Result{}, false
+	}
+	t := p.task(w, all)
+	h := p.rank(shard{t.Backend, t.Shard, t.Shards}, p.Now())
+	if h.Host == "" || p.isSuspended(h) {
+		return dryrun.Result{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	r, err := hosts.Explain(ctx, h, t)
+	if err != nil {
+		return dryrun.Result{}, false
+	}
+	r.Host = h.Host
+	r.Spills = r.Endpoint != "" && t.Shards > 1 && r.TimeToFirst.Duration() > time.Duration(spillFraction*float64(t.TargetLatency))
+	return r, r.Endpoint != ""
+}
+
+// task returns the task for the keeper of a request's shard.
+func (p *Placer) task(w *work.Request, all []*target.Target) task.Task {
+	shards := shardCount(len(all))
+	t := task.Task{
+		Backend: w.Backend, DataCentre: p.DataCentre, Priority: w.Priority, TargetLatency: w.Route.TargetLatency, Left: w.Deadline.Sub(p.Now()),
+		Shard: ledger.Shard(home(all, w.SessionHash(), p.Rand).Hash(), shards), Shards: shards,
+	}
+	t.SetPrompt(w)
+	return t
+}
+
+// isSuspended reports whether a keeper is not asked at present as it did not answer.
+func (p *Placer) isSuspended(h beat.Heartbeat) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Now().Before(p.suspended[h.Host])
+}
--- a/transport/daemon/loops.go
+++ b/transport/daemon/loops.go
@@ -9,6 +9,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/dryrun"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/event"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
@@ -221,6 +222,9 @@
 // Place places nothing, as endpoints tell this interface their load.
 func (p *peerService) Place(task.Task) grant.Grant { return grant.Grant{} }
 
+// Explain explains nothing, as nothing is placed.
+func (p *peerService) Explain(task.Task) dryrun.Result { return dryrun.Result{} }
+
 // Record does nothing, as nothing is placed.
 func (p *peerService) Record([]event.Event) {}
 
--- a/transport/peers/client.go
+++ b/transport/peers/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/dryrun"
 	"github.com/dragonflyroute/dragonflyroute/protocol/event"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
@@ -48,6 +49,13 @@
 	return got, err
 }
 
+// Explain asks another host where it would place a request, and why.
+func (p *Peers) Explain(ctx context.Context, address string, t task.Task) (dryrun.Result, error) {
+	var got dryrun.Result
+	err := p.call(ctx, address, methodExplain, t, &got)
+	return got, err
+}
+
 // Report tells another host what became of the requests that it placed.
 func (p *Peers) Report(ctx context.Context, address string, events []event.Event) error {
 	return p.call(ctx, address, methodEvents, events, &accepted{})
@@ -153,7 +161,7 @@
 	defer p.release(c)
 	if err := c.conn.Call(ctx, method, params, result); err != nil {
 		var answered *jsonrpc2.Error
-		late := method == methodPlace && errors.Is(err, context.DeadlineExceeded)
+		late := (method == methodPlace || method == methodExplain) && errors.Is(err, context.DeadlineExceeded)
 		if !errors.As(err, &answered) && !late {
 			// A request is not placed for long, so a late answer does not show that the connection is dead.
 			p.drop(address, c)
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -21,6 +21,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/dryrun"
 	"github.com/dragonflyroute/dragonflyroute/protocol/event"
 	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -48,6 +49,7 @@
 	methodPermit    = "permit-request"
 	methodPlace     = "place-request"
 	methodEvents    = "place-events"
+	methodExplain   = "place-explain"
 )
 
 const (
@@ -85,6 +87,8 @@
 	Permit(p permit.Permit) permit.Permit
 	// Place places a request at an endpoint of a shard that this process keeps.
 	Place(t task.Task) grant.Grant
+	// Explain returns where this process would place a request at an endpoint of a shard that it keeps, and why.
+	Explain(t task.Task) dryrun.Result
 	// Record records what became of placed requests.
 	Record(events []event.Event)
 	// Return ends a loan that its borrower returns before the end of its term.
@@ -287,6 +291,8 @@
 		return handleParams(r, service.Permit)
 	case methodPlace:
 		return handleParams(r, service.Place)
+	case methodExplain:
+		return handleParams(r, service.Explain)
 	case methodEvents:
 		return handleParams(r, func(events []event.Event) accepted {
 			service.Record(events)
--- a/transport/peers/peers_test.go
+++ b/transport/peers/peers_test.go
@@ -10,16 +10,22 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/avail"
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
+	"github.com/dragonflyroute/dragonflyroute/protocol/dryrun"
 	"github.com/dragonflyroute/dragonflyroute/protocol/event"
 	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
+	"github.com/dragonflyroute/dragonflyroute/protocol/method"
+	"github.com/dragonflyroute/dragonflyroute/protocol/option"
+	"github.com/dragonflyroute/dragonflyroute/protocol/period"
 	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
@@ -47,8 +53,17 @@
 func (echo) Permit(p permit.Permit) permit.Permit      { return p }
 func (echo) Place(t task.Task) grant.Grant             { return grant.Grant{ID: 1, PrefillTokens: t.PromptTokens} }
 func (echo) Record([]event.Event)                      {}
+func (echo) Explain(t task.Task) dryrun.Result         { return explained(t) }
 func (echo) Query(query.Query) reply.Reply             { return reply.Reply{} }
 
+// explained is the explanation of a task's placement.
+func explained(t task.Task) dryrun.Result {
+	return dryrun.Result{
+		Backend: t.Backend, Shard: t.Shard, Method: method.Keeper, Endpoint: "e", TimeToFirst: period.Period(3 * time.Millisecond),
+		Options: []option.Option{{Endpoint: "e", Compared: true}, {Endpoint: "f", State: avail.Paused, Until: period.Period(time.Second)}},
+	}
+}
+
 // serveEarlierVersion answers heartbeats like a peer that does not know any method added since, and counts its connections.
 func serveEarlierVersion(l net.Listener, conns *atomic.Int64) error {
 	var g errgroup.Group
@@ -143,6 +158,23 @@
 		Expect(p.OpenConnections()).To(BeNumerically("<=", maxOpen))
 	})
 
+	It("carry a request whose placement is to be explained, and the explanation", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ctx, stop := context.WithCancel(context.Background())
+		var server errgroup.Group
+		server.Go(func() error { return (&peers.Peers{Secret: "secret", Service: echo{}, MaxOpen: 8}).Serve(ctx, l) })
+		DeferCleanup(func() {
+			stop()
+			Expect(server.Wait()).To(Succeed())
+		})
+		p := &peers.Peers{Secret: "secret", MaxOpen: 8}
+		DeferCleanup(p.Close)
+		got, err := p.Explain(ctx, l.Addr().String(), task.Task{Backend: "plume", Shard: 3})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(explained(task.Task{Backend: "plume", Shard: 3})))
+	})
+
 	// Guards against a rolling upgrade in which each call that the older hosts do not know breaks their heartbeats.
 	It("keep the connection to a peer of an earlier version that does not know a method", func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
+	"github.com/dragonflyroute/dragonflyroute/protocol/dryrun"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/event"
 	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
@@ -425,6 +426,9 @@
 // Place places another host's request at an endpoint of a shard that this host keeps.
 func (p *peerService) Place(t task.Task) grant.Grant { return p.s.ledger.Place(t) }
 
+// Explain returns where this host would place another host's request, and why.
+func (p *peerService) Explain(t task.Task) dryrun.Result { return p.s.ledger.Explain(t) }
+
 // Record records what became of requests that this host placed.
 func (p *peerService) Record(events []event.Event) { p.s.ledger.Record(events) }
 
