Add the command explain and gauges of the work that keepers know

Cause: operators asked why a request goes where it does; a keeper's knowledge of its endpoints' work was not in the metrics. Ruled out: an operator's path on the callers' address, as callers reach that. Change: the listener for metrics answers GET /explain?route=&account=&tokens=&out=&parts= with what Proxy.Explain returns for each back end of the route, one explanation at a time. `dragonflyroute explain` prints it as a table, or as JSON. Conclusion: in the scene with two hosts nothing arrives at an endpoint; bad input ends with exit code 2 and names its field.

--- a/commands.go
+++ b/commands.go
@@ -48,6 +48,7 @@
 	moveCommand,
 	statusCommand,
 	entriesCommand,
+	explainCommand,
 	askCommand,
 	versionCommand,
 }
--- a/coordination/placer/explain_test.go
+++ b/coordination/placer/explain_test.go
@@ -70,7 +70,7 @@
 	})
 
 	It("tells that the keeper of another shard is asked as well if the answer would begin late", func() {
-		s := newSim(1)
+		s := newSim(2)
 		k, placers, reg := s.newKeepers()
 		w := prompt(7)
 		w.Route.TargetLatency = time.Millisecond
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -336,7 +336,7 @@
 	add(func(c context.Context) error { return serve(c, server, s.idle.Listener(listeners.requests)) })
 	add(func(c context.Context) error { return serve(c, shortServer(s.DirectoryHandler), listeners.ready) })
 	add(func(c context.Context) error { return serve(c, shortServer(s.DirectoryHandler), listeners.addresses) })
-	add(func(c context.Context) error { return serve(c, shortServer(s.Meter.Handler()), listeners.metrics) })
+	add(func(c context.Context) error { return serve(c, shortServer(s.internalHandler()), listeners.metrics) })
 	add(func(c context.Context) error { return s.peers.Serve(c, listeners.peers) })
 	for _, t := range s.tables {
 		add(t.Run)
@@ -381,6 +381,7 @@
 	s.Meter.Gauge("limited_endpoints", float64(limited))
 	s.Meter.Gauge("cold_endpoints", float64(coldOnes))
 	s.Meter.Gauge("evacuated_endpoints", float64(evacuated))
+	s.gaugeWork()
 }
 
 type listeners struct{ requests, ready, addresses, peers, metrics net.Listener }
