--- a/coordination/ledger/explain.go
+++ b/coordination/ledger/explain.go
@@ -24,9 +24,12 @@
 	}
 	all := l.Endpoints.ByBackend(t.Backend)
 	donor := choose.ByID(all, t.Donor)
-	c := l.balancer(t.DataCentre).ExplainKnown(candidates(all, &t), donor, t.DonorUncached, t.Request(), known, now)
-	c.Shard, c.Shards = t.Shard, t.Shards
-	return c
+	r := l.balancer(t.DataCentre).ExplainKnown(candidates(all, &t), donor, t.DonorUncached, t.Request(), known, now)
+	r.Shard, r.Shards = t.Shard, t.Shards
+	if len(l.entries) >= maxEntries {
+		r.Endpoint, r.TimeToFirst, r.Reason = "", 0, "the keeper can track no more requests"
+	}
+	return r
 }
 
 // peek returns the book of an endpoint's present process, a new one if there is none. The caller holds l.mu.
--- a/coordination/ledger/ledger_test.go
+++ b/coordination/ledger/ledger_test.go
@@ -189,6 +189,7 @@
 		}
 		running, _, _ := l.Work()
 		Expect(running).To(Equal(1 << 15))
+		Expect(explain().Endpoint).To(BeEmpty())
 	})
 
 	Describe("learns an endpoint's speed", func() {
--- a/coordination/placer/explain.go
+++ b/coordination/placer/explain.go
@@ -30,7 +30,8 @@
 	if h.Host == "" || p.isSuspended(h) {
 		return dryrun.Result{}, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	// A caller that disconnects must not break the connection between the hosts.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
 	r, err := hosts.Explain(ctx, h, t)
 	if err != nil {
