--- a/test/scene/explain_test.go
+++ b/test/scene/explain_test.go
@@ -46,7 +46,11 @@
 		Expect(out).To(And(ContainSubstring("back end plume, 100 %"), ContainSubstring("goes to "), ContainSubstring("COST-MS")))
 
 		for _, c := range []struct{ field, flag, value string }{
-			{"route", "--route", "none"}, {"account", "--account", "none"}, {"tokens", "--tokens", "-1"}, {"out", "--out", "9999999999"}, {"parts", "--parts", "xyz:1"},
+			{"route", "--route", "none"},
+			{"account", "--account", "none"},
+			{"tokens", "--tokens", "-1"},
+			{"out", "--out", "9999999999"},
+			{"parts", "--parts", "xyz:1"},
 			{"parts", "--parts", "7:-1"},
 		} {
 			out, code := s.explain(0, "--route", "open", c.flag+"="+c.value)
