--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -121,19 +121,17 @@
 
 // Place returns the place of a request at one of a back end's endpoints; ok is false if no keeper has placed it.
 func (p *Placer) Place(ctx context.Context, w *work.Request, all []*target.Target, excluded []endpt.ID) (g grant.Grant, ok bool) {
-	shards := p.shardCount(w.Backend, len(all))
 	if w.PromptTokens == 0 || len(all) < shardEndpoints || !p.Enabled() {
 		return grant.Grant{}, false
 	}
-	t := task.Task{Backend: w.Backend, Shards: shards, DataCentre: p.DataCentre, Priority: w.Priority, TargetLatency: w.Route.TargetLatency, Left: w.Deadline.Sub(p.Now()), Excluded: excluded}
-	t.SetPrompt(w)
-	t.Shard = p.shardOf(w.SessionHash(), all, shards)
+	t := p.task(w, all)
+	t.Excluded = excluded
 	if g, ok = p.ask(ctx, t); !ok {
 		p.Count("placements_failed_total", 1)
 		return g, false
 	}
 	p.Count("placements_total", 1)
-	if shards > 1 && g.TimeToFirst > time.Duration(spillFraction*float64(w.Route.TargetLatency)) {
+	if t.Shards > 1 && g.TimeToFirst > time.Duration(spillFraction*float64(w.Route.TargetLatency)) {
 		g = p.spill(ctx, g, t, all)
 	}
 	return g, true
