Tell keepers what they did not hear, and end requests that they placed too late

Cause: a keeper that answered after 60 ms had placed the request all the same, and events that a keeper did not hear were dropped, also at the sender's stop: such requests filled their endpoint's book until their deadline. A host also counted a failure at an endpoint of its own shard twice, and logged a peer of an earlier version at each request, twice a second. Ruled out: taking requests for ended of which nothing was heard, since one may wait for a slot for long. Change: the host that asks chooses the id of its task, so that it can end it without an answer; ids are random, so that those of a keeper's earlier process match none. The maps of keepers are bounded; entries are also swept when only events arrive. Conclusion: what a keeper counts ends with the requests.

--- a/coordination/ledger/ledger.go
+++ b/coordination/ledger/ledger.go
@@ -50,15 +50,12 @@
 	Endpoints endpoints
 	// Speed estimates the prefill time of prompts.
 	Speed speed
-	// FirstID is the id of the first grant; it differs between the processes of a host.
-	FirstID int64
 	// Rand returns a number in [0, 1).
 	Rand func() float64
 	// Now returns the time.
 	Now func() time.Time
 
 	mu      sync.Mutex
-	count   int64
 	books   map[endpt.ID]*book
 	entries map[int64]*entry
 	sweptAt time.Time
@@ -98,7 +95,8 @@
 	if to.Donor != nil {
 		g.Donor = to.Donor.Row().ID
 	}
-	g.ID = l.enter(&entry{
+	g.ID = t.ID
+	l.enter(t.ID, &entry{
 		target: to.Target, tokens: to.PrefillTokens, endsAt: now.Add(t.Left + endSlack),
 		expected:  l.Speed.TimeToFirstToken(t.Backend, to.AheadTokens+to.PrefillTokens),
 		overdueAt: now.Add(overdueFactor*to.TimeToFirst + overdueSlack),
@@ -128,17 +126,15 @@
 // shardShift selects other bits of the hash than those that maps and rendezvous hashing depend on most.
 const shardShift = 24
 
-// enter adds an entry and returns its id. The caller holds l.mu.
-func (l *Ledger) enter(e *entry, now time.Time) int64 {
+// enter adds an entry. The caller holds l.mu.
+func (l *Ledger) enter(id int64, e *entry, now time.Time) {
 	if l.entries == nil {
 		l.entries = map[int64]*entry{}
 	}
+	l.record(event.Event{Grant: id, Ended: true}, now)
 	e.book = l.book(e.target, now)
 	e.book.add(e.tokens, now)
-	l.count++
-	id := l.FirstID + l.count
 	l.entries[id] = e
-	return id
 }
 
 // book returns the book of an endpoint's present process. The caller holds l.mu.
@@ -166,6 +162,7 @@
 	for _, e := range events {
 		l.record(e, now)
 	}
+	l.sweep(now)
 }
 
 func (l *Ledger) record(e event.Event, now time.Time) {
--- a/coordination/placer/fleet_test.go
+++ b/coordination/placer/fleet_test.go
@@ -219,11 +219,11 @@
 	})
 }
 
-// keepers is a fleet whose hosts reach each other's ledgers. A host in down does not answer.
+// keepers is a fleet whose hosts reach each other's ledgers. A host in down does not answer, and one in late does too late.
 type keepers struct {
-	ledgers map[host.ID]*ledger.Ledger
-	down    map[host.ID]bool
-	asked   int
+	ledgers    map[host.ID]*ledger.Ledger
+	down, late map[host.ID]bool
+	asked      int
 }
 
 func (k *keepers) Place(_ context.Context, h beat.Heartbeat, t task.Task) (grant.Grant, error) {
@@ -231,10 +231,17 @@
 		return grant.Grant{}, context.DeadlineExceeded
 	}
 	k.asked++
-	return k.ledgers[h.Host].Place(t), nil
+	g := k.ledgers[h.Host].Place(t)
+	if k.late[h.Host] {
+		return grant.Grant{}, context.DeadlineExceeded
+	}
+	return g, nil
 }
 
-func (k *keepers) Report(_ context.Context, h beat.Heartbeat, events []event.Event) error {
+func (k *keepers) Report(ctx context.Context, h beat.Heartbeat, events []event.Event) error {
+	if k.down[h.Host] || ctx.Err() != nil {
+		return context.DeadlineExceeded
+	}
 	k.ledgers[h.Host].Record(events)
 	return nil
 }
@@ -245,14 +252,14 @@
 	for _, r := range rows() {
 		reg.Put(r)
 	}
-	k := &keepers{ledgers: map[host.ID]*ledger.Ledger{}, down: map[host.ID]bool{}}
+	k := &keepers{ledgers: map[host.ID]*ledger.Ledger{}, down: map[host.ID]bool{}, late: map[host.ID]bool{}}
 	now := func() time.Time { return s.now }
 	var live []beat.Heartbeat
 	var placers []*placer.Placer
 	for i := range hosts {
 		id := host.ID(fmt.Sprintf("h%d", i))
 		live = append(live, beat.Heartbeat{Host: id})
-		k.ledgers[id] = &ledger.Ledger{Endpoints: reg, Speed: fixedSpeed{}, FirstID: int64(i) << 32, Rand: s.random.Float64, Now: now}
+		k.ledgers[id] = &ledger.Ledger{Endpoints: reg, Speed: fixedSpeed{}, Rand: s.random.Float64, Now: now}
 		placers = append(placers, &placer.Placer{
 			Self: id, Enabled: func() bool { return true }, Live: func(time.Time) []beat.Heartbeat { return live }, Ledger: k.ledgers[id], Peers: k,
 			Rand: s.random.Float64, Now: now, Count: func(string, int64) {}, Log: hclog.NewNullLogger(),
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/ledger"
 	"github.com/dragonflyroute/dragonflyroute/coordination/place"
@@ -30,17 +29,18 @@
 	askTimeout = 60 * time.Millisecond
 	// suspendTime is how long a keeper that did not answer is not asked again.
 	suspendTime = 500 * time.Millisecond
-	// keeperTTL is how long the selection of a shard's keeper is cached.
-	keeperTTL = 200 * time.Millisecond
+	// keeperTTL is how long the selection of a shard's keeper is cached. Back ends and hosts come and go, so maxKeepers bounds
+	// the selections and maxSuspended the hosts that are remembered.
+	keeperTTL    = 200 * time.Millisecond
+	maxKeepers   = 4_096
+	maxSuspended = 4_096
+	// maxID bounds the ids of tasks; a float64 holds all integers up to it.
+	maxID = 1 << 53
 	// spillFraction is the fraction of the route's target latency above which the expected time to the first part of the
 	// answer makes this host ask the keeper of another shard as well, and spillGain the least part of the time that the other
 	// one must save.
 	spillFraction = 0.5
 	spillGain     = 0.25
-	// batchTime is how long events wait for others to the same keeper.
-	batchTime = 10 * time.Millisecond
-	// maxEvents bounds the events that wait for one keeper; more are dropped, as the keeper's own bounds end the requests.
-	maxEvents = 1_024
 )
 
 type peers interface {
@@ -101,12 +101,6 @@
 	at   time.Time
 }
 
-// outbox holds the events that wait for one keeper.
-type outbox struct {
-	keeper beat.Heartbeat
-	events []event.Event
-}
-
 // Place returns the place of a request at one of a back end's endpoints; ok is false if no keeper has placed it.
 func (p *Placer) Place(ctx context.Context, w *work.Request, all []*target.Target, excluded []endpt.ID) (g grant.Grant, ok bool) {
 	shards := shardCount(len(all))
@@ -189,6 +183,7 @@
 	if !ok {
 		return grant.Grant{}, false
 	}
+	t.ID = p.newID()
 	if h.Host == p.Self {
 		g = p.Ledger.Place(t)
 		g.Keeper = h
@@ -201,8 +196,10 @@
 	g, err := p.Peers.Place(ctx, h, t)
 	if err != nil {
 		p.suspend(h, now, err)
+		p.retract(h, t)
 		return grant.Grant{}, false
 	}
+	p.recordAnswer(h)
 	g.Keeper = h
 	return g, g.Endpoint != ""
 }
@@ -214,7 +211,7 @@
 	k, cached := p.keepers[s]
 	if !cached || now.Sub(k.at) >= keeperTTL {
 		k = selected{host: p.rank(s, now), at: now}
-		if p.keepers == nil {
+		if p.keepers == nil || len(p.keepers) >= maxKeepers {
 			p.keepers = map[shard]selected{}
 		}
 		p.keepers[s] = k
@@ -234,127 +231,26 @@
 	return best
 }
 
+// newID returns a random id for a task.
+func (p *Placer) newID() int64 { return 1 + int64(p.Rand()*maxID) }
+
+// suspend records that a keeper did not answer. Only the first time since its last answer is logged, as hosts of an earlier
+// version answer no request for a place.
 func (p *Placer) suspend(h beat.Heartbeat, now time.Time, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.suspended == nil {
+	if p.suspended == nil || len(p.suspended) >= maxSuspended {
 		p.suspended = map[host.ID]time.Time{}
 	}
-	if !now.Before(p.suspended[h.Host]) {
+	if _, known := p.suspended[h.Host]; !known {
 		p.Log.Info("no answer to a request for a place", "keeper", h.Host, "error", err)
 	}
 	p.suspended[h.Host] = now.Add(suspendTime)
 }
 
-// Begun reports that the answer to a placed request began, first after it was sent, and how slow its endpoint was then: a
-// multiple of the usual time, 0 when it is not known.
-func (p *Placer) Begun(g grant.Grant, first time.Duration, slowness float64) {
-	p.report(g, event.Event{Grant: g.ID, Begun: true, First: first, Slowness: slowness})
-}
-
-// Ended reports that an endpoint no longer works on a placed request, or never got it.
-func (p *Placer) Ended(g grant.Grant, failed bool) {
-	p.report(g, event.Event{Grant: g.ID, Ended: true, Failed: failed})
-}
-
-func (p *Placer) report(g grant.Grant, e event.Event) {
-	if g.ID == 0 {
-		return
-	}
-	if g.Keeper.Host == p.Self {
-		p.Ledger.Record([]event.Event{e})
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	o := p.outboxes[g.Keeper.Host]
-	if o == nil {
-		o = &outbox{keeper: g.Keeper}
-		if p.outboxes == nil {
-			p.outboxes = map[host.ID]*outbox{}
-		}
-		p.outboxes[g.Keeper.Host] = o
-	}
-	if len(o.events) < maxEvents {
-		o.events = append(o.events, e)
-	}
-	select {
-	case p.waker() <- struct{}{}:
-	default:
-	}
-}
-
-// waker returns the channel that wakes Run. The caller holds p.mu.
-func (p *Placer) waker() chan struct{} {
-	if p.wake == nil {
-		p.wake = make(chan struct{}, 1)
-	}
-	return p.wake
-}
-
-// takeEvents takes the events that wait for a keeper.
-func (p *Placer) takeEvents(id host.ID) []event.Event {
+// recordAnswer records that a keeper answers.
+func (p *Placer) recordAnswer(h beat.Heartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	o := p.outboxes[id]
-	if o == nil {
-		return nil
-	}
-	events := o.events
-	o.events = nil
-	return events
-}
-
-// Run sends events to keepers until ctx ends.
-func (p *Placer) Run(ctx context.Context) error {
-	p.mu.Lock()
-	wake := p.waker()
-	p.mu.Unlock()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-wake:
-		}
-		pause(ctx, batchTime)
-		p.Flush(ctx)
-	}
-}
-
-// Flush sends all waiting events.
-func (p *Placer) Flush(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var g errgroup.Group
-	for _, o := range p.takeAll() {
-		g.Go(func() error {
-			if err := p.Peers.Report(ctx, o.keeper, o.events); err != nil {
-				p.suspend(o.keeper, p.Now(), err)
-			}
-			return nil
-		})
-	}
-	_ = g.Wait()
-}
-
-// takeAll takes the events that wait for each keeper.
-func (p *Placer) takeAll() (out []outbox) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, o := range p.outboxes {
-		if len(o.events) > 0 {
-			out = append(out, *o)
-		}
-	}
-	p.outboxes = nil
-	return out
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	delete(p.suspended, h.Host)
 }
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -1,10 +1,13 @@
 package placer_test
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -27,6 +30,13 @@
 	return w
 }
 
+// uncached returns a request of a session with a long prompt, of which most is not cached anywhere.
+func uncached(session uint64) *work.Request {
+	w := prompt(session)
+	w.PromptTokens += 5_000
+	return w
+}
+
 var _ = Describe("Placer", func() {
 	ctx := context.Background()
 
@@ -86,6 +96,95 @@
 		Expect(ok).To(BeTrue())
 	})
 
+	// Guards against requests that no host sends but that fill an endpoint's book until their deadline.
+	It("ends a request that the keeper placed too late", func() {
+		s := newSim(1)
+		k, placers, reg := s.newKeepers()
+		all := reg.ByBackend("plume")
+		first, _ := placers[0].Place(ctx, prompt(7), all, nil)
+		placers[0].Ended(first, false)
+		placers[0].Flush(ctx)
+		k.late[first.Keeper.Host] = true
+		_, ok := placers[1].Place(ctx, uncached(7), all, nil)
+		Expect(ok).To(BeFalse())
+		k.late[first.Keeper.Host] = false
+		s.now = s.now.Add(500 * time.Millisecond)
+		placers[1].Flush(ctx)
+		g, _ := placers[2].Place(ctx, prompt(7), all, nil)
+		Expect(g.Endpoint).To(Equal(first.Endpoint))
+		Expect(g.AheadTokens).To(BeZero())
+	})
+
+	// Guards against requests that count as running until their deadline because a link was cut for a moment.
+	It("tells a keeper again what it did not hear", func() {
+		s := newSim(1)
+		k, placers, reg := s.newKeepers()
+		all := reg.ByBackend("plume")
+		first, _ := placers[0].Place(ctx, prompt(7), all, nil)
+		k.down[first.Keeper.Host] = true
+		placers[0].Ended(first, false)
+		placers[0].Flush(ctx)
+		k.down[first.Keeper.Host] = false
+		s.now = s.now.Add(500 * time.Millisecond)
+		placers[0].Flush(ctx)
+		g, _ := placers[1].Place(ctx, prompt(7), all, nil)
+		Expect(g.Endpoint).To(Equal(first.Endpoint))
+		Expect(g.AheadTokens).To(BeZero())
+	})
+
+	It("tells keepers what they have not heard yet when the process stops", func() {
+		// Run may see either the end or the event first.
+		for seed := range uint64(10) {
+			s := newSim(seed)
+			_, placers, reg := s.newKeepers()
+			all := reg.ByBackend("plume")
+			first, _ := placers[0].Place(ctx, prompt(7), all, nil)
+			placers[0].Ended(first, false)
+			stopped, cancel := context.WithCancel(ctx)
+			cancel()
+			Expect(placers[0].Run(stopped)).To(Succeed())
+			g, _ := placers[1].Place(ctx, prompt(7), all, nil)
+			Expect(g.Endpoint).To(Equal(first.Endpoint))
+			Expect(g.AheadTokens).To(BeZero())
+		}
+	})
+
+	// Guards against an endpoint that a keeper avoids for twice the time after a failure of one of its own requests.
+	It("leaves failures of the keeper's own requests to those who send them", func() {
+		s := newSim(1)
+		_, placers, reg := s.newKeepers()
+		all := reg.ByBackend("plume")
+		first, _ := placers[0].Place(ctx, prompt(7), all, nil)
+		for _, p := range placers {
+			g, _ := p.Place(ctx, prompt(7), all, nil)
+			p.Ended(g, true)
+			p.Flush(ctx)
+			n, _ := reg.Get(g.Endpoint).Failures(s.now)
+			if p.Self == first.Keeper.Host {
+				Expect(n).To(BeZero())
+			} else {
+				Expect(n).To(Equal(1))
+			}
+			reg.Get(g.Endpoint).RecordProgress(s.now)
+		}
+	})
+
+	// Guards against a log that a rolling upgrade fills: hosts of the earlier version place no requests.
+	It("logs once that a keeper does not answer", func() {
+		s := newSim(1)
+		k, placers, reg := s.newKeepers()
+		all := reg.ByBackend("plume")
+		g, _ := placers[0].Place(ctx, prompt(7), all, nil)
+		k.down[g.Keeper.Host] = true
+		var log bytes.Buffer
+		placers[1].Log = hclog.New(&hclog.LoggerOptions{Output: &log})
+		for range 5 {
+			placers[1].Place(ctx, prompt(7), all, nil)
+			s.now = s.now.Add(time.Second)
+		}
+		Expect(strings.Count(log.String(), "\n")).To(Equal(1))
+	})
+
 	It("asks the keeper of another shard as well if the answer would begin late", func() {
 		s := newSim(1)
 		_, placers, reg := s.newKeepers()
--- a/protocol/grant/grant.go
+++ b/protocol/grant/grant.go
@@ -10,7 +10,7 @@
 
 // Grant is a request's place at an endpoint.
 type Grant struct {
-	// ID names the grant at the host that made it, 0 for none.
+	// ID is that of the task, 0 for none.
 	ID int64 `json:"id,omitempty"`
 	// Endpoint is the endpoint, empty if the shard has none that may get the request.
 	Endpoint endpt.ID `json:"endpoint,omitempty"`
--- a/protocol/task/task.go
+++ b/protocol/task/task.go
@@ -13,6 +13,9 @@
 
 // Task is a request to be placed at one of a shard's endpoints.
 type Task struct {
+	// ID names the request at the host that places it. The host that asks chooses it at random, so that it can end a request
+	// to which it got no answer.
+	ID int64 `json:"id"`
 	// Backend is the back end that serves the request.
 	Backend label.Name `json:"backend"`
 	// Shard is the number of the shard, below Shards, into which the back end's endpoints are divided.
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -244,7 +244,7 @@
 	s.fleet = &fleet.Fleet{Self: s.Host, Timeout: heartbeatTimeout}
 	s.Rates = &rates.Rates{Hosts: s.hosts, Slack: s.RateSlack, Window: s.RateWindow, Rand: rand.Float64, Started: time.Now()}
 	s.Balancer = &choose.Balancer{Rand: rand.Float64, Speed: s.speed, DataCentre: s.DataCentre, HostCount: s.hosts}
-	s.ledger = &ledger.Ledger{Endpoints: s.Registry, Speed: s.speed, FirstID: s.incarnation, Rand: rand.Float64, Now: time.Now}
+	s.ledger = &ledger.Ledger{Endpoints: s.Registry, Speed: s.speed, Rand: rand.Float64, Now: time.Now}
 	s.placer = &placer.Placer{
 		Self: s.Host, DataCentre: s.DataCentre, Enabled: func() bool { return s.Schedule().Large() }, Live: s.liveHosts, Ledger: s.ledger, Peers: exchange{s},
 		Rand: rand.Float64, Now: time.Now, Count: s.Meter.Count, Log: s.Log,
