Suspect no endpoint because a request ended, and go on reporting what this host found

Cause: the sums of all hosts' figures bring a host its own report back, seemingly newer by the time in the network, upon which it took it for another's and stopped reporting it after one poll instead of 10 s. An attempt cut short by its request's own deadline made all hosts spare the endpoint for up to 15 s. Ruled out: taking the newer age and keeping it as an own finding, as each round would make it newer. Change: a report that says what this host found itself, at most 1 s later, changes nothing. An attempt that this process ends within 250 ms is no sign of a restart. Conclusion: still open is a host that is cut off: it suspects all endpoints and tells the others once it is back.

--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -41,6 +41,9 @@
 	// that fetches KV blocks from a donor still counts as a sample of prefill speed: how much of the shared part the
 	// engine had cached is unknown.
 	maxSharedRatio = 0.3
+	// minConnectTime is the least time that an endpoint has for accepting a connection: an attempt that this process ends
+	// sooner does not show that it accepts none.
+	minConnectTime = 250 * time.Millisecond
 )
 
 type exchange interface {
@@ -180,6 +183,8 @@
 	// lastEndpoint is the endpoint of the last attempt, nil before the first, and lastDonor the one from which it fetched KV
 	// cache, nil for none.
 	lastEndpoint, lastDonor *target.Target
+	// lastStart is when the last attempt began.
+	lastStart time.Time
 	// lastWatch is the watch of the last attempt, nil if that was not watched.
 	lastWatch *silence
 }
@@ -318,6 +323,7 @@
 func (p *Proxy) attempt(ctx context.Context, j *job, c *choice, x exchange) result.Result {
 	t, donor, prefillTokens := c.target, c.donor, c.prefillTokens
 	now := p.Now()
+	j.lastStart = now
 	_, ahead := t.Outstanding(now)
 	if c.grant.ID != 0 {
 		ahead = c.aheadTokens
@@ -402,7 +408,7 @@
 		// An endpoint that asked for a pause, is leaving or is at its request limit has not failed.
 		failed = !r.Withheld && !t.Paused(now) && !t.Leaving() && !j.endedByStop(ctx)
 		if failed {
-			p.recordRefusal(t, r, now)
+			p.recordRefusal(ctx, j, t, r, now)
 		}
 	case ending.Failed:
 		p.countStart(j)
@@ -415,8 +421,9 @@
 }
 
 // recordRefusal records that an endpoint may have been restarted if it did not accept a connection.
-func (p *Proxy) recordRefusal(t *target.Target, r result.Result, now time.Time) {
-	if r.Sent || r.Status != 0 || !t.Warmup.Refused(now) {
+func (p *Proxy) recordRefusal(ctx context.Context, j *job, t *target.Target, r result.Result, now time.Time) {
+	endedHere := ctx.Err() != nil || j.next != nil
+	if r.Sent || r.Status != 0 || endedHere && now.Sub(j.lastStart) < minConnectTime || !t.Warmup.Refused(now) {
 		return
 	}
 	p.Log.Info("endpoint accepts no connections; it may be cold when it does again", "endpoint", t.Row().ID, "backend", t.Row().Backend, "reason", r.Reason)
--- a/coordination/proxy/proxy_test.go
+++ b/coordination/proxy/proxy_test.go
@@ -464,4 +464,17 @@
 		Expect(coldAfter(failed)).To(BeFalse())
 		Expect(coldAfter(result.Result{Ending: ending.NotRun, Withheld: true})).To(BeFalse())
 	})
+
+	// Guards against an endpoint that all hosts spare because a request was too late for it to accept a connection.
+	It("is not suspected because a request's deadline passed at once", func() {
+		f, s := newFixture(1), &fakeExchange{results: []result.Result{unsent}}
+		t := f.registry.All()[0]
+		t.Warmup.Time = func() time.Duration { return time.Minute }
+		t.Warmup.Interval = func() (time.Duration, bool) { return 0, true }
+		ctx, cancel := context.WithCancel(context.Background())
+		s.before = func(*target.Target) { cancel() }
+		_ = f.proxy.Run(ctx, request(mode.Once, 1), s)
+		Expect(s.to).To(HaveLen(1))
+		Expect(t.Warmup.Cold(time.Now())).To(BeFalse())
+	})
 })
--- a/state/warmup/warmup.go
+++ b/state/warmup/warmup.go
@@ -15,6 +15,8 @@
 	maxSuspicion = 15 * time.Second
 	// reportTime is how long after it was learned a report is sent to other hosts.
 	reportTime = 10 * time.Second
+	// echoTime is how much newer a report seems that is this process's own: its age lacks the time in the network.
+	echoTime = time.Second
 )
 
 // Warmup limits the requests of this process to one endpoint while the endpoint is cold.
@@ -82,7 +84,18 @@
 // Merge records another host's report on the endpoint's present process, and reports whether the endpoint was not suspected
 // before and is now.
 func (w *Warmup) Merge(r cold.Report, now time.Time) (began bool) {
-	return w.set(r.Suspected, now.Add(r.Left), now.Add(-r.Age), false)
+	at := now.Add(-r.Age)
+	if w.isOwn(r, at) {
+		return false
+	}
+	return w.set(r.Suspected, now.Add(r.Left), at, false)
+}
+
+// isOwn reports whether a report of a time is this process's own, which the sums of all hosts contain, or says the same.
+func (w *Warmup) isOwn(r cold.Report, at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.firstHand && r.Suspected == w.suspected && at.Sub(w.knownAt) < echoTime
 }
 
 // set replaces what is known unless that is newer, and reports whether a suspicion begins.
--- a/state/warmup/warmup_test.go
+++ b/state/warmup/warmup_test.go
@@ -103,6 +103,23 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against a process that stops reporting what it found as soon as its own report comes back to it.
+	It("stays this process's own finding when the report of it comes back later", func() {
+		w.Refused(second(1))
+		r, _ := w.Report(second(2))
+		Expect(w.Merge(r, second(2.1))).To(BeFalse())
+		again, ok := w.Report(second(3))
+		Expect(ok).To(BeTrue())
+		Expect(again.Age).To(Equal(2 * time.Second))
+
+		w.Answered(second(4))
+		r, _ = w.Report(second(5))
+		w.Merge(r, second(5.1))
+		Expect(w.Cold(second(7))).To(BeFalse())
+		_, ok = w.Report(second(7))
+		Expect(ok).To(BeTrue())
+	})
+
 	It("limits nothing where its back end sets no time", func() {
 		w.Time = nil
 		w.Announced(time.Minute, second(1))
