Keep a connection over which a peer hears late of placed requests, and drop one that answers nothing

Cause: an event that was not answered within 60 ms closed the connection to a peer, and with it the calls of others on it. A late place did not, but neither did any number of them, so that a host that only asks for places kept a dead connection. Ruled out: a longer timeout for events, as the sender waits for all keepers. Change: late answers to both kinds of calls are counted, and five without an answer in between close the connection. Conclusion: a busy peer keeps its connections, a dead one does not.

--- a/transport/peers/client.go
+++ b/transport/peers/client.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 
-	"github.com/sourcegraph/jsonrpc2"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
@@ -152,13 +150,11 @@
 	}
 	defer p.release(c)
 	if err := c.conn.Call(ctx, method, params, result); err != nil {
-		var answered *jsonrpc2.Error
-		late := method == methodPlace && errors.Is(err, context.DeadlineExceeded)
-		if !errors.As(err, &answered) && !late {
-			// A request is not placed for long, so a late answer does not show that the connection is dead.
+		if c.isDead(method, err) {
 			p.drop(address, c)
 		}
 		return fault.Wrap(kind.Unavailable, err, "call to peer %s: %s", address, method)
 	}
+	c.late.Store(0)
 	return nil
 }
--- a/transport/peers/conns.go
+++ b/transport/peers/conns.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"sync/atomic"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -15,6 +17,23 @@
 	// calls is the number of calls in progress, lastUse the value of Peers.useCount at the last one.
 	calls   int
 	lastUse int64
+	// late counts the calls with a short timeout since the last answer to which there was none in time.
+	late atomic.Int32
+}
+
+// maxLate is the number of calls with a short timeout without an answer in time after which a connection counts as dead.
+const maxLate = 5
+
+// isDead reports whether the failure of a call shows that the connection is dead. A late answer does not where the caller
+// waits for a short time only, unless one call after the other has none.
+func (c *client) isDead(method string, err error) bool {
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		c.late.Store(0)
+		return false
+	}
+	short := method == methodPlace || method == methodEvents
+	return !short || !errors.Is(err, context.DeadlineExceeded) || c.late.Add(1) >= maxLate
 }
 
 // client returns the connection to a peer and opens one if there is none; the caller must release it.
--- a/transport/peers/peers_test.go
+++ b/transport/peers/peers_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -65,6 +66,9 @@
 	}
 }
 
+// silentMethod is the method that such a peer does not answer.
+const silentMethod = "place-events"
+
 func answerEarlierVersion(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	known := map[string]string{"challenge": `{"nonce":"AAAA"}`, "hello": `{"ok":true}`, "pulse": `{"host":"old"}`}
@@ -77,6 +81,9 @@
 		if json.Unmarshal(lines.Bytes(), &call) != nil {
 			return
 		}
+		if call.Method == silentMethod {
+			continue
+		}
 		outcome := `"error":{"code":-32601,"message":"unknown method"}`
 		if result, ok := known[call.Method]; ok {
 			outcome = `"result":` + result
@@ -87,6 +94,22 @@
 	}
 }
 
+// dialEarlierVersion starts a peer of an earlier version, and returns a client of it and the count of its connections.
+func dialEarlierVersion() (p *peers.Peers, address string, conns *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	conns = &atomic.Int64{}
+	var server errgroup.Group
+	server.Go(func() error { return serveEarlierVersion(l, conns) })
+	p = &peers.Peers{Secret: "secret", MaxOpen: 8}
+	DeferCleanup(func() {
+		p.Close()
+		Expect(l.Close()).To(Succeed())
+		Expect(server.Wait()).To(Succeed())
+	})
+	return p, l.Addr().String(), conns
+}
+
 var _ = Describe("Peers", func() {
 	var addresses []string
 	var ctx context.Context
@@ -145,23 +168,42 @@
 
 	// Guards against a rolling upgrade in which each call that the older hosts do not know breaks their heartbeats.
 	It("keep the connection to a peer of an earlier version that does not know a method", func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		var conns atomic.Int64
-		var server errgroup.Group
-		server.Go(func() error { return serveEarlierVersion(l, &conns) })
-		p := &peers.Peers{Secret: "secret", MaxOpen: 8}
-		address := l.Addr().String()
+		p, address, conns := dialEarlierVersion()
 		for range 5 {
-			_, err = p.Permit(context.Background(), address, permit.Permit{})
+			_, err := p.Permit(context.Background(), address, permit.Permit{})
+			Expect(err).To(HaveOccurred())
+			_, err = p.Place(context.Background(), address, task.Task{})
 			Expect(err).To(HaveOccurred())
 			_, err = p.Heartbeat(context.Background(), address, beat.Heartbeat{})
 			Expect(err).NotTo(HaveOccurred())
 		}
 		Expect(conns.Load()).To(Equal(int64(1)))
-		p.Close()
-		Expect(l.Close()).To(Succeed())
-		Expect(server.Wait()).To(Succeed())
+	})
+
+	// Guards against heartbeats and permits that are lost because a busy peer hears of placed requests too late.
+	It("keep the connection to a peer that answers a short call late, unless it answers nothing any more", func() {
+		p, address, conns := dialEarlierVersion()
+		report := func() {
+			short, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+			defer cancel()
+			Expect(p.Report(short, address, nil)).NotTo(Succeed())
+		}
+		beatOnce := func() {
+			_, err := p.Heartbeat(context.Background(), address, beat.Heartbeat{})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		beatOnce()
+		for range 10 {
+			report()
+			report()
+			beatOnce()
+		}
+		Expect(conns.Load()).To(Equal(int64(1)))
+		for range 5 {
+			report()
+		}
+		beatOnce()
+		Expect(conns.Load()).To(Equal(int64(2)))
 	})
 
 	It("close a connection whose message never ends, and serve others meanwhile", func() {
