Bound the prompt parts that a host sends with a request to be placed

Cause: callers choose the number of a prompt's parts, thousands within the header's limit. Ruled out: refusing such requests, which are legal. Change: a task has the first 128 parts; the others count as not cached.

--- a/protocol/task/task.go
+++ b/protocol/task/task.go
@@ -44,10 +44,13 @@
 	Events []event.Event `json:"events,omitempty"`
 }
 
-// SetPrompt sets the prompt to that of a request.
+// maxParts bounds the parts of a prompt in a task: the first ones decide where it is cached, and callers choose their number.
+const maxParts = 128
+
+// SetPrompt sets the prompt to that of a request, of which only the first parts count.
 func (t *Task) SetPrompt(w *work.Request) {
 	t.PromptTokens, t.OutTokens = w.PromptTokens, w.OutTokens
-	for _, p := range w.Parts {
+	for _, p := range w.Parts[:min(len(w.Parts), maxParts)] {
 		t.Parts = append(t.Parts, p.Hash)
 		t.Lengths = append(t.Lengths, p.Tokens)
 	}
