--- a/coordination/choose/placed.go
+++ b/coordination/choose/placed.go
@@ -26,7 +26,8 @@
 	if alone || b.Placer == nil {
 		return b.Pick(all, w, used, now)
 	}
-	g, ok := b.Placer.Place(ctx, w, all, idsOf(all, used))
+	excluded := func(t *target.Target) bool { return used(t) || heldHere(t, now) }
+	g, ok := b.Placer.Place(ctx, w, all, idsOf(all, excluded))
 	if !ok {
 		return b.Pick(all, w, used, now)
 	}
@@ -46,6 +47,11 @@
 	return p
 }
 
+// heldHere reports whether an endpoint accepts no requests from this process at present, which other hosts do not know.
+func heldHere(t *target.Target, now time.Time) bool {
+	return t.Paused(now) || now.Before(t.Limit.HeldUntil())
+}
+
 // coldPick returns the best of the cold endpoints to which this process may send; the others' keepers leave them out.
 func (b *Balancer) coldPick(all []*target.Target, w *work.Request, used func(*target.Target) bool, now time.Time) pick {
 	var best pick
@@ -75,10 +81,10 @@
 	}
 }
 
-// idsOf returns the ids of the endpoints that are used.
-func idsOf(all []*target.Target, used func(*target.Target) bool) (ids []endpt.ID) {
+// idsOf returns the ids of the endpoints that match.
+func idsOf(all []*target.Target, match func(*target.Target) bool) (ids []endpt.ID) {
 	for _, t := range all {
-		if used(t) {
+		if match(t) {
 			ids = append(ids, t.Row().ID)
 		}
 	}
