Make the senders of cold endpoints cheap to select in a large fleet

Cause: each host scored all hosts for each cold endpoint twice a second, on a copy of the list each time: with 800 endpoints of a data centre cold at 1,100 hosts, most of a core, where the smallest host has 0.144. Past 4,096 cold endpoints each choice did it anew. Ruled out: caching the selection for longer, as hosts are to agree on a changed list soon. Change: the selection ends once enough hosts rank higher, the list is read at most every 100 ms for all endpoints, and the cache holds 8,192.

--- a/coordination/warmer/warmer.go
+++ b/coordination/warmer/warmer.go
@@ -19,10 +19,11 @@
 	// senders is the number of hosts that send requests to a cold endpoint. Hosts that disagree on the membership for a
 	// moment select a few different ones; with few senders, each with a small part, the sum stays bounded.
 	senders = 4
-	// rankTTL is how long the selection of an endpoint's senders is cached.
+	// rankTTL is how long the selection of an endpoint's senders is cached, and listTTL the list of hosts.
 	rankTTL = 500 * time.Millisecond
+	listTTL = 100 * time.Millisecond
 	// maxEndpoints bounds the endpoints of which a selection is cached.
-	maxEndpoints = 4_096
+	maxEndpoints = 8_192
 )
 
 type policy interface {
@@ -48,6 +49,9 @@
 
 	mu    sync.Mutex
 	ranks map[endpt.ID]rank
+	// hosts is the list of hosts at listedAt, this one included; it is nil if that was not known.
+	hosts    []beat.Heartbeat
+	listedAt time.Time
 }
 
 // rank is this host's part in sending requests to one endpoint.
@@ -88,6 +92,9 @@
 	if r, ok := w.ranks[id]; ok && now.Sub(r.at) < rankTTL {
 		return r
 	}
+	if now.Sub(w.listedAt) >= listTTL {
+		w.readList(now)
+	}
 	r := w.selectSenders(id)
 	r.at = now
 	if w.ranks == nil || len(w.ranks) >= maxEndpoints {
@@ -97,21 +104,31 @@
 	return r
 }
 
-func (w *Warmer) selectSenders(id endpt.ID) rank {
+// readList reads the list of hosts. The caller holds w.mu.
+func (w *Warmer) readList(now time.Time) {
 	hosts, known := w.Listed()
 	if !known {
-		return rank{}
+		hosts = nil
 	}
+	w.hosts, w.listedAt = hosts, now
+}
+
+// selectSenders finds whether this host is one of the senders of an endpoint: whether few hosts rank higher. The caller holds
+// w.mu.
+func (w *Warmer) selectSenders(id endpt.ID) rank {
 	isSelf := func(h beat.Heartbeat) bool { return h.Host == w.Self }
-	own := slices.IndexFunc(hosts, isSelf)
+	own := slices.IndexFunc(w.hosts, isSelf)
 	if own < 0 {
 		return rank{}
 	}
-	score, above := place.Score(string(id), hosts[own]), 0
-	for _, h := range hosts {
+	score, above := place.Score(string(id), w.hosts[own]), 0
+	for _, h := range w.hosts {
 		if !isSelf(h) && place.Score(string(id), h) > score {
 			above++
 		}
+		if above >= senders {
+			return rank{}
+		}
 	}
-	return rank{sender: above < senders, of: min(senders, len(hosts))}
+	return rank{sender: true, of: min(senders, len(w.hosts))}
 }
--- a/coordination/warmer/warmer_test.go
+++ b/coordination/warmer/warmer_test.go
@@ -127,6 +127,20 @@
 		Expect(f.play("e", 2*time.Second)).To(BeEmpty())
 	})
 
+	// Guards against small hosts that spend their time on this when all endpoints of a data centre are cold.
+	It("costs a host one look at the list for all endpoints", func() {
+		f, looks := newFleet(1100), 0
+		w := f.warmers[0]
+		w.Listed = func() ([]beat.Heartbeat, bool) {
+			looks++
+			return f.views[0], true
+		}
+		for e := range 5_500 {
+			w.Interval(&roster.Row{ID: endpt.ID(fmt.Sprintf("e%d", e))})
+		}
+		Expect(looks).To(Equal(1))
+	})
+
 	// Guards against a fleet that can't be served after all its endpoints were restarted.
 	It("leaves room for the usual load when all endpoints are cold", func() {
 		f := newFleet(81)
