--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -89,8 +89,9 @@
 // Pick returns the usable endpoint of least cost among those compared.
 //
 // Those compared are a random sample, the session's homes, the endpoint that has most of the prompt cached, and the cold
-// endpoints to which only this process and a few others may send. Endpoints that are leaving, in an evacuated data centre, have asked for a pause, are at their request limit or too cold
-// are never chosen; those in backoff after a failure only when no other is compared.
+// endpoints to which only this process and a few others may send. Endpoints that are leaving, in an evacuated data centre, have
+// asked for a pause, are at their request limit or too cold are never chosen; those in backoff after a failure only when no other
+// is compared.
 func (b *Balancer) Pick(all []*target.Target, w *work.Request, used func(*target.Target) bool, now time.Time) pick {
 	if w.PromptTokens == 0 {
 		return b.spread(all, w, used, now)
@@ -242,7 +243,7 @@
 		if !canDonate(t, now) {
 			continue
 		}
-		rank := mix(t.Hash() ^ session)
+		rank := t.Rank(session)
 		switch {
 		case h.first == nil || rank > highest:
 			h.first, h.second = t, h.first
@@ -264,15 +265,6 @@
 	return h.first
 }
 
-// mix is the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func backingOff(t *target.Target, now time.Time) bool {
 	n, since := t.Failures(now)
 	if n == 0 {
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -160,22 +161,13 @@
 	}
 	best, highest := all[0], uint64(0)
 	for _, t := range all {
-		if rank := mix(t.Hash() ^ session); rank > highest {
+		if rank := t.Rank(session); rank > highest {
 			best, highest = t, rank
 		}
 	}
 	return best
 }
 
-// mix is the finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // ask asks the keeper of a task's shard; ok is false if there is no answer with an endpoint.
 func (p *Placer) ask(ctx context.Context, t task.Task) (g grant.Grant, ok bool) {
 	now := p.Now()
@@ -221,7 +213,7 @@
 
 // rank returns the live host that ranks highest for a shard, a zero one if none is live.
 func (p *Placer) rank(s shard, now time.Time) (best beat.Heartbeat) {
-	key := string(s.backend) + "\x00" + string(rune('0'+s.n)) + "\x00" + string(rune('0'+s.of))
+	key := fmt.Sprintf("%s\x00%d\x00%d", s.backend, s.n, s.of)
 	highest := 0.0
 	for _, h := range p.Live(now) {
 		if score := place.Score(key, h); score > highest {
--- a/state/target/target.go
+++ b/state/target/target.go
@@ -189,6 +189,18 @@
 // Hash returns the hash of the endpoint's id.
 func (t *Target) Hash() uint64 { return t.hash }
 
+// Rank returns the endpoint's score for a session by rendezvous hashing: all processes agree on the endpoint that ranks highest.
+func (t *Target) Rank(session uint64) uint64 { return mix(t.hash ^ session) }
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // Leaving reports whether the endpoint takes no new work.
 func (t *Target) Leaving() bool {
 	t.mu.Lock()
