Keep an evacuation for an endpoint whose row changes its data centre, and the limit for any cold rate

Cause: a row of the same start with another data centre kept the old mark; a cold rate below about 4e-10 a second overflowed the interval, which then limited nothing on amd64. Change: the mark follows the row; the interval is at most an hour.

--- a/coordination/warmer/warmer.go
+++ b/coordination/warmer/warmer.go
@@ -24,6 +24,8 @@
 	listTTL = 100 * time.Millisecond
 	// maxEndpoints bounds the endpoints of which a selection is cached.
 	maxEndpoints = 8_192
+	// maxInterval bounds the time between two requests, so that it is valid however small the rate is.
+	maxInterval = time.Hour
 )
 
 type policy interface {
@@ -81,7 +83,7 @@
 	if !part.sender {
 		return 0, false
 	}
-	return time.Duration(float64(part.of) / float64(b.ColdRate) * float64(time.Second)), true
+	return time.Duration(min(float64(part.of)/float64(b.ColdRate), maxInterval.Seconds()) * float64(time.Second)), true
 }
 
 // rank returns this host's part in sending requests to an endpoint.
--- a/coordination/warmer/warmer_test.go
+++ b/coordination/warmer/warmer_test.go
@@ -141,6 +141,14 @@
 		Expect(looks).To(Equal(1))
 	})
 
+	It("gets next to nothing if its rate is next to nothing", func() {
+		f := newFleet(1)
+		f.warmers[0].Policy = policy{back.Backend{ColdTime: time.Second, ColdRate: 1e-12}}
+		interval, ok := f.warmers[0].Interval(&roster.Row{ID: "e"})
+		Expect(ok).To(BeTrue())
+		Expect(interval).To(Equal(time.Hour))
+	})
+
 	// Guards against a fleet that can't be served after all its endpoints were restarted.
 	It("leaves room for the usual load when all endpoints are cold", func() {
 		f := newFleet(81)
--- a/state/endreg/endreg.go
+++ b/state/endreg/endreg.go
@@ -66,6 +66,7 @@
 	old := reg.byID[r.ID]
 	if old != nil && sameIncarnation(old.Row(), &r) {
 		old.SetRow(r)
+		old.SetEvacuated(reg.evacuated[r.DataCentre])
 		return
 	}
 	if old != nil {
--- a/state/endreg/evacuate_test.go
+++ b/state/endreg/evacuate_test.go
@@ -46,6 +46,14 @@
 		Expect(reg.Evacuated("west")).To(BeFalse())
 	})
 
+	It("holds for an endpoint whose row names its data centre late", func() {
+		reg.SetEvacuated(evacuated("east"), now)
+		reg.Put(roster.Row{ID: "b", Address: "b", DataCentre: "east"})
+		Expect(reg.Get("b").Evacuated()).To(BeTrue())
+		reg.Put(roster.Row{ID: "b", Address: "b", DataCentre: "west"})
+		Expect(reg.Get("b").Evacuated()).To(BeFalse())
+	})
+
 	// Guards against all hosts sending at once to endpoints that are cold after an evacuation.
 	It("leaves the endpoints cold at its end, and only at its end", func() {
 		reg.SetEvacuated(evacuated("east"), now)
