Have the hosts listed once for the keepers of all shards

Cause: each shard's keeper was selected on a list of its own, copied and sorted five times a second for each shard in use. Change: one list for all, as old as the selections on it. Figures: a test: one look at the list for requests of 50 sessions; it failed before.

--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -30,10 +30,9 @@
 	askTimeout = 60 * time.Millisecond
 	// suspendTime is how long a keeper that did not answer is not asked again.
 	suspendTime = 500 * time.Millisecond
-	// keeperTTL is how long the selection of a shard's keeper is cached. Back ends and hosts come and go, so maxKeepers bounds
-	// the selections and maxSuspended the hosts that are remembered.
-	keeperTTL    = 200 * time.Millisecond
-	maxKeepers   = 4_096
+	// keeperTTL is how long the selection of keepers is cached.
+	keeperTTL = 200 * time.Millisecond
+	// maxSuspended bounds the keepers that are remembered for not answering, as hosts come and go.
 	maxSuspended = 4_096
 	// maxID bounds the ids of tasks; a float64 holds all integers up to it.
 	maxID = 1 << 53
@@ -82,8 +81,11 @@
 	// Log gets a line when a keeper does not answer.
 	Log hclog.Logger
 
-	mu      sync.Mutex
-	keepers map[shard]selected
+	mu sync.Mutex
+	// live holds the hosts that accept requests as known at liveAt, and keepers the keepers selected among them.
+	live    []beat.Heartbeat
+	liveAt  time.Time
+	keepers map[shard]beat.Heartbeat
 	// suspended is when each keeper that did not answer is asked again.
 	suspended map[host.ID]time.Time
 	outboxes  map[host.ID]*outbox
@@ -96,12 +98,6 @@
 	n, of   int
 }
 
-// selected is the keeper of a shard as selected at a time.
-type selected struct {
-	host beat.Heartbeat
-	at   time.Time
-}
-
 // Place returns the place of a request at one of a back end's endpoints; ok is false if no keeper has placed it.
 func (p *Placer) Place(ctx context.Context, w *work.Request, all []*target.Target, excluded []endpt.ID) (g grant.Grant, ok bool) {
 	shards := shardCount(len(all))
@@ -200,22 +196,23 @@
 func (p *Placer) keeper(s shard, now time.Time) (h beat.Heartbeat, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	k, cached := p.keepers[s]
-	if !cached || now.Sub(k.at) >= keeperTTL {
-		k = selected{host: p.rank(s, now), at: now}
-		if p.keepers == nil || len(p.keepers) >= maxKeepers {
-			p.keepers = map[shard]selected{}
-		}
-		p.keepers[s] = k
+	if p.keepers == nil || now.Sub(p.liveAt) >= keeperTTL {
+		p.live, p.liveAt = p.Live(now), now
+		p.keepers = map[shard]beat.Heartbeat{}
+	}
+	h, ok = p.keepers[s]
+	if !ok {
+		h = s.keeperOf(p.live)
+		p.keepers[s] = h
 	}
-	return k.host, k.host.Host != "" && !now.Before(p.suspended[k.host.Host])
+	return h, h.Host != "" && !now.Before(p.suspended[h.Host])
 }
 
-// rank returns the live host that ranks highest for a shard, a zero one if none is live.
-func (p *Placer) rank(s shard, now time.Time) (best beat.Heartbeat) {
+// keeperOf returns the host that ranks highest for a shard, a zero one if there is none.
+func (s shard) keeperOf(hosts []beat.Heartbeat) (best beat.Heartbeat) {
 	key := fmt.Sprintf("%s\x00%d\x00%d", s.backend, s.n, s.of)
 	highest := 0.0
-	for _, h := range p.Live(now) {
+	for _, h := range hosts {
 		if score := place.Score(key, h); score > highest {
 			best, highest = h, score
 		}
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/path"
@@ -185,6 +186,25 @@
 		Expect(strings.Count(log.String(), "\n")).To(Equal(1))
 	})
 
+	// Guards against a small host in a large fleet that spends its time on the list of hosts.
+	It("looks at the list of hosts once for the keepers of all shards, and again later", func() {
+		s := newSim(1)
+		_, placers, reg := s.newKeepers()
+		all := reg.ByBackend("plume")
+		live, looks := placers[0].Live, 0
+		placers[0].Live = func(now time.Time) []beat.Heartbeat {
+			looks++
+			return live(now)
+		}
+		for session := range uint64(50) {
+			placers[0].Place(ctx, prompt(2*session+1), all, nil)
+		}
+		Expect(looks).To(Equal(1))
+		s.now = s.now.Add(200 * time.Millisecond)
+		placers[0].Place(ctx, prompt(1), all, nil)
+		Expect(looks).To(Equal(2))
+	})
+
 	It("asks the keeper of another shard as well if the answer would begin late", func() {
 		s := newSim(1)
 		_, placers, reg := s.newKeepers()
