--- a/coordination/ledger/ledger_test.go
+++ b/coordination/ledger/ledger_test.go
@@ -30,7 +30,6 @@
 	firstLatency = 10 * time.Millisecond
 	timeout      = 10 * time.Second
 	promptTokens = 1_000
-	firstID      = 1 << 32
 )
 
 // fixedSpeed prefills one token in a millisecond.
@@ -44,11 +43,13 @@
 	var now time.Time
 	var reg *endreg.Registry
 	var l *ledger.Ledger
+	var lastID int64
 	row := func(id endpt.ID, start int64) roster.Row {
 		return roster.Row{ID: id, Address: "x", Backend: "plume", State: roster.Live, Slots: 8, StartMillis: start}
 	}
 	request := func() task.Task {
-		return task.Task{Backend: "plume", Shards: 1, Left: timeout, PromptTokens: promptTokens}
+		lastID++
+		return task.Task{ID: lastID, Backend: "plume", Shards: 1, Left: timeout, PromptTokens: promptTokens}
 	}
 	place := func() grant.Grant {
 		g := l.Place(request())
@@ -76,7 +77,7 @@
 		now = time.Unix(1000, 0)
 		reg = &endreg.Registry{}
 		reg.Put(row("a", 1))
-		l = &ledger.Ledger{Endpoints: reg, Speed: fixedSpeed{}, FirstID: firstID, Rand: func() float64 { return 0 }, Now: func() time.Time { return now }}
+		l = &ledger.Ledger{Endpoints: reg, Speed: fixedSpeed{}, Rand: func() float64 { return 0 }, Now: func() time.Time { return now }}
 	})
 
 	Describe("counts what is outstanding", func() {
@@ -236,6 +237,13 @@
 		})
 	})
 
+	It("counts the load that others report while its book of an endpoint is new", func() {
+		reg.Get("a").SetOthers(2, 3_000, now)
+		Expect(place().AheadTokens).To(Equal(int64(3_000)))
+		now = now.Add(1100 * time.Millisecond)
+		Expect(place().AheadTokens).To(BeNumerically("<", 3_000))
+	})
+
 	It("places requests where the fewest tokens are unread", func() {
 		reg.Put(row("b", 1))
 		first := place()
@@ -275,12 +283,12 @@
 
 		It("and changes nothing", func() {
 			played := func(explained bool) (grants []grant.Grant) {
-				now = time.Unix(1000, 0)
+				now, lastID = time.Unix(1000, 0), 0
 				reg = &endreg.Registry{}
 				for _, id := range []endpt.ID{"a", "b", "c"} {
 					reg.Put(row(id, 1))
 				}
-				l = &ledger.Ledger{Endpoints: reg, Speed: fixedSpeed{}, FirstID: firstID, Rand: func() float64 { return 0 }, Now: func() time.Time { return now }}
+				l = &ledger.Ledger{Endpoints: reg, Speed: fixedSpeed{}, Rand: func() float64 { return 0 }, Now: func() time.Time { return now }}
 				for i := range 60 {
 					t := request()
 					t.Parts, t.Lengths = []uint64{uint64(i % 4), uint64(100 + i)}, []int64{600, 400}
--- a/coordination/placer/explain.go
+++ b/coordination/placer/explain.go
@@ -25,8 +25,8 @@
 		return dryrun.Result{}, false
 	}
 	t := p.task(w, all)
-	h := p.rank(shard{t.Backend, t.Shard, t.Shards}, p.Now())
-	if h.Host == "" || p.isSuspended(h) {
+	h, ok := p.keeper(shard{t.Backend, t.Shard, t.Shards}, p.Now())
+	if !ok {
 		return dryrun.Result{}, false
 	}
 	// A caller that disconnects must not break the connection between the hosts.
@@ -51,10 +51,3 @@
 	t.SetPrompt(w)
 	return t
 }
-
-// isSuspended reports whether a keeper is not asked at present as it did not answer.
-func (p *Placer) isSuspended(h beat.Heartbeat) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.Now().Before(p.suspended[h.Host])
-}
--- a/protocol/task/task.go
+++ b/protocol/task/task.go
@@ -13,6 +13,9 @@
 
 // Task is a request to be placed at one of a shard's endpoints.
 type Task struct {
+	// ID names the request at the host that places it. The host that asks chooses it at random, so that it can end a request
+	// to which it got no answer.
+	ID int64 `json:"id"`
 	// Backend is the back end that serves the request.
 	Backend label.Name `json:"backend"`
 	// Shard is the number of the shard, below Shards, into which the back end's endpoints are divided.
@@ -41,10 +44,13 @@
 	Events []event.Event `json:"events,omitempty"`
 }
 
-// SetPrompt sets the prompt to that of a request.
+// maxParts bounds the parts of a prompt in a task: the first ones decide where it is cached, and callers choose their number.
+const maxParts = 128
+
+// SetPrompt sets the prompt to that of a request, of which only the first parts count.
 func (t *Task) SetPrompt(w *work.Request) {
 	t.PromptTokens, t.OutTokens = w.PromptTokens, w.OutTokens
-	for _, p := range w.Parts {
+	for _, p := range w.Parts[:min(len(w.Parts), maxParts)] {
 		t.Parts = append(t.Parts, p.Hash)
 		t.Lengths = append(t.Lengths, p.Tokens)
 	}
