--- a/protocol/task/task.go
+++ b/protocol/task/task.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/event"
@@ -20,12 +21,19 @@
 	Shards int `json:"shards"`
 	// DataCentre is the data centre of the host that sends the request.
 	DataCentre centre.ID `json:"data-centre"`
+	// Account is the request's account, empty on public routes, and Weight its weight among others, 0 if it has none.
+	Account acct.ID `json:"account,omitempty"`
+	Weight  float64 `json:"weight,omitempty"`
 	// Priority is the request's priority; 0 is the highest.
 	Priority int `json:"priority,omitempty"`
 	// TargetLatency is the time to the first part of the answer that the request's route aims for.
 	TargetLatency time.Duration `json:"target,omitempty"`
 	// Left is the time until the request's deadline.
 	Left time.Duration `json:"left,omitempty"`
+	// Waited is for how long the request was held at its host.
+	Waited time.Duration `json:"waited,omitempty"`
+	// Spilled is set if another shard is short of room for the request; it is not held for this one.
+	Spilled bool `json:"spilled,omitempty"`
 	// PromptTokens and OutTokens are the length of the prompt and the most tokens to generate.
 	PromptTokens int64 `json:"prompt"`
 	OutTokens    int64 `json:"out,omitempty"`
