Hold or refuse requests at their hosts while their keeper is short of room

Cause: the decision who gets the room of a shard took no effect. Ruled out: a wait in the request to the keeper, which ends after 60 ms and would keep connections busy. Change: the ledger asks coordination/room before it places a request; a grant names a wait, after which the host asks again, or a Retry-After, with which the caller is told that the request has not run. Another shard is asked first. An account's rate limit in tokens is its weight. Counters of held and refused requests by priority. Conclusion: not measured on real processes yet.

--- a/coordination/choose/choose.go
+++ b/coordination/choose/choose.go
@@ -298,16 +298,13 @@
 // prompt cached.
 func (b *Balancer) estimate(t *target.Target, w *work.Request, home homes, donor *target.Target, donorUncached int64, l load, now time.Time) pick {
 	running, prefill := l.running, l.prefill
-	slots := slotsOf(t)
 	p := pick{Target: t, PrefillTokens: t.Uncached(w, now), AheadTokens: prefill}
 	if w.PromptTokens > 0 {
 		recomputed := b.planFetch(&p, w, home, donor, donorUncached)
 		p.TimeToFirst = multiply(l.slowdown, b.Speed.TimeToFirstToken(w.Backend, prefill+p.PrefillTokens))
 		p.cost = multiply(recomputeFactor, b.Speed.TimeToFirstToken(w.Backend, recomputed)-b.Speed.TimeToFirstToken(w.Backend, 0))
 	}
-	if queued := running - slots + 1; queued > 0 {
-		p.TimeToFirst += time.Duration(queued) * queuedCost
-	}
+	p.TimeToFirst += queuedTime(t, running)
 	p.cost += p.TimeToFirst + time.Duration(running)*runningCost + time.Duration(b.Rand()*float64(jitter))
 	if p.Donor != nil && !home.has(t) {
 		p.cost += fetchCost
@@ -318,6 +315,11 @@
 	return p
 }
 
+// queuedTime returns the time that a request waits for one of an endpoint's slots.
+func queuedTime(t *target.Target, running int) time.Duration {
+	return time.Duration(max(0, running-slotsOf(t)+1)) * queuedCost
+}
+
 // slotsOf returns the number of requests that an endpoint runs concurrently, defaultSlots while it is not known.
 func slotsOf(t *target.Target) int {
 	if slots := t.Slots(); slots > 0 {
--- a/coordination/choose/known.go
+++ b/coordination/choose/known.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/work"
 	"github.com/dragonflyroute/dragonflyroute/state/target"
 )
@@ -35,5 +36,19 @@
 	return best
 }
 
+// Waiting returns the time that a prompt would wait at an endpoint with a load before its prefill, and the prompt tokens that
+// the endpoint prefills in a second.
+func (b *Balancer) Waiting(t *target.Target, backend label.Name, running int, prefill int64, slowdown float64) (wait time.Duration, tokensPerSecond float64) {
+	none := b.Speed.TimeToFirstToken(backend, 0)
+	wait = multiply(slowdown, b.Speed.TimeToFirstToken(backend, prefill)-none) + queuedTime(t, running)
+	if took := multiply(slowdown, b.Speed.TimeToFirstToken(backend, speedTokens)-none); took > 0 {
+		tokensPerSecond = speedTokens / took.Seconds()
+	}
+	return wait, tokensPerSecond
+}
+
+// speedTokens is the length of the prompt by which an endpoint's speed is told.
+const speedTokens = 1_000
+
 // Accepts reports whether an endpoint accepts requests from this process.
 func (b *Balancer) Accepts(t *target.Target, now time.Time) bool { return accepts(t, now) }
--- a/coordination/choose/placed.go
+++ b/coordination/choose/placed.go
@@ -21,7 +21,7 @@
 }
 
 // Place has a request placed by the host that knows the endpoints' load. It is Pick if there is none, if this process may not
-// use the endpoint, or if it is to choose alone.
+// use the endpoint, or if it is to choose alone. Without a Target, a Grant with RetryAfter says that there is no room.
 func (b *Balancer) Place(ctx context.Context, all []*target.Target, w *work.Request, used func(*target.Target) bool, alone bool, now time.Time) pick {
 	if alone || b.Placer == nil {
 		return b.Pick(all, w, used, now)
@@ -30,6 +30,9 @@
 	if !ok {
 		return b.Pick(all, w, used, now)
 	}
+	if g.RetryAfter > 0 {
+		return pick{RetryAfter: g.RetryAfter, Grant: g}
+	}
 	t := ByID(all, g.Endpoint)
 	if t == nil || used(t) || !accepts(t, now) {
 		b.Placer.Ended(g, false)
--- a/coordination/ledger/ledger.go
+++ b/coordination/ledger/ledger.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
+	"github.com/dragonflyroute/dragonflyroute/coordination/room"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/event"
 	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/task"
+	"github.com/dragonflyroute/dragonflyroute/state/queue"
 	"github.com/dragonflyroute/dragonflyroute/state/target"
 )
 
@@ -61,9 +63,16 @@
 	count   int64
 	books   map[endpt.ID]*book
 	entries map[int64]*entry
+	rooms   map[shard]*room.Room
 	sweptAt time.Time
 }
 
+// shard names one shard of a back end's endpoints.
+type shard struct {
+	backend label.Name
+	n, of   int
+}
+
 // entry is a request that was placed.
 type entry struct {
 	target *target.Target
@@ -84,15 +93,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep(now)
+	b := l.balancer(t.DataCentre)
+	var q queue.Queue
 	known := func(e *target.Target) (running int, prefill int64, slowdown float64) {
-		return l.book(e, now).load(e, now)
+		running, prefill, slowdown = l.book(e, now).load(e, now)
+		if failures, _ := e.Failures(now); failures == 0 {
+			q.Add(b.Waiting(e, t.Backend, running, prefill, slowdown))
+		}
+		return running, prefill, slowdown
 	}
 	all := l.Endpoints.ByBackend(t.Backend)
 	donor := choose.ByID(all, t.Donor)
-	to := l.balancer(t.DataCentre).PickKnown(candidates(all, &t), donor, t.DonorUncached, w, known, now)
+	to := b.PickKnown(candidates(all, &t), donor, t.DonorUncached, w, known, now)
 	if to.Target == nil || len(l.entries) >= maxEntries {
 		return grant.Grant{}
 	}
+	if d := l.room(&t).Decide(&t, to.PrefillTokens, to.TimeToFirst, q, now); !d.Admitted() {
+		return grant.Grant{Wait: d.Wait, RetryAfter: d.RetryAfter}
+	}
 	to.Target.AddCached(t.Parts, now)
 	g := grant.Grant{Endpoint: to.Target.Row().ID, PrefillTokens: to.PrefillTokens, AheadTokens: to.AheadTokens, TimeToFirst: to.TimeToFirst}
 	if to.Donor != nil {
@@ -106,6 +124,20 @@
 	return g
 }
 
+// room returns what decides who gets room in a task's shard. The caller holds l.mu.
+func (l *Ledger) room(t *task.Task) *room.Room {
+	key := shard{t.Backend, t.Shard, t.Shards}
+	r := l.rooms[key]
+	if r == nil {
+		r = &room.Room{Rand: l.Rand}
+		if l.rooms == nil {
+			l.rooms = map[shard]*room.Room{}
+		}
+		l.rooms[key] = r
+	}
+	return r
+}
+
 // balancer returns the balancer for requests from a data centre.
 func (l *Ledger) balancer(from centre.ID) *choose.Balancer {
 	return &choose.Balancer{Rand: l.Rand, Speed: l.Speed, DataCentre: from}
--- a/coordination/placer/fleet_test.go
+++ b/coordination/placer/fleet_test.go
@@ -60,6 +60,8 @@
 	freeAt []time.Time
 	worked []time.Duration
 	events []simEvent
+	// counts holds the counters of all hosts.
+	counts map[string]int64
 	late   int
 	quick  int
 }
@@ -71,7 +73,7 @@
 }
 
 func newSim(seed uint64) *sim {
-	s := &sim{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), freeAt: make([]time.Time, endpoints), worked: make([]time.Duration, endpoints)}
+	s := &sim{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), freeAt: make([]time.Time, endpoints), worked: make([]time.Duration, endpoints), counts: map[string]int64{}}
 	return s
 }
 
@@ -255,7 +257,7 @@
 		k.ledgers[id] = &ledger.Ledger{Endpoints: reg, Speed: fixedSpeed{}, FirstID: int64(i) << 32, Rand: s.random.Float64, Now: now}
 		placers = append(placers, &placer.Placer{
 			Self: id, Enabled: func() bool { return true }, Live: func(time.Time) []beat.Heartbeat { return live }, Ledger: k.ledgers[id], Peers: k,
-			Rand: s.random.Float64, Now: now, Count: func(string, int64) {}, Log: hclog.NewNullLogger(),
+			Rand: s.random.Float64, Now: now, Count: func(name string, n int64) { s.counts[name] += n }, Log: hclog.NewNullLogger(),
 		})
 	}
 	return k, placers, reg
@@ -289,5 +291,7 @@
 			alone.lateShare(), kept.lateShare(), oracle.lateShare(), alone.busiest(), kept.busiest(), oracle.busiest())
 		Expect(kept.lateShare()).To(BeNumerically("<", alone.lateShare()/3))
 		Expect(kept.lateShare()).To(BeNumerically("<", oracle.lateShare()+0.02))
+		Expect(kept.counts).NotTo(HaveKey(ContainSubstring("held")))
+		Expect(kept.counts).NotTo(HaveKey(ContainSubstring("refused")))
 	})
 })
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/ledger"
 	"github.com/dragonflyroute/dragonflyroute/coordination/place"
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
@@ -68,6 +70,8 @@
 	Enabled func() bool
 	// Live returns the hosts that accept requests.
 	Live func(now time.Time) []beat.Heartbeat
+	// Weight returns the weight of an account in a shortage of room, 0 for none; nil means that all weigh the same.
+	Weight func(account acct.ID) float64
 	// Ledger is this host's own.
 	Ledger keeper
 	// Peers reaches the other hosts.
@@ -107,21 +111,64 @@
 	events []event.Event
 }
 
-// Place returns the place of a request at one of a back end's endpoints; ok is false if no keeper has placed it.
+// Place returns the place of a request at one of a back end's endpoints; ok is false if no keeper has decided on it. While the
+// keeper has it held, Place waits and asks again. A grant with RetryAfter refuses it.
 func (p *Placer) Place(ctx context.Context, w *work.Request, all []*target.Target, excluded []endpt.ID) (g grant.Grant, ok bool) {
-	shards := shardCount(len(all))
 	if w.PromptTokens == 0 || len(all) < shardEndpoints || !p.Enabled() {
 		return grant.Grant{}, false
 	}
-	t := task.Task{Backend: w.Backend, Shards: shards, DataCentre: p.DataCentre, Priority: w.Priority, TargetLatency: w.Route.TargetLatency, Left: w.Deadline.Sub(p.Now()), Excluded: excluded}
+	t := p.task(w, all, excluded)
+	started := p.Now()
+	g, ok = p.place(ctx, t, all)
+	if g.Wait > 0 {
+		p.Count(fmt.Sprintf("requests_held_priority_%d_total", w.Priority), 1)
+	}
+	for ok && g.Wait > 0 {
+		pause(ctx, g.Wait)
+		if ctx.Err() != nil {
+			g = grant.Grant{RetryAfter: g.Wait}
+			break
+		}
+		now := p.Now()
+		t.Waited, t.Left = now.Sub(started), w.Deadline.Sub(now)
+		g, ok = p.place(ctx, t, all)
+	}
+	p.count(w, g, ok)
+	return g, ok
+}
+
+// task returns the task to place a request in the shard of its session.
+func (p *Placer) task(w *work.Request, all []*target.Target, excluded []endpt.ID) task.Task {
+	t := task.Task{
+		Backend: w.Backend, Shards: shardCount(len(all)), DataCentre: p.DataCentre, Account: w.Account, Priority: w.Priority,
+		TargetLatency: w.Route.TargetLatency, Left: w.Deadline.Sub(p.Now()), Excluded: excluded,
+	}
+	if p.Weight != nil {
+		t.Weight = p.Weight(w.Account)
+	}
 	t.SetPrompt(w)
-	t.Shard = ledger.Shard(home(all, w.SessionHash(), p.Rand).Hash(), shards)
-	if g, ok = p.ask(ctx, t); !ok {
+	t.Shard = ledger.Shard(home(all, w.SessionHash(), p.Rand).Hash(), t.Shards)
+	return t
+}
+
+// count counts what became of a request.
+func (p *Placer) count(w *work.Request, g grant.Grant, ok bool) {
+	switch {
+	case !ok:
 		p.Count("placements_failed_total", 1)
+	case g.RetryAfter > 0:
+		p.Count(fmt.Sprintf("requests_refused_priority_%d_total", w.Priority), 1)
+	default:
+		p.Count("placements_total", 1)
+	}
+}
+
+// place asks the keeper of a task's shard, and that of another one if the answer would begin late or there is no room.
+func (p *Placer) place(ctx context.Context, t task.Task, all []*target.Target) (g grant.Grant, ok bool) {
+	if g, ok = p.ask(ctx, t); !ok {
 		return g, false
 	}
-	p.Count("placements_total", 1)
-	if shards > 1 && g.TimeToFirst > time.Duration(spillFraction*float64(w.Route.TargetLatency)) {
+	if t.Shards > 1 && (g.Endpoint == "" || g.TimeToFirst > time.Duration(spillFraction*float64(t.TargetLatency))) {
 		g = p.spill(ctx, g, t, all)
 	}
 	return g, true
@@ -133,16 +180,16 @@
 	if next == t.Shard {
 		next = (next + 1) % t.Shards
 	}
-	t.Shard, t.Events = next, nil
+	t.Shard, t.Events, t.Spilled = next, nil, true
 	t.Donor, t.DonorUncached = first.Endpoint, first.PrefillTokens
 	if first.Donor != "" {
 		t.Donor = first.Donor
 	}
 	second, ok := p.ask(ctx, t)
-	if !ok {
+	if !ok || second.Endpoint == "" {
 		return first
 	}
-	if second.TimeToFirst < time.Duration((1-spillGain)*float64(first.TimeToFirst)) {
+	if first.Endpoint == "" || second.TimeToFirst < time.Duration((1-spillGain)*float64(first.TimeToFirst)) {
 		first, second = second, first
 		p.Count("placements_spilled_total", 1)
 	}
@@ -182,7 +229,7 @@
 	return x ^ x>>31
 }
 
-// ask asks the keeper of a task's shard; ok is false if there is no answer with an endpoint.
+// ask asks the keeper of a task's shard; ok is false if it has not decided.
 func (p *Placer) ask(ctx context.Context, t task.Task) (g grant.Grant, ok bool) {
 	now := p.Now()
 	h, ok := p.keeper(shard{t.Backend, t.Shard, t.Shards}, now)
@@ -192,7 +239,7 @@
 	if h.Host == p.Self {
 		g = p.Ledger.Place(t)
 		g.Keeper = h
-		return g, g.Endpoint != ""
+		return g, g.Decided()
 	}
 	t.Events = p.takeEvents(h.Host)
 	// A caller that disconnects must not break the connection between the hosts.
@@ -204,7 +251,7 @@
 		return grant.Grant{}, false
 	}
 	g.Keeper = h
-	return g, g.Endpoint != ""
+	return g, g.Decided()
 }
 
 // keeper returns the keeper of a shard; ok is false while the keeper does not answer.
--- a/coordination/proxy/choice.go
+++ b/coordination/proxy/choice.go
@@ -48,6 +48,9 @@
 	alone := elsewhere || len(usable) < len(all)
 	to := p.Balancer.Place(ctx, usable, j.work, excluded, alone, now)
 	t := to.Target
+	if t == nil && to.Grant.RetryAfter > 0 {
+		return nil, &refusal{reason: "the endpoints of the back end are short of room", wait: to.Grant.RetryAfter}
+	}
 	if t == nil && to.RetryAfter > 0 {
 		return nil, &refusal{reason: "all endpoints of the back end asked for a pause or are at their request limits", wait: to.RetryAfter}
 	}
--- a/protocol/grant/grant.go
+++ b/protocol/grant/grant.go
@@ -22,6 +22,13 @@
 	AheadTokens   int64 `json:"ahead,omitempty"`
 	// TimeToFirst is the expected time to the first part of the answer.
 	TimeToFirst time.Duration `json:"first,omitempty"`
+	// Wait is the time after which the host asks again, 0 if the request is not held; there is no endpoint then.
+	Wait time.Duration `json:"wait,omitempty"`
+	// RetryAfter is the time until there is likely room again, 0 if the request is not refused; there is no endpoint then.
+	RetryAfter time.Duration `json:"retry-after,omitempty"`
 	// Keeper is the host that made the grant.
 	Keeper beat.Heartbeat `json:"-"`
 }
+
+// Decided reports whether the keeper has decided on the request: it has an endpoint, is held or is refused.
+func (g Grant) Decided() bool { return g.Endpoint != "" || g.Wait > 0 || g.RetryAfter > 0 }
--- a/state/policy/policy.go
+++ b/state/policy/policy.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/back"
 	"github.com/dragonflyroute/dragonflyroute/protocol/client"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
@@ -28,6 +29,7 @@
 	hosts  map[string][]*path.Route
 	keys   map[string]*client.Account
 	byName map[label.Name]*back.Backend
+	named  map[acct.ID]*client.Account
 }
 
 // Offer installs a revision if it is higher than the current one, and reports whether it did.
@@ -42,7 +44,7 @@
 }
 
 func newIndex(r *rules.Config) *index {
-	x := &index{rules: r, hosts: map[string][]*path.Route{}, keys: map[string]*client.Account{}, byName: map[label.Name]*back.Backend{}}
+	x := &index{rules: r, hosts: map[string][]*path.Route{}, keys: map[string]*client.Account{}, byName: map[label.Name]*back.Backend{}, named: map[acct.ID]*client.Account{}}
 	for i := range r.Routes {
 		t := &r.Routes[i]
 		x.hosts[t.Hostname] = append(x.hosts[t.Hostname], t)
@@ -51,6 +53,7 @@
 		slices.SortStableFunc(all, func(a, b *path.Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for i := range r.Accounts {
+		x.named[r.Accounts[i].Name] = &r.Accounts[i]
 		for _, key := range r.Accounts[i].Keys {
 			x.keys[key] = &r.Accounts[i]
 		}
@@ -91,6 +94,14 @@
 	return nil
 }
 
+// Named returns the account with an id, nil when there is none.
+func (p *Policy) Named(id acct.ID) *client.Account {
+	if x := p.current.Load(); x != nil {
+		return x.named[id]
+	}
+	return nil
+}
+
 // Backend returns a back end, nil when it is not known.
 func (p *Policy) Backend(name label.Name) *back.Backend {
 	if x := p.current.Load(); x != nil {
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -247,7 +247,7 @@
 	s.ledger = &ledger.Ledger{Endpoints: s.Registry, Speed: s.speed, FirstID: s.incarnation, Rand: rand.Float64, Now: time.Now}
 	s.placer = &placer.Placer{
 		Self: s.Host, DataCentre: s.DataCentre, Enabled: func() bool { return s.Schedule().Large() }, Live: s.liveHosts, Ledger: s.ledger, Peers: exchange{s},
-		Rand: rand.Float64, Now: time.Now, Count: s.Meter.Count, Log: s.Log,
+		Weight: s.accountWeight, Rand: rand.Float64, Now: time.Now, Count: s.Meter.Count, Log: s.Log,
 	}
 	s.Balancer.Placer = s.placer
 	s.pacer = &pacer.Pacer{Self: s.Host, Live: s.liveHosts, Known: s.hosts, Endpoints: s.Registry, Peers: exchange{s}, Now: time.Now, Log: s.Log}
@@ -262,6 +262,14 @@
 	s.buildLeaseHolder()
 }
 
+// accountWeight returns an account's weight in a shortage of room, its rate limit in tokens per second; 0 if it has none.
+func (s *Site) accountWeight(id acct.ID) float64 {
+	if a := s.Policy.Named(id); a != nil && a.Tokens {
+		return a.Rate
+	}
+	return 0
+}
+
 // buildProxy builds what runs requests, with the ends that a stop sets to them.
 func (s *Site) buildProxy() {
 	s.Proxy = &proxy.Proxy{
