Ask less often for requests that are held for long

Cause: a request that is held was asked for again every 10 ms when the queue is just above its limit, by two messages each time. Ruled out: longer waits for all, which leave room unused when the queue is short. Change: waits are 20 ms at least and half of what the request has waited. The tests draw prompts by one function.

--- a/coordination/placer/fleet_test.go
+++ b/coordination/placer/fleet_test.go
@@ -91,8 +91,8 @@
 		size      func() int64
 		target    time.Duration
 	}{
-		{quickPerSecond, func() int64 { return s.tokens(quickTokens, 6_870) }, quickTarget},
-		{longPerSecond, func() int64 { return s.tokens(longTokens, longestTokens) }, time.Second},
+		{quickPerSecond, func() int64 { return drawTokens(s.random, quickTokens, 6_870) }, quickTarget},
+		{longPerSecond, func() int64 { return drawTokens(s.random, longTokens, longestTokens) }, time.Second},
 	} {
 		var arrive func()
 		arrive = func() {
@@ -113,10 +113,10 @@
 	}
 }
 
-// tokens draws the length of a prompt with a long tail.
-func (s *sim) tokens(mean, most float64) int64 {
+// drawTokens draws the length of a prompt with a long tail.
+func drawTokens(random *rand.Rand, mean, most float64) int64 {
 	const spread = 1.1
-	return int64(min(most, max(100, mean*math.Exp(spread*s.random.NormFloat64()-spread*spread/2))))
+	return int64(min(most, max(100, mean*math.Exp(spread*random.NormFloat64()-spread*spread/2))))
 }
 
 func (s *sim) send(e int, w *work.Request, count bool, begun func(first time.Duration)) {
--- a/coordination/placer/shortage_test.go
+++ b/coordination/placer/shortage_test.go
@@ -150,10 +150,9 @@
 	if priority == 1 {
 		mean, most, aim = longTokens, longestTokens, time.Second
 	}
-	const spread = 1.1
 	w := &work.Request{Backend: "plume", Account: account, Priority: priority, Route: &path.Route{TargetLatency: target(priority)}, Deadline: begun.Add(10 * time.Second)}
 	f.mu.Lock()
-	w.PromptTokens = int64(min(most, max(100, mean*math.Exp(spread*f.random.NormFloat64()-spread*spread/2))))
+	w.PromptTokens = drawTokens(f.random, mean, most)
 	w.AddPart(f.random.Uint64(), w.PromptTokens)
 	p := f.hosts[f.random.IntN(shortHosts)]
 	f.mu.Unlock()
--- a/coordination/room/room.go
+++ b/coordination/room/room.go
@@ -18,9 +18,11 @@
 	holdFraction = 0.3
 	// floorFraction is the part of the work that less urgent requests get if they ask for it.
 	floorFraction = 0.2
-	// minWait and maxWait bound the time until a request that is held is asked for again.
-	minWait = 10 * time.Millisecond
-	maxWait = 100 * time.Millisecond
+	// minWait and maxWait bound the time until a request that is held is asked for again. It is at least waitGrowth times what
+	// the request has waited, so that a shortage does not multiply the messages between hosts.
+	minWait    = 20 * time.Millisecond
+	maxWait    = 100 * time.Millisecond
+	waitGrowth = 0.5
 	// spreadTime is the shortest time over which the returns of refused requests are spread.
 	spreadTime = time.Second
 	// maxReturn bounds the time until the first of them: a longer shortage can't be foreseen.
@@ -145,7 +147,7 @@
 	if wait > left || left < minWait {
 		return r.refuse(t, wait, q, sums)
 	}
-	wait = min(max(wait, minWait), maxWait, left)
+	wait = min(max(wait, minWait, multiply(waitGrowth, t.Waited)), maxWait, left)
 	r.held = append(r.held, hold{rank: own, tokens: tokens, until: now.Add(wait)})
 	return decision{Wait: wait}
 }
