--- a/coordination/placer/explain.go
+++ b/coordination/placer/explain.go
@@ -24,7 +24,7 @@
 	if w.PromptTokens == 0 || len(all) < shardEndpoints || !p.Enabled() {
 		return dryrun.Result{}, false
 	}
-	t := p.task(w, all)
+	t := p.task(w, all, nil)
 	h, ok := p.keeper(shard{t.Backend, t.Shard, t.Shards}, p.Now())
 	if !ok {
 		return dryrun.Result{}, false
@@ -40,14 +40,3 @@
 	r.Spills = r.Endpoint != "" && t.Shards > 1 && r.TimeToFirst.Duration() > time.Duration(spillFraction*float64(t.TargetLatency))
 	return r, r.Endpoint != ""
 }
-
-// task returns the task for the keeper of a request's shard.
-func (p *Placer) task(w *work.Request, all []*target.Target) task.Task {
-	shards := p.shardCount(w.Backend, len(all))
-	t := task.Task{
-		Backend: w.Backend, DataCentre: p.DataCentre, Priority: w.Priority, TargetLatency: w.Route.TargetLatency, Left: w.Deadline.Sub(p.Now()),
-		Shard: p.shardOf(w.SessionHash(), all, shards), Shards: shards,
-	}
-	t.SetPrompt(w)
-	return t
-}
--- a/coordination/placer/fleet_test.go
+++ b/coordination/placer/fleet_test.go
@@ -62,6 +62,8 @@
 	freeAt []time.Time
 	worked []time.Duration
 	events []simEvent
+	// counts holds the counters of all hosts.
+	counts map[string]int64
 	late   int
 	quick  int
 }
@@ -73,7 +75,7 @@
 }
 
 func newSim(seed uint64) *sim {
-	s := &sim{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), freeAt: make([]time.Time, endpoints), worked: make([]time.Duration, endpoints)}
+	s := &sim{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), freeAt: make([]time.Time, endpoints), worked: make([]time.Duration, endpoints), counts: map[string]int64{}}
 	return s
 }
 
@@ -91,8 +93,8 @@
 		size      func() int64
 		target    time.Duration
 	}{
-		{quickPerSecond, func() int64 { return s.tokens(quickTokens, 6_870) }, quickTarget},
-		{longPerSecond, func() int64 { return s.tokens(longTokens, longestTokens) }, time.Second},
+		{quickPerSecond, func() int64 { return drawTokens(s.random, quickTokens, 6_870) }, quickTarget},
+		{longPerSecond, func() int64 { return drawTokens(s.random, longTokens, longestTokens) }, time.Second},
 	} {
 		var arrive func()
 		arrive = func() {
@@ -113,10 +115,10 @@
 	}
 }
 
-// tokens draws the length of a prompt with a long tail.
-func (s *sim) tokens(mean, most float64) int64 {
+// drawTokens draws the length of a prompt with a long tail.
+func drawTokens(random *rand.Rand, mean, most float64) int64 {
 	const spread = 1.1
-	return int64(min(most, max(100, mean*math.Exp(spread*s.random.NormFloat64()-spread*spread/2))))
+	return int64(min(most, max(100, mean*math.Exp(spread*random.NormFloat64()-spread*spread/2))))
 }
 
 func (s *sim) send(e int, w *work.Request, count bool, begun func(first time.Duration)) {
@@ -248,11 +250,11 @@
 	return nil
 }
 
-// policy is a configuration with one back end.
-type policy struct{}
+// policy is a configuration with one back end, with up to so many endpoints in each of three data centres.
+type policy struct{ most int }
 
-func (policy) Backend(label.Name) *back.Backend {
-	return &back.Backend{Autoscaled: true, MaxEndpoints: 94, OnDemandPrices: map[centre.ID]float64{"a": 1, "b": 1, "c": 1}}
+func (p policy) Backend(label.Name) *back.Backend {
+	return &back.Backend{Autoscaled: true, MaxEndpoints: p.most, OnDemandPrices: map[centre.ID]float64{"a": 1, "b": 1, "c": 1}}
 }
 
 // newKeepers returns the keepers of a fleet, and a placer for each host.
@@ -270,8 +272,8 @@
 		live = append(live, beat.Heartbeat{Host: id})
 		k.ledgers[id] = &ledger.Ledger{Endpoints: reg, Speed: fixedSpeed{}, Rand: s.random.Float64, Now: now}
 		placers = append(placers, &placer.Placer{
-			Self: id, Enabled: func() bool { return true }, Policy: policy{}, Live: func(time.Time) []beat.Heartbeat { return live }, Ledger: k.ledgers[id], Peers: k,
-			Rand: s.random.Float64, Now: now, Count: func(string, int64) {}, Log: hclog.NewNullLogger(),
+			Self: id, Enabled: func() bool { return true }, Policy: policy{94}, Live: func(time.Time) []beat.Heartbeat { return live }, Ledger: k.ledgers[id], Peers: k,
+			Rand: s.random.Float64, Now: now, Count: func(name string, n int64) { s.counts[name] += n }, Log: hclog.NewNullLogger(),
 		})
 	}
 	return k, placers, reg
@@ -305,5 +307,7 @@
 			alone.lateShare(), kept.lateShare(), oracle.lateShare(), alone.busiest(), kept.busiest(), oracle.busiest())
 		Expect(kept.lateShare()).To(BeNumerically("<", alone.lateShare()/3))
 		Expect(kept.lateShare()).To(BeNumerically("<", oracle.lateShare()+0.02))
+		Expect(kept.counts).NotTo(HaveKey(ContainSubstring("held")))
+		Expect(kept.counts).NotTo(HaveKey(ContainSubstring("refused")))
 	})
 })
