Take no prompt for cached at an endpoint that never got it

Cause: a keeper recorded a prompt's parts as cached when it placed the request, also if the host then sent it elsewhere: of two keepers asked for a late request, one always did. Later requests of the session were sent there, or told to fetch from there. Ruled out: recording them when the answer begins, as the session's requests until then would be spread. Change: the end of a request that neither began nor failed takes back the parts that its place added and no other has since. Conclusion: may lower repeated prefill where requests spill; not measured.

--- a/coordination/ledger/ledger.go
+++ b/coordination/ledger/ledger.go
@@ -71,6 +71,9 @@
 	// overdueAt is when the request counts as begun, and endsAt when it counts as ended, if nothing is heard of it.
 	overdueAt, endsAt time.Time
 	begun             bool
+	// parts holds the prompt parts that the endpoint had not cached at placedAt, and caches for this request.
+	parts    []uint64
+	placedAt time.Time
 }
 
 // Place places a request at an endpoint of a shard. The grant names no endpoint if none may get the request.
@@ -90,7 +93,7 @@
 	if to.Target == nil || len(l.entries) >= maxEntries {
 		return grant.Grant{}
 	}
-	to.Target.AddCached(t.Parts, now)
+	added := to.Target.AddCached(t.Parts, now)
 	g := grant.Grant{Endpoint: to.Target.Row().ID, PrefillTokens: to.PrefillTokens, AheadTokens: to.AheadTokens, TimeToFirst: to.TimeToFirst}
 	if to.Donor != nil {
 		g.Donor = to.Donor.Row().ID
@@ -100,6 +103,7 @@
 		target: to.Target, tokens: to.PrefillTokens, endsAt: now.Add(t.Left + endSlack),
 		expected:  l.Speed.TimeToFirstToken(t.Backend, to.AheadTokens+to.PrefillTokens),
 		overdueAt: now.Add(overdueFactor*to.TimeToFirst + overdueSlack),
+		placedAt:  now, parts: added,
 	}, now)
 	return g
 }
@@ -177,6 +181,10 @@
 	if e.Failed {
 		p.target.RecordFailure(now)
 	}
+	if e.Ended && !e.Failed && !e.Begun && !p.begun {
+		// The endpoint never got the request.
+		p.target.ForgetCached(p.parts, p.placedAt)
+	}
 	if e.Begun || e.Ended {
 		p.begin()
 	}
--- a/coordination/ledger/ledger_test.go
+++ b/coordination/ledger/ledger_test.go
@@ -102,6 +102,25 @@
 		Expect(place(10).AheadTokens).To(BeNumerically("<", 3_000))
 	})
 
+	// Guards against prompts that are sent to, or fetched from, an endpoint that never got them: of two hosts that are asked for a
+	// place, one is asked in vain.
+	It("takes a prompt for cached from its place on, unless the endpoint never gets it", func() {
+		session := func() grant.Grant {
+			lastID++
+			return l.Place(task.Task{ID: lastID, Backend: "plume", Shards: 1, Left: time.Minute, PromptTokens: 900, Parts: []uint64{7, 8}, Lengths: []int64{600, 300}})
+		}
+		unused := session()
+		Expect(unused.PrefillTokens).To(Equal(int64(900)))
+		l.Record([]event.Event{ended(unused)})
+		first := session()
+		Expect(first.PrefillTokens).To(Equal(int64(900)))
+		now = now.Add(time.Millisecond)
+		second := session()
+		Expect(second.PrefillTokens).To(BeZero())
+		l.Record([]event.Event{{Grant: first.ID, Begun: true, First: time.Second}, ended(first), ended(second)})
+		Expect(session().PrefillTokens).To(BeZero())
+	})
+
 	It("places nothing without an endpoint that may get the request", func() {
 		Expect(l.Place(task.Task{ID: 1, Backend: "plume", Shards: 1, PromptTokens: 1, Excluded: []endpt.ID{"e0"}})).To(Equal(grant.Grant{}))
 		Expect(l.Place(task.Task{ID: 2, Backend: "other", Shards: 1, PromptTokens: 1})).To(Equal(grant.Grant{}))
--- a/state/target/target.go
+++ b/state/target/target.go
@@ -263,13 +263,28 @@
 	return out
 }
 
-// AddCached records parts that the endpoint has cached for a peer.
-func (t *Target) AddCached(hashes []uint64, now time.Time) {
+// AddCached records parts that the endpoint has cached for a peer, and returns those that were not known to be cached.
+func (t *Target) AddCached(hashes []uint64, now time.Time) (added []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, hash := range hashes {
+		if !t.cached(hash, now) {
+			added = append(added, hash)
+		}
 		t.addCached(hash, now)
 	}
+	return added
+}
+
+// ForgetCached removes parts that were recorded as cached at a time and not since.
+func (t *Target) ForgetCached(hashes []uint64, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, hash := range hashes {
+		if t.cachedParts[hash].Equal(at) {
+			delete(t.cachedParts, hash)
+		}
+	}
 }
 
 // Uncached returns the prompt tokens that the endpoint is expected to prefill because they are not in its prefix cache.
@@ -285,8 +300,7 @@
 func (t *Target) uncached(w *work.Request, now time.Time) int64 {
 	remaining := w.PromptTokens
 	for _, p := range w.Parts {
-		at, ok := t.cachedParts[p.Hash]
-		if !ok || now.Sub(at) > cacheLifetime {
+		if !t.cached(p.Hash, now) {
 			break
 		}
 		remaining -= p.Tokens
@@ -294,6 +308,12 @@
 	return max(0, remaining)
 }
 
+// cached reports whether the endpoint is expected to have a part cached. The caller holds t.mu.
+func (t *Target) cached(hash uint64, now time.Time) bool {
+	at, ok := t.cachedParts[hash]
+	return ok && now.Sub(at) <= cacheLifetime
+}
+
 // Observe updates the load and the slowdown from one attempt; expected is the expected time to the first part of its
 // answer, 0 when there is none.
 func (t *Target) Observe(r result.Result, expected time.Duration, now time.Time) {
