Count the whole prompt if its donor of KV cache is dropped

Cause: the host that sends a request checks the donor that the keeper names, and dropped it without counting the tokens that were to be fetched; the keeper took a donor of another shard unchecked, evacuated ones too. Change: both check it, and count what the endpoint prefills then. An unused method goes. Conclusion: expected times to first token are right in this case.

--- a/coordination/choose/known.go
+++ b/coordination/choose/known.go
@@ -14,6 +14,9 @@
 // Cold endpoints are left out: only some hosts may use them.
 func (b *Balancer) PickKnown(candidates []*target.Target, donor *target.Target, donorUncached int64, w *work.Request, knownLoad func(t *target.Target) (running int, prefill int64, slowdown float64), now time.Time) pick {
 	var best, fallback pick
+	if donor != nil && !canDonate(donor, now) {
+		donor = nil
+	}
 	if own, uncached := mostCached(candidates, w, now); own != nil && (donor == nil || uncached < donorUncached) {
 		donor, donorUncached = own, uncached
 	}
@@ -34,6 +37,3 @@
 	}
 	return best
 }
-
-// Accepts reports whether an endpoint accepts requests from this process.
-func (b *Balancer) Accepts(t *target.Target, now time.Time) bool { return accepts(t, now) }
--- a/coordination/choose/placed.go
+++ b/coordination/choose/placed.go
@@ -41,8 +41,13 @@
 		return c
 	}
 	p := pick{Target: t, PrefillTokens: g.PrefillTokens, AheadTokens: g.AheadTokens, TimeToFirst: g.TimeToFirst, Grant: g}
+	if g.Donor == "" {
+		return p
+	}
 	if donor := ByID(all, g.Donor); donor != nil && donor != t && canDonate(donor, now) {
 		p.Donor = donor
+	} else {
+		p.PrefillTokens = t.Uncached(w, now)
 	}
 	return p
 }
