Name things in warmer and placer once for one meaning

Cause: a method named time beside the package, an interface keeper beside the host that is one, comments with old names. Change: names only.

--- a/coordination/placer/fleet_test.go
+++ b/coordination/placer/fleet_test.go
@@ -161,7 +161,7 @@
 	return i
 }
 
-// aloneFleet has each host choose by its own counts and the load that the others reported.
+// playAlone has each host choose by its own counts and the load that the others reported.
 func (s *sim) playAlone() {
 	var fleet [][]*target.Target
 	for range hosts {
@@ -201,7 +201,7 @@
 	})
 }
 
-// oracle has one host that knows all place each request where it ends first.
+// playOracle has one host that knows all place each request where it ends first.
 func (s *sim) playOracle() {
 	s.run(func(w *work.Request) (int, func(time.Duration)) {
 		best, bestEnd := 0, time.Time{}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -50,7 +50,7 @@
 	Report(ctx context.Context, h beat.Heartbeat, events []event.Event) error
 }
 
-type keeper interface {
+type localLedger interface {
 	Place(t task.Task) grant.Grant
 	Record(events []event.Event)
 }
@@ -69,7 +69,7 @@
 	// Live returns the hosts that accept requests.
 	Live func(now time.Time) []beat.Heartbeat
 	// Ledger is this host's own.
-	Ledger keeper
+	Ledger localLedger
 	// Peers reaches the other hosts.
 	Peers peers
 	// Rand returns a number in [0, 1).
--- a/state/warmup/warmup.go
+++ b/state/warmup/warmup.go
@@ -44,8 +44,8 @@
 	nextAt time.Time
 }
 
-// time returns how long the endpoint is cold after a start, 0 if its requests are not limited then.
-func (w *Warmup) time() time.Duration {
+// coldTime returns how long the endpoint is cold after a start, 0 if its requests are not limited then.
+func (w *Warmup) coldTime() time.Duration {
 	if w.Time == nil {
 		return 0
 	}
@@ -59,7 +59,7 @@
 
 // Refused records that the endpoint did not accept a connection, and reports whether it was not suspected before.
 func (w *Warmup) Refused(now time.Time) (began bool) {
-	if w.time() <= 0 {
+	if w.coldTime() <= 0 {
 		return false
 	}
 	return w.set(true, now.Add(maxSuspicion), now, true)
@@ -74,12 +74,12 @@
 	suspected := w.suspected
 	w.mu.Unlock()
 	if suspected {
-		w.set(false, now.Add(w.time()), now, true)
+		w.set(false, now.Add(w.coldTime()), now, true)
 	}
 }
 
 // Restarted records that the endpoint may have become cold at any time until now.
-func (w *Warmup) Restarted(now time.Time) { w.set(false, now.Add(w.time()), now, false) }
+func (w *Warmup) Restarted(now time.Time) { w.set(false, now.Add(w.coldTime()), now, false) }
 
 // Merge records another host's report on the endpoint's present process, and reports whether the endpoint was not suspected
 // before and is now.
@@ -124,7 +124,7 @@
 
 // Cold reports whether the endpoint's requests are limited because it is cold, or may be.
 func (w *Warmup) Cold(now time.Time) bool {
-	if !w.active.Load() || w.time() <= 0 {
+	if !w.active.Load() || w.coldTime() <= 0 {
 		return false
 	}
 	w.mu.Lock()
