--- a/coordination/choose/known.go
+++ b/coordination/choose/known.go
@@ -15,6 +15,9 @@
 // Cold endpoints are left out: only some hosts may use them.
 func (b *Balancer) PickKnown(candidates []*target.Target, donor *target.Target, donorUncached int64, w *work.Request, knownLoad func(t *target.Target) (running int, prefill int64, slowdown float64), now time.Time) pick {
 	var best, fallback pick
+	if donor != nil && !canDonate(donor, now) {
+		donor = nil
+	}
 	if own, uncached := mostCached(candidates, w, now); own != nil && (donor == nil || uncached < donorUncached) {
 		donor, donorUncached = own, uncached
 	}
@@ -49,6 +52,3 @@
 
 // speedTokens is the length of the prompt by which an endpoint's speed is told.
 const speedTokens = 1_000
-
-// Accepts reports whether an endpoint accepts requests from this process.
-func (b *Balancer) Accepts(t *target.Target, now time.Time) bool { return accepts(t, now) }
--- a/coordination/ledger/ledger_test.go
+++ b/coordination/ledger/ledger_test.go
@@ -315,4 +315,32 @@
 			Expect(l.Place(request()).Endpoint).To(BeEmpty())
 		})
 	})
+
+	// Guards against prompts that are sent to, or fetched from, an endpoint that never got them: of two hosts that are asked for a
+	// place, one is asked in vain.
+	It("takes a prompt for cached from its place on, unless the endpoint never gets it", func() {
+		session := func() grant.Grant {
+			lastID++
+			return l.Place(task.Task{ID: lastID, Backend: "plume", Shards: 1, Left: time.Minute, PromptTokens: 900, Parts: []uint64{7, 8}, Lengths: []int64{600, 300}})
+		}
+		unused := session()
+		Expect(unused.PrefillTokens).To(Equal(int64(900)))
+		ended(unused)
+		first := session()
+		Expect(first.PrefillTokens).To(Equal(int64(900)))
+		now = now.Add(time.Millisecond)
+		second := session()
+		Expect(second.PrefillTokens).To(BeZero())
+		begun(first, time.Second, 0)
+		ended(first)
+		ended(second)
+		Expect(session().PrefillTokens).To(BeZero())
+	})
+
+	It("places nothing without an endpoint that may get the request", func() {
+		Expect(l.Place(task.Task{ID: 1, Backend: "plume", Shards: 1, PromptTokens: 1, Excluded: []endpt.ID{"a"}})).To(Equal(grant.Grant{}))
+		Expect(l.Place(task.Task{ID: 2, Backend: "other", Shards: 1, PromptTokens: 1})).To(Equal(grant.Grant{}))
+		reg.Get("a").SetEvacuated(true)
+		Expect(l.Place(request())).To(Equal(grant.Grant{}))
+	})
 })
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -62,7 +62,7 @@
 	Report(ctx context.Context, h beat.Heartbeat, events []event.Event) error
 }
 
-type keeper interface {
+type localLedger interface {
 	Place(t task.Task) grant.Grant
 	Record(events []event.Event)
 }
@@ -86,7 +86,7 @@
 	// Weight returns the weight of an account in a shortage of room, 0 for none; nil means that all weigh the same.
 	Weight func(account acct.ID) float64
 	// Ledger is this host's own.
-	Ledger keeper
+	Ledger localLedger
 	// Peers reaches the other hosts.
 	Peers peers
 	// Rand returns a number in [0, 1).
