Suspect no endpoint of a restart while none answers this host

Change: a refused connection counts only if some endpoint sent this host a part of an answer within the last 0.9 s, which is less than the time after which a connection counts as not accepted.

--- a/coordination/proxy/placed_test.go
+++ b/coordination/proxy/placed_test.go
@@ -85,3 +85,13 @@
 		Expect(s.to).To(ConsistOf(endpt.ID("b"), endpt.ID("a")))
 	})
 })
+
+var _ = Describe("A process", func() {
+	It("is in touch with endpoints for a moment after a part of an answer", func() {
+		f, s := newFixture(1), &fakeExchange{results: []result.Result{done}}
+		Expect(f.proxy.InTouch(time.Now())).To(BeFalse())
+		Expect(f.proxy.Run(context.Background(), request(mode.Once, 1), s)).To(Succeed())
+		Expect(f.proxy.InTouch(time.Now())).To(BeTrue())
+		Expect(f.proxy.InTouch(time.Now().Add(time.Second))).To(BeFalse())
+	})
+})
--- a/coordination/proxy/proxy.go
+++ b/coordination/proxy/proxy.go
@@ -159,6 +159,18 @@
 	Count func(name string, n int64)
 	// Log gets one line for each request.
 	Log hclog.Logger
+
+	// progressAt is when an endpoint last sent a part of an answer, in Unix nanoseconds.
+	progressAt atomic.Int64
+}
+
+// inTouchTime is how long after a part of an answer this process counts as in touch with endpoints. It is shorter than the time
+// after which a connection counts as not accepted.
+const inTouchTime = 900 * time.Millisecond
+
+// InTouch reports whether some endpoint has sent this process a part of an answer a moment ago.
+func (p *Proxy) InTouch(now time.Time) bool {
+	return now.UnixNano()-p.progressAt.Load() < inTouchTime.Nanoseconds()
 }
 
 // job is the state of one request in progress.
@@ -343,6 +355,7 @@
 				p.Balancer.Begun(c.grant, answerBegun.Sub(now), t.Slowness(answerBegun))
 			}
 			t.RecordProgress(p.Now())
+			p.progressAt.Store(p.Now().UnixNano())
 			t.Warmup.Answered(p.Now())
 			p.countStart(j)
 			j.streaming.Store(j.work.Route.Mode.Streams())
--- a/state/endreg/endreg.go
+++ b/state/endreg/endreg.go
@@ -30,6 +30,9 @@
 type Registry struct {
 	// Warmer limits the requests to cold endpoints; nil limits none. It is set before the first Put.
 	Warmer warmer
+	// InTouch reports whether some endpoint has answered this process a moment ago; nil means that one has. It is set before the
+	// first Put.
+	InTouch func(now time.Time) bool
 
 	mu   sync.RWMutex
 	byID map[endpt.ID]*target.Target
@@ -91,6 +94,7 @@
 	t.SetEvacuated(reg.evacuated[r.DataCentre])
 	if reg.Warmer != nil {
 		t.Warmup.Time = func() time.Duration { return reg.Warmer.Time(r.Backend) }
+		t.Warmup.InTouch = reg.InTouch
 		t.Warmup.Interval = func() (time.Duration, bool) { return reg.Warmer.Interval(&r) }
 	}
 	return t
--- a/state/warmup/warmup.go
+++ b/state/warmup/warmup.go
@@ -30,6 +30,9 @@
 	// Interval returns the least time between two requests of this process to the endpoint while it is cold; ok is false
 	// if this process must send none.
 	Interval func() (interval time.Duration, ok bool)
+	// InTouch reports whether some endpoint has answered this process a moment ago; nil means that one has. A host that is cut
+	// off itself finds no endpoint that accepts connections.
+	InTouch func(now time.Time) bool
 
 	// active is set while the endpoint may be cold, so that requests to warm ones take no lock.
 	active atomic.Bool
@@ -59,7 +62,7 @@
 
 // Refused records that the endpoint did not accept a connection, and reports whether it was not suspected before.
 func (w *Warmup) Refused(now time.Time) (began bool) {
-	if w.coldTime() <= 0 {
+	if w.coldTime() <= 0 || w.InTouch != nil && !w.InTouch(now) {
 		return false
 	}
 	return w.set(true, now.Add(maxSuspicion), now, true)
--- a/state/warmup/warmup_test.go
+++ b/state/warmup/warmup_test.go
@@ -67,6 +67,16 @@
 		Expect(w.Cold(second(13))).To(BeFalse())
 	})
 
+	// Guards against a host that was cut off and has all hosts spare all endpoints once it is back.
+	It("is not suspected by a process that no endpoint answers", func() {
+		inTouch := false
+		w.InTouch = func(time.Time) bool { return inTouch }
+		Expect(w.Refused(second(1))).To(BeFalse())
+		Expect(w.Cold(second(1))).To(BeFalse())
+		inTouch = true
+		Expect(w.Refused(second(2))).To(BeTrue())
+	})
+
 	It("is not suspected for ever if nothing more is learned", func() {
 		w.Refused(second(1))
 		Expect(w.Cold(second(60))).To(BeFalse())
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -237,6 +237,7 @@
 	s.idle.Limit, s.idle.Count = s.idleLimit, s.Meter.Count
 	s.Policy = &policy.Policy{}
 	s.Registry = &endreg.Registry{Warmer: &warmer.Warmer{Self: s.Host, Listed: s.listedHosts, Policy: s.Policy, Now: time.Now}}
+	s.Registry.InTouch = func(now time.Time) bool { return s.Proxy.InTouch(now) }
 	s.usage = &usage.Usage{WindowLength: s.UsageWindow}
 	s.flow = &flow.Flow{}
 	s.speed = &speed.Speed{}
