Play cold endpoints and evacuations with real processes

Cause: nothing outside the tests without a network counted what a cold endpoint or an evacuated data centre gets from several hosts together. Change: endpoints of the stand-in name how long they are cold, record what arrives meanwhile, crash above a bound, and start again under their id and address; they have a data centre each. The stand-in's store takes and drops the operator's evacuations, also across a restore.

--- a/standin/restore.go
+++ b/standin/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"time"
 )
 
@@ -10,6 +11,8 @@
 	historyKept = 30 * time.Second
 	// operatorDelay is the time from a restore until the operator writes again what it wrote.
 	operatorDelay = 100 * time.Millisecond
+	// evacuatePrefix begins the keys of the operator's rows that evacuate a data centre.
+	evacuatePrefix = "evacuate/"
 )
 
 // rowChange is a change of a row of the store; undoing it restores the row and the counter of versions.
@@ -64,9 +67,28 @@
 	defer s.mu.Unlock()
 	s.operatorValues[key] = value
 	s.putLocked("op", key, value)
+	if zone, ok := strings.CutPrefix(key, evacuatePrefix); ok && s.evacuations[zone].IsZero() {
+		s.evacuations[zone] = time.Now()
+	}
+}
+
+func (s *rowStore) removeOperator(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.operatorValues, key)
+	delete(s.evacuations, strings.TrimPrefix(key, evacuatePrefix))
+	s.removeLocked("op", key)
+}
+
+// evacuatedSince returns when the operator evacuated a data centre, zero if it is not evacuated.
+func (s *rowStore) evacuatedSince(zone string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuations[zone]
 }
 
-// rewriteOperator writes again what the operator wrote and a restore has undone, unless a later restore has begun.
+// rewriteOperator writes again what the operator wrote and removes again what it removed, if a restore has undone that, unless
+// a later restore has begun.
 func (s *rowStore) rewriteOperator(era int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,6 +100,11 @@
 			s.putLocked("op", key, value)
 		}
 	}
+	for id, row := range s.rows {
+		if _, written := s.operatorValues[id[1]]; id[0] == "op" && !written && !row.Tombstone {
+			s.removeLocked("op", id[1])
+		}
+	}
 }
 
 // removeSilent removes the rows of endpoints that have not written them since a restore to a version, unless a later
--- a/standin/rows.go
+++ b/standin/rows.go
@@ -49,6 +49,8 @@
 	history []rowChange
 	// operatorValues holds what the operator wrote last, by key. It is written again after a restore.
 	operatorValues map[string][]byte
+	// evacuations holds when the operator evacuated each data centre that it has not taken back.
+	evacuations map[string]time.Time
 	// oldestVer is the oldest version of which the feed still has the changes; earlier ones are compacted.
 	oldestVer int64
 	// reads counts the read requests of each table.
@@ -95,6 +97,10 @@
 		s.putOperator(r.PathValue("key"), value)
 		time.Sleep(s.delay())
 	})
+	mux.HandleFunc("DELETE /op/{key}", func(_ http.ResponseWriter, r *http.Request) {
+		s.removeOperator(r.PathValue("key"))
+		time.Sleep(s.delay())
+	})
 }
 
 // setFaults replaces the faults of the store and carries out those that last no time:
--- a/standin/site.go
+++ b/standin/site.go
@@ -29,6 +29,8 @@
 	// heldAnswerDelay is the time that requests with a path ending in /held take, before the head of their answer, and that
 	// streams with a path ending in /stuck pause after their first event.
 	heldAnswerDelay = 20 * time.Second
+	// defaultZone is the data centre of endpoints for which no other is given.
+	defaultZone = "here"
 )
 
 type siteCmd struct {
@@ -48,6 +50,8 @@
 	// (empty for the address that it listens on).
 	listen, address string
 	version         string
+	// zone is the endpoint's data centre.
+	zone string
 	// failPercent is the percentage of requests that fail with status 500, counted over all endpoints of the version.
 	failPercent int
 	stop        context.CancelFunc
@@ -56,6 +60,8 @@
 	// ended is set once it was killed or has crashed, and draining once its row says that it leaves.
 	ended, draining bool
 	faults          siteFaults
+	// coldUntil is the time until which it is cold.
+	coldUntil time.Time
 	// streaming counts the streams that it runs.
 	streaming atomic.Int32
 }
@@ -98,6 +104,11 @@
 	crashEvents []crashEvent
 	// streamRuns holds the runs of streams that have ended, by request.
 	streamRuns map[string][]streamRun
+	coldPolicy coldPolicy
+	// cold holds the requests that arrived at an endpoint while it was cold, and evacuated those that did while its data
+	// centre was evacuated, by endpoint.
+	cold      map[string][]limitEvent
+	evacuated map[string][]evacuatedArrival
 	// group runs the endpoints until ctx ends.
 	group *errgroup.Group
 	ctx   context.Context
@@ -113,41 +124,55 @@
 func (c *siteCmd) Run(ctx context.Context) error {
 	p := &sitePlatform{
 		heartbeat: c.Heartbeat, slots: c.Slots, drained: map[string][]limitEvent{},
-		store:   &rowStore{heartbeat: c.Heartbeat, rows: map[[2]string]siteRow{}, reads: map[string]int{}, muted: map[string]int{}, era: 1, operatorValues: map[string][]byte{}},
+		store:   &rowStore{heartbeat: c.Heartbeat, rows: map[[2]string]siteRow{}, reads: map[string]int{}, muted: map[string]int{}, era: 1, operatorValues: map[string][]byte{}, evacuations: map[string]time.Time{}},
 		servers: map[string]*siteServer{}, runs: map[string]int{}, arrivals: map[string]int{}, limitEvents: map[string][]limitEvent{}, versions: map[string]int{}, reports: map[int64][]json.RawMessage{},
 		crashingParts: map[string]bool{}, killed: map[string]bool{}, scaleFences: map[string]int64{}, streamRuns: map[string][]streamRun{},
+		cold: map[string][]limitEvent{}, evacuated: map[string][]evacuatedArrival{},
 	}
 	mux := http.NewServeMux()
 	p.store.handle(mux)
+	p.handle(mux)
+	g, ctx := errgroup.WithContext(ctx)
+	p.group, p.ctx = g, ctx
+	for i := range c.Endpoints {
+		if err := p.start(&siteServer{site: p, id: fmt.Sprintf("i-%d", i), version: "v1", zone: defaultZone}); err != nil {
+			return err
+		}
+	}
+	g.Go(func() error { return serve(ctx, c.Listen, mux) })
+	return g.Wait()
+}
+
+// handle registers the handlers of the platform calls and of the control calls for endpoints on a mux.
+func (p *sitePlatform) handle(mux *http.ServeMux) {
+	mux.HandleFunc("POST /add", p.addEndpoint)
 	mux.HandleFunc("POST /kill", func(_ http.ResponseWriter, r *http.Request) { p.kill(r.URL.Query().Get("id")) })
+	mux.HandleFunc("POST /restart", p.restartInPlace)
 	mux.HandleFunc("POST /trouble", p.setEndpointFaults)
 	mux.HandleFunc("POST /drain", func(_ http.ResponseWriter, r *http.Request) { p.drain(r.URL.Query().Get("id")) })
 	mux.HandleFunc("POST /retire", func(_ http.ResponseWriter, r *http.Request) { p.retire(r.URL.Query().Get("id")) })
 	mux.HandleFunc("POST /silence", p.silence)
+	mux.HandleFunc("POST /cold", p.turnCold)
+	mux.HandleFunc("POST /cold-policy", p.setColdPolicy)
 	mux.HandleFunc("POST /usage", p.recordUsage)
 	mux.HandleFunc("POST /scale", p.recordScale)
 	mux.HandleFunc("POST /poison", p.addCrashingPart)
 	mux.HandleFunc("GET /seen", p.getObserved)
-	g, ctx := errgroup.WithContext(ctx)
-	p.group, p.ctx = g, ctx
-	mux.HandleFunc("POST /add", func(w http.ResponseWriter, r *http.Request) {
-		q := r.URL.Query()
-		failPercent, _ := strconv.Atoi(q.Get("bad"))
-		s := &siteServer{site: p, id: q.Get("id"), version: q.Get("version"), failPercent: failPercent, listen: q.Get("listen"), address: q.Get("via")}
-		p.mu.Lock()
-		delete(p.killed, s.id)
-		p.mu.Unlock()
-		if p.start(s) != nil {
-			w.WriteHeader(http.StatusInternalServerError)
-		}
-	})
-	for i := range c.Endpoints {
-		if err := p.start(&siteServer{site: p, id: fmt.Sprintf("i-%d", i), version: "v1"}); err != nil {
-			return err
-		}
+}
+
+// addEndpoint starts one more endpoint: /add?id=ID&version=VERSION&zone=ZONE&bad=PERCENT&listen=ADDRESS&via=ADDRESS.
+func (p *sitePlatform) addEndpoint(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	failPercent, _ := strconv.Atoi(q.Get("bad"))
+	s := &siteServer{
+		site: p, id: q.Get("id"), version: q.Get("version"), zone: cmp.Or(q.Get("zone"), defaultZone), failPercent: failPercent, listen: q.Get("listen"), address: q.Get("via"),
+	}
+	p.mu.Lock()
+	delete(p.killed, s.id)
+	p.mu.Unlock()
+	if p.start(s) != nil {
+		w.WriteHeader(http.StatusInternalServerError)
 	}
-	g.Go(func() error { return serve(ctx, c.Listen, mux) })
-	return g.Wait()
 }
 
 // start starts one endpoint, which serves requests and writes its row periodically until it is killed.
@@ -161,6 +186,7 @@
 	s.startMillis = time.Now().UnixMilli()
 	s.address = cmp.Or(s.address, l.Addr().String())
 	p.mu.Lock()
+	s.coldUntil = time.Now().Add(p.coldPolicy.startTime)
 	p.servers[s.id] = s
 	killed := p.killed[s.id]
 	p.mu.Unlock()
@@ -195,7 +221,7 @@
 		state = "draining"
 	}
 	data, _ := json.Marshal(map[string]any{
-		"service": "plume", "address": s.address, "zone": "here", "version": s.version, "slots": s.site.slots, "state": state, "coldRemainingMs": 0, "sequence": n, "born": s.startMillis,
+		"service": "plume", "address": s.address, "zone": s.zone, "version": s.version, "slots": s.site.slots, "state": state, "coldRemainingMs": s.coldMillis(), "sequence": n, "born": s.startMillis,
 	})
 	return data
 }
@@ -273,6 +299,11 @@
 		return
 	}
 	poisoned := s.recordPrompt(r, false)
+	s.recordEvacuated(id)
+	if s.recordCold(id) {
+		s.restartAfter(func() {})
+		panic(http.ErrAbortHandler)
+	}
 	if s.countArrival(id).apply(w) {
 		return
 	}
@@ -321,6 +352,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reply(w, map[string]any{
-		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "crashes": p.crashEvents, "status": p.store.statuses(), "era": p.store.currentEra(), "duties": p.dutyCalls, "streams": p.streamRuns, "drained": p.drained,
+		"runs": p.runs, "versions": p.versions, "reports": p.reports, "fence": p.fence, "arrivals": p.arrivals, "limits": p.limitEvents, "reads": p.store.readCounts(), "crashes": p.crashEvents, "status": p.store.statuses(), "era": p.store.currentEra(), "duties": p.dutyCalls, "streams": p.streamRuns, "drained": p.drained, "cold": p.cold, "evacuated": p.evacuated,
 	})
 }
--- a/standin/sitecrash.go
+++ b/standin/sitecrash.go
@@ -60,16 +60,22 @@
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
 	time.Sleep(crashDelay)
-	if s.end(func() { s.recordPrompt(r, true) }) {
-		s.site.group.Go(func() error {
-			s.restart()
-			return nil
-		})
-	}
+	s.restartAfter(func() { s.recordPrompt(r, true) })
 	// The response must not end as if it were complete.
 	panic(http.ErrAbortHandler)
 }
 
+// restartAfter ends the endpoint right after a call of before, and starts it again later, unless it had ended.
+func (s *siteServer) restartAfter(before func()) {
+	if !s.end(before) {
+		return
+	}
+	s.site.group.Go(func() error {
+		s.restart()
+		return nil
+	})
+}
+
 // end ends the endpoint's process right after a call of before, and reports whether it ran until now.
 func (s *siteServer) end(before func()) bool {
 	s.site.mu.Lock()
@@ -88,15 +94,19 @@
 	time.Sleep(silentHeartbeats * s.site.heartbeat)
 	s.site.store.remove("servers", s.id)
 	time.Sleep(max(0, s.site.downTime()-silentHeartbeats*s.site.heartbeat))
-	// Something else may use the port for a moment.
-	for s.site.ctx.Err() == nil && s.site.start(s.restarted()) != nil {
-		time.Sleep(s.site.heartbeat)
+	s.site.startEventually(s.restarted())
+}
+
+// startEventually starts an endpoint, also if something else uses its port for a moment.
+func (p *sitePlatform) startEventually(s *siteServer) {
+	for p.ctx.Err() == nil && p.start(s) != nil {
+		time.Sleep(p.heartbeat)
 	}
 }
 
 // restarted returns the next process of an endpoint, at the same address if that was given.
 func (s *siteServer) restarted() *siteServer {
-	next := &siteServer{site: s.site, id: s.id, version: s.version, listen: s.listen}
+	next := &siteServer{site: s.site, id: s.id, version: s.version, zone: s.zone, listen: s.listen}
 	if s.listen != "" {
 		next.address = s.address
 	}
--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -28,6 +28,8 @@
 	idleTimeoutMs int
 	// grace is the grace period of the hosts; 0 means siteGrace.
 	grace time.Duration
+	// cold is what a configuration says of cold endpoints: further fields of the back end, each after a comma.
+	cold string
 	// linkPeers puts a link before the address that other hosts connect to.
 	linkPeers bool
 }
@@ -60,6 +62,10 @@
 	Streams map[string][]streamRun `json:"streams"`
 	// Drained holds the requests that arrived at an endpoint since it reported that it drains, by endpoint.
 	Drained map[string][]limitEvent `json:"drained"`
+	// Cold holds the requests that arrived at an endpoint while it was cold, and Evacuated those that did while its data
+	// centre was evacuated, by endpoint.
+	Cold      map[string][]limitEvent       `json:"cold"`
+	Evacuated map[string][]evacuatedArrival `json:"evacuated"`
 	// Duties holds the calls of the duties, in the order of their arrival.
 	Duties []dutyCall `json:"duties"`
 }
@@ -68,7 +74,7 @@
  {"name":"call","host":"plans.example","prefix":"/call/","kind":"non_idempotent","timeoutMs":8000,"targetLatencyMs":300,"service":"plume","maxAttempts":1},
  {"name":"stream","host":"plans.example","prefix":"/stream/","kind":"streaming","resumable":true,"timeoutMs":8000,"targetLatencyMs":500,"targetGapMs":500,"service":"plume","maxAttempts":3},
  {"name":"open","host":"plans.example","prefix":"/open/","kind":"idempotent","timeoutMs":8000,"targetLatencyMs":300,"service":"plume","maxAttempts":2,"public":true}%s],
- "services":[{"name":"plume","healthPath":"/health","maxConns":100}],
+ "services":[{"name":"plume","healthPath":"/health","maxConns":100%s}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":%d},
  "tenants":[{"name":"mutual","apiKeys":[%s]}]}`
 
@@ -134,10 +140,10 @@
 	}
 	settings := fmt.Sprintf(`{"node":"host-%d","ip":"127.0.0.1","zone":"here",
  "listen":{"front":%q,"ready":%q,"directory":%q},"internalPorts":[%d,%d],"advertise":{"peers":%q},"limits":{"memoryMb":200,"maxFds":1000},
- "heartbeatMs":200,"bounds":{"graceS":%g,"drainMs":2000,"configApplyMs":2000,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetExtraRetries":50,
+ "heartbeatMs":200,"bounds":{"graceS":%g,"drainMs":2000,"configApplyMs":2000,"evacuateMs":%d,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetExtraRetries":50,
  "leaseMs":1000,"reportWindowS":1,"usageLateS":10,"ttl_max_s":5},
  "platform":{"address":%q},"cloud":{"address":%q,"duties":["usage_report"]}}`,
-		i, callers, ready, directory, internal, internal+1, advertise, cmp.Or(s.grace, siteGrace).Seconds(), platform, platform)
+		i, callers, ready, directory, internal, internal+1, advertise, cmp.Or(s.grace, siteGrace).Seconds(), evacuateTime.Milliseconds(), platform, platform)
 	file := filepath.Join(GinkgoT().TempDir(), "node.json")
 	Expect(os.WriteFile(file, []byte(settings), 0o600)).To(Succeed())
 	h := &siteHost{ready: ready, directory: directory, metrics: net.JoinHostPort("127.0.0.1", strconv.Itoa(internal+1)), settings: file, peerLink: peerLink}
@@ -172,7 +178,7 @@
 }
 
 func (s *site) configure(version int, routes, keys string) {
-	body := fmt.Sprintf(siteConfig, version, routes, cmp.Or(s.idleTimeoutMs, 15000), keys)
+	body := fmt.Sprintf(siteConfig, version, routes, s.cold, cmp.Or(s.idleTimeoutMs, 15000), keys)
 	r, err := http.NewRequest(http.MethodPut, "http://"+s.platform.address+"/op/config", strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	resp, err := http.DefaultClient.Do(r)
