Know of a restarted endpoint by the requests that it broke off

Cause: hosts back off from an endpoint after its connections broke, so that none may dial it in the half second that it is down. With the store silent nothing then told that it was restarted, and it got its usual share while it was cold (9 requests in a second where 8 are allowed, and crashed). Ruled out: taking every broken request as a restart; lost answers would limit sound endpoints for seconds. Change: the check that asks an endpoint which broke off a prompt whether it accepts connections is made for all requests to back ends with a cold rate, and its refusal begins the suspicion. The new unit test fails without the change.

--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -121,7 +121,7 @@
 
 // Ended records the result of an attempt; begun is when the first part of its answer arrived, zero if none did.
 func (g *Guard) Ended(w *work.Request, t *target.Target, r result.Result, begun time.Time) {
-	if len(w.Shared) == 0 {
+	if len(w.Shared) == 0 && !t.Warmup.Limits() {
 		return
 	}
 	now := g.Now()
@@ -209,13 +209,20 @@
 	}
 }
 
-// check records a crash if an endpoint no longer accepts connections. One that does may have lost one answer only, or have
+// check records a crash if an endpoint no longer accepts connections, and that the endpoint may be restarted: processes back
+// off from it, so that none may try it while it is down. One that does accept them may have lost one answer only, or have
 // started again; only a request whose response had just begun counts then, and less.
 func (g *Guard) check(ctx context.Context, b broken) {
 	if b.endpoint.Leaving() {
 		return
 	}
 	alive := g.Alive(ctx, b.address)
+	if !alive && b.endpoint.Warmup.Refused(g.Now()) {
+		g.Log.Info("endpoint accepts no connections after it broke off a request; it may be cold when it does again", "endpoint", b.endpoint.Row().ID)
+	}
+	if len(b.request.Shared) == 0 {
+		return
+	}
 	if alive && b.weight < begunWeight {
 		return
 	}
--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -294,3 +294,30 @@
 		Expect(f.admits(sound)()).To(BeTrue())
 	})
 })
+
+// Guards against a restart that nothing tells of: processes back off from an endpoint that broke off their requests, and none
+// tries it while it is down.
+var _ = Describe("An endpoint that is limited while cold and breaks off a request without a prompt", func() {
+	const coldTime = 3 * time.Second
+	crashed := func(f *fixture) *target.Target {
+		t := f.endpoint()
+		t.Warmup.Time = func() time.Duration { return coldTime }
+		t.Warmup.Interval = func() (time.Duration, bool) { return time.Second, true }
+		f.guard.Ended(request(), t, waiting, time.Time{})
+		return t
+	}
+
+	It("counts as cold if it accepts no connections", func() {
+		f := newFixture()
+		t := crashed(f)
+		Eventually(func() bool { return t.Warmup.Cold(f.time()) }).Should(BeTrue())
+		Expect(f.admits(bad)()).To(BeTrue())
+	})
+
+	It("does not if it accepts them", func() {
+		f := newFixture()
+		f.alive = true
+		t := crashed(f)
+		Consistently(func() bool { return t.Warmup.Cold(f.time()) }, checkTime).Should(BeFalse())
+	})
+})
--- a/state/warmup/warmup.go
+++ b/state/warmup/warmup.go
@@ -50,6 +50,9 @@
 	return w.Time()
 }
 
+// Limits reports whether the endpoint's requests are limited while it is cold.
+func (w *Warmup) Limits() bool { return w.time() > 0 }
+
 // Announced records that the endpoint's row says that it is cold for some more time.
 func (w *Warmup) Announced(left time.Duration, now time.Time) {
 	w.set(false, now.Add(left), now, false)
