Keep the interval of a cold endpoint's requests across its restart

Cause: a sender's interval began anew with the row that showed a suspected restart, so each of the four senders could send one request more than its part in that second. Change: an endpoint's next process takes over the time of the next request, also if its row was missing in between. The new unit tests of the registry fail without the change.

--- a/state/endreg/endreg.go
+++ b/state/endreg/endreg.go
@@ -68,16 +68,21 @@
 		old.SetRow(r)
 		return
 	}
+	t := reg.newTarget(r)
 	if old != nil {
 		old.MarkLeaving()
+		t.Warmup.Follow(old.Warmup)
 	}
-	t := reg.newTarget(r)
-	if report, ok := reg.removed[r.ID]; ok && sameIncarnation(&report.row, &r) {
+	report, ok := reg.removed[r.ID]
+	switch {
+	case ok && sameIncarnation(&report.row, &r):
 		if report.leavingReported {
 			t.RecordLeaving()
 		}
 		t.PauseUntil(report.pausedUntil)
 		t.Limit, t.Warmup = report.limit, report.warmup
+	case ok:
+		t.Warmup.Follow(report.warmup)
 	}
 	delete(reg.removed, r.ID)
 	reg.byID[r.ID] = t
--- a/state/endreg/endreg_test.go
+++ b/state/endreg/endreg_test.go
@@ -18,6 +18,11 @@
 	RunSpecs(t, "endreg")
 }
 
+// hourlySender is a warmer that lets this process send a cold endpoint one request an hour.
+type hourlySender struct{ warmer }
+
+func (hourlySender) Interval(*roster.Row) (time.Duration, bool) { return time.Hour, true }
+
 var _ = Describe("Registry", func() {
 	const startMillis = 1000
 	row := roster.Row{ID: "e", Address: "10.0.0.1:1", Backend: "plume", Version: "v1", State: roster.Live, StartMillis: startMillis}
@@ -81,6 +86,22 @@
 		Expect(limited).To(BeFalse())
 	})
 
+	DescribeTable("spaces the requests to a cold endpoint across its restart",
+		func(meanwhile func()) {
+			reg.Warmer = hourlySender{}
+			reg.Put(restarted)
+			now := time.Now()
+			reg.Get("e").Warmup.Announced(time.Hour, now)
+			Expect(reg.Get("e").Warmup.Use(now)).To(BeTrue())
+			meanwhile()
+			reg.Put(row)
+			reg.Get("e").Warmup.Announced(time.Hour, now)
+			Expect(reg.Get("e").Warmup.Use(now)).To(BeFalse())
+		},
+		Entry("at once", func() {}),
+		Entry("after its row was missing", func() { reg.Delete("e") }),
+	)
+
 	It("does not shorten a pause", func() {
 		reg.Get("e").PauseUntil(until)
 		reg.Get("e").PauseUntil(time.Now().Add(time.Second))
--- a/state/warmup/warmup.go
+++ b/state/warmup/warmup.go
@@ -146,6 +146,17 @@
 	return w.nextAt
 }
 
+// Follow makes this the warm-up of an endpoint's next process, right after its creation: requests that were sent to the one
+// before still count, as it may have been cold already, under a row that did not say so.
+func (w *Warmup) Follow(before *Warmup) {
+	before.mu.Lock()
+	nextAt := before.nextAt
+	before.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nextAt = nextAt
+}
+
 // Use counts a request that is about to be sent to the endpoint, and reports whether it may be.
 func (w *Warmup) Use(now time.Time) bool {
 	if !w.Cold(now) {
--- a/state/warmup/warmup_test.go
+++ b/state/warmup/warmup_test.go
@@ -55,6 +55,17 @@
 		Expect(w.Use(second(3))).To(BeTrue())
 	})
 
+	// Guards against a sender's part being used once more when the row shows the restart that was suspected before.
+	It("gets no request sooner when its next process is listed", func() {
+		w.Refused(second(1))
+		Expect(w.Use(second(1))).To(BeTrue())
+		next := &warmup.Warmup{Time: w.Time, Interval: w.Interval}
+		next.Follow(w)
+		next.Announced(2*time.Second, second(1.1))
+		Expect(next.Use(second(1.1))).To(BeFalse())
+		Expect(next.Use(second(1.25))).To(BeTrue())
+	})
+
 	// Guards against a restart that no row shows yet: the endpoint was down, and all hosts sent to it when it came back.
 	It("is suspected while it accepts no connections, and cold for its time after the first answer", func() {
 		Expect(w.Refused(second(1))).To(BeTrue())
