Have the soak play cold endpoints and evacuations

Change: a run of its own in which endpoints are cold after their start and lie in two data centres. They are restarted, and a data centre is evacuated and taken back with cold endpoints, while hosts stop, are killed, suspended and added, configurations change, and the store fails or comes back from copies. No cold endpoint gets more requests in a second than it bears, from any host; no request of a host in touch reaches an evacuated data centre late.

--- a/test/scene/soak_check_test.go
+++ b/test/scene/soak_check_test.go
@@ -260,12 +260,14 @@
 	k.checkUsage(seen)
 	k.checkDuties(seen)
 	k.checkLimits(seen)
+	k.checkCold(seen)
+	k.checkEvacuated(seen)
 	c.checkCut(seen)
 	k.checkPrompts(seen)
 	if c.sent > 0 && c.served == 0 {
 		c.addViolation("none of %d requests was served", c.sent)
 	}
-	GinkgoWriter.Printf("%d of %d requests served, %d refused, %d faults, %s%s\n", c.served, c.sent, len(c.notRun), len(k.faultLog), k.limitSummary, k.prompts.summary)
+	GinkgoWriter.Printf("%d of %d requests served, %d refused, %d faults, %s%s%s\n", c.served, c.sent, len(c.notRun), len(k.faultLog), k.limitSummary, k.prompts.summary, k.coldSummary)
 	return c.violations
 }
 
--- a/test/scene/soak_reload_test.go
+++ b/test/scene/soak_reload_test.go
@@ -176,7 +176,7 @@
 	}
 
 	It("finds a process that ends by itself, and requests that are cut while a host gets signals only", func() {
-		k := newSoak(1, 1)
+		k := newSoak(soakCase{seed: 1, hosts: 1})
 		k.hangUp([]int{0}, 1)
 		cutAnswer(k.checker)
 		k.hosts[0].signal(os.Kill)
--- a/test/scene/soak_test.go
+++ b/test/scene/soak_test.go
@@ -41,6 +41,8 @@
 	length time.Duration
 	// faults returns the faults of the run.
 	faults func(*soak) []func()
+	// cold makes endpoints cold after their start, and puts them in two data centres.
+	cold bool
 	// first starts what every run of the kind must play; nil starts nothing.
 	first func(*soak)
 }
@@ -73,6 +75,8 @@
 	hostsAdded     int
 	// limitSummary describes the request limits that endpoints named.
 	limitSummary string
+	// coldSummary tells how many requests reached cold endpoints and evacuated data centres.
+	coldSummary string
 	// version is the version of the latest configuration, and key the API key that it adds.
 	version int
 	key     string
@@ -89,6 +93,8 @@
 	processes []*process
 	// reverts are the pending ends of faults.
 	reverts []soakRevert
+	// evacuated is the data centre that is evacuated, empty for none.
+	evacuated string
 	// storeAway is set while the store is away before a restore.
 	storeAway bool
 	// ending is set once no more faults are started.
@@ -112,11 +118,14 @@
 	return n
 }
 
-func newSoak(seed uint64, hosts int) *soak {
-	k := &soak{site: newPlatform("--endpoints", "0"), rand: rand.New(rand.NewPCG(seed, 1)), endpointLinks: map[string]*link{}, stopped: map[int]bool{}, stoppedAt: map[int]time.Time{}, killed: map[int]bool{}, prompts: soakPrompts{starts: map[int]period{}, storeFaults: map[int][]period{}}}
+func newSoak(c soakCase) *soak {
+	k := &soak{site: newPlatform("--endpoints", "0"), rand: rand.New(rand.NewPCG(c.seed, 1)), endpointLinks: map[string]*link{}, stopped: map[int]bool{}, stoppedAt: map[int]time.Time{}, killed: map[int]bool{}, prompts: soakPrompts{starts: map[int]period{}, storeFaults: map[int][]period{}}}
 	k.linkPeers = true
 	k.checker = newChecker()
-	for range hosts {
+	if c.cold {
+		k.haveCold()
+	}
+	for range c.hosts {
 		k.addHost()
 	}
 	k.putNextConfiguration()
@@ -163,7 +172,7 @@
 	l := newRefusingLink(listen)
 	k.endpointLinks[id] = l
 	k.endpoints = append(k.endpoints, id)
-	k.control(fmt.Sprintf("/add?id=%s&version=v1&listen=%s&via=%s", id, listen, l.address))
+	k.control(fmt.Sprintf("/add?id=%s&version=v1&listen=%s&via=%s&zone=%s", id, listen, l.address, k.nextZone()))
 }
 
 // waitRecovered waits until every host is ready, resolves all hosts and serves the latest configuration.
@@ -234,7 +243,7 @@
 }
 
 func (c soakCase) run() {
-	k := newSoak(c.seed, c.hosts)
+	k := newSoak(c)
 	passed := false
 	defer func() {
 		if !passed {
@@ -281,6 +290,11 @@
 		runSeeds(soakCase{faults: (*soak).restoreFaults, first: (*soak).restoreWhileAbsent})
 	})
 
+	// Guards against views of endpoints and of the operator's table that go back or stay behind on some hosts.
+	It("keeps cold endpoints from too many requests, and evacuated data centres from all, while hosts and endpoints come and go", func() {
+		runSeeds(soakCase{cold: true, faults: (*soak).coldFaults, first: (*soak).evacuateFault})
+	})
+
 	It("keeps them in the cases that have failed before", func() {
 		for _, c := range soakCases {
 			c.run()
