--- a/test/scene/soak_cold_test.go
+++ b/test/scene/soak_cold_test.go
@@ -10,8 +10,10 @@
 	// minDown and maxDown bound the time for which an endpoint that is restarted is down.
 	minDown = 200 * time.Millisecond
 	maxDown = 1500 * time.Millisecond
-	// maxEvacuated is the longest time for which an evacuation lasts once it must be in force.
-	maxEvacuated = 3 * time.Second
+	// minEvacuated and maxEvacuated bound the time for which an evacuation lasts once it must be in force: long enough that
+	// some hosts are in touch again after their faults.
+	minEvacuated = 3 * time.Second
+	maxEvacuated = 8 * time.Second
 )
 
 // dataCentres are the data centres of the endpoints of runs with cold endpoints.
@@ -53,7 +55,7 @@
 	k.evacuated = dataCentres[k.rand.IntN(len(dataCentres))]
 	k.logFault("data centre %s evacuated", k.evacuated)
 	k.evacuate(k.evacuated)
-	due := time.Now().Add(evacuateTime + time.Duration(k.rand.Int64N(int64(maxEvacuated))))
+	due := time.Now().Add(evacuateTime + minEvacuated + time.Duration(k.rand.Int64N(int64(maxEvacuated-minEvacuated))))
 	k.reverts = append(k.reverts, soakRevert{due: due, revert: func() {
 		k.logFault("data centre %s taken back", k.evacuated)
 		k.control(fmt.Sprintf("/cold?zone=%s&for=%s", k.evacuated, coldTime))
