Bound what callers hold of memory and connections by what they have sent

Cause: a body took its declared length, or the whole size limit in chunks, from the memory for bodies before a byte of it was there, and nothing bounded connections, the lines of a head or the parts of a prompt.

Ruled out: a smaller share of memory for each body (legal bodies of 4 MB are to be served); a write or read rate that every caller must keep (callers within the limits may be slow in calm); closing the newest connection at the bound.

Change: state/intake counts memory as it is needed for what has arrived, in steps that double; the slowest unfinished body older than 1 s makes room for others; one address has at most half, bodies above 128 kB three quarters. state/shed chooses the connection to close: idle, head stopped half-way, caller who does not read; transport/idle does it by the read deadline, so that a request that has arrived whole is answered. Bounds of connections follow from maxFds (new in platform/conf, applied on SIGHUP, as is now the memory for bodies). Heads of over 256 lines or over maxHeaderBytes and 4 kB get 431, prompts of over 2,048 parts 400. A body of a refused request is read for 0.2 s at most, one sent to the ports for look-ups, readiness and metrics not at all. Counters for each. Fuzz targets for heads, prompt prefixes and token usages (their seeds run in go test).

The test of platform/httpin that three requests in chunks fill the memory before a byte of their bodies arrives asserted the fault. It is replaced by bodies that have arrived but for a byte and fill it, with the same bound and the same refusal; tests of the share of an address, of bodies of which nothing arrives and of unread bodies are new.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -10,7 +10,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/dragonflyroute/dragonflyroute/platform/cloud"
 	"github.com/dragonflyroute/dragonflyroute/platform/codec"
@@ -21,6 +20,7 @@
 	"github.com/dragonflyroute/dragonflyroute/platform/store"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/state/intake"
 	"github.com/dragonflyroute/dragonflyroute/state/latest"
 	"github.com/dragonflyroute/dragonflyroute/state/outage"
 	"github.com/dragonflyroute/dragonflyroute/transport/dial"
@@ -49,10 +49,6 @@
 	// responses.
 	maxIdleConns           = 8
 	maxResponseHeaderBytes = 64 << 10
-	// bodyMemoryFraction is the fraction of the memory limit that buffered request bodies may use, and
-	// defaultBodyMemory what they may use when the settings have no limit, in bytes.
-	bodyMemoryFraction = 0.2
-	defaultBodyMemory  = 64 << 20
 )
 
 type hostArgs struct {
@@ -102,9 +98,12 @@
 	cfg := current.load()
 	s := siteFromConfig(cfg, log)
 	s.Grace = current.grace
+	s.MaxDescriptors = current.maxDescriptors
 	connectPlatform(s, cfg)
 	s.Prepare()
 	s.DirectoryHandler = &lookup.Handler{Addresses: s.EntryAddresses, TTL: current.addressTTL, Ready: s.IsReady, Log: log}
+	bodies := &intake.Intake{Total: current.bodyMemory, Now: time.Now, Count: s.Meter.Count}
+	s.Relieve = bodies.AbortSlowest
 	sender := send.New()
 	sender.Log = log
 	s.RequestHandler = &httpin.Handler{
@@ -113,7 +112,7 @@
 		PickBackend:   s.Balancer.PickBackend,
 		Proxy:         s.Proxy,
 		Sender:        sender,
-		BodyMemory:    semaphore.NewWeighted(bodyMemory(cfg)),
+		BodyMemory:    bodies,
 		Draining:      s.Leaving,
 		RecordOutcome: s.Meter.RecordAnswer,
 		Now:           time.Now,
@@ -149,14 +148,6 @@
 	}
 }
 
-// bodyMemory returns the memory that buffered request bodies may use, in bytes.
-func bodyMemory(cfg *conf.Conf) int64 {
-	if cfg.MemoryBytes <= 0 {
-		return defaultBodyMemory
-	}
-	return int64(bodyMemoryFraction * float64(cfg.MemoryBytes))
-}
-
 // siteFromConfig returns a process with its settings, but without the clients of the platform.
 func siteFromConfig(cfg *conf.Conf, log hclog.Logger) *site.Site {
 	return &site.Site{
--- a/host_settings.go
+++ b/host_settings.go
@@ -15,6 +15,10 @@
 	// memoryLimitFraction is the Go runtime's soft memory limit as a fraction of the process's memory limit; the
 	// garbage collector runs more often close to it.
 	memoryLimitFraction = 0.7
+	// bodyMemoryFraction is the fraction of the memory limit that request bodies may use, and defaultBodyMemory what they may
+	// use when the settings have no limit, in bytes.
+	bodyMemoryFraction = 0.2
+	defaultBodyMemory  = 64 << 20
 	// defaultAddressTTL is how long callers may cache an address answer, unless the platform's maximum is lower.
 	defaultAddressTTL = 2 * time.Second
 )
@@ -39,6 +43,18 @@
 // addressTTL returns how long callers may cache an address answer.
 func (s *settings) addressTTL() time.Duration { return min(defaultAddressTTL, s.load().MaxAddressTTL) }
 
+// maxDescriptors returns the largest number of open descriptors of the process, 0 for no limit.
+func (s *settings) maxDescriptors() int { return s.load().MaxDescriptors }
+
+// bodyMemory returns the memory that request bodies may use, in bytes.
+func (s *settings) bodyMemory() int64 {
+	limit := s.load().MemoryBytes
+	if limit <= 0 {
+		return defaultBodyMemory
+	}
+	return int64(bodyMemoryFraction * float64(limit))
+}
+
 // apply replaces the settings by those of a new file. Those that a running process can't change, such as its addresses,
 // take effect at its next start. A BadRequest error names the invalid field.
 func (s *settings) apply(data []byte) error {
--- a/transport/idle/conn.go
+++ b/transport/idle/conn.go
@@ -4,12 +4,21 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// refusalTimeout bounds the write of headRefusal, the answer to a request whose head is too large.
+	refusalTimeout = 100 * time.Millisecond
+	headRefusal    = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
 // listener accepts connections that a Closer follows from their acceptance on.
 type listener struct {
 	net.Listener
@@ -18,26 +27,63 @@
 
 // Accept waits for the next connection.
 func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.acceptOne()
+		if err != nil || l.closer.makeRoom() {
+			return c, err
+		}
+		l.closer.ConnState(c, http.StateClosed)
+		_ = c.Close()
+		l.closer.count("connections_refused_total")
+	}
+}
+
+// acceptOne waits for the next connection, which the Closer follows from then on.
+func (l *listener) acceptOne() (net.Conn, error) {
 	l.closer.beginAccept()
 	inner, err := l.Listener.Accept()
 	if err != nil {
 		l.closer.endAccept(nil)
 		return nil, err
 	}
-	c := &conn{Conn: inner, closer: l.closer}
+	c := &conn{Conn: inner, closer: l.closer, head: &headScanner{}}
 	l.closer.endAccept(c)
 	return c, nil
 }
 
-// conn tells a Closer of the bytes that arrive.
+// conn tells a Closer of the bytes that arrive and of writes that its caller does not read, and bounds the heads of requests.
 type conn struct {
 	net.Conn
 	closer *Closer
+	// head bounds the head that is being read. Only the goroutine that reads uses it, and the server between two reads.
+	head *headScanner
+	// writing is set while a write is in progress, and answered once the server has sent all it will.
+	writing, answered atomic.Bool
+	// ended is set once no more of the present head is to be read. The read deadline does not suffice, as the server may set
+	// another one.
+	ended atomic.Bool
+}
+
+// endUnread ends a connection whose caller does not read or has its last answer, or whose head has not arrived. The latter is
+// left to the server, which closes the connection when its read fails. One with another request in progress stays.
+func endUnread(of net.Conn, active bool) {
+	c, ok := of.(*conn)
+	switch {
+	case !ok:
+	case c.writing.Load() || c.answered.Load():
+		_ = c.Close()
+	case !active:
+		c.ended.Store(true)
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // Read reads bytes of a request. A read that the end of a wait has ended looks once more whether bytes have arrived: a deadline
 // ends a read whatever has come, and a process that gets no processor time returns from it late.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.ended.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.closer.beginLook(c) {
 		if late, ok := c.readArrived(p); ok {
@@ -47,6 +93,27 @@
 	if n > 0 {
 		c.closer.received(c)
 	}
+	if !c.head.scan(p[:n], c.closer.maxHead()) {
+		c.refuseHead()
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// refuseHead answers that the head of a request is too large, unless the caller does not read.
+func (c *conn) refuseHead() {
+	c.closer.count("heads_refused_total")
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = io.WriteString(c.Conn, headRefusal)
+}
+
+// Write writes bytes of an answer.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Store(true)
+	c.closer.shed.Blocked(c)
+	n, err := c.Conn.Write(p)
+	c.closer.shed.Serving(c)
+	c.writing.Store(false)
 	return n, err
 }
 
@@ -72,8 +139,11 @@
 	return n, err == nil && readErr == nil && n > 0
 }
 
-// CloseWrite closes the writing side, if the connection has two sides.
+// CloseWrite closes the writing side, if the connection has two sides. The server waits some time after it, so that the caller
+// can read the answer before the connection is closed.
 func (c *conn) CloseWrite() error {
+	c.answered.Store(true)
+	c.closer.shed.Idle(c)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/transport/idle/idle.go
+++ b/transport/idle/idle.go
@@ -1,4 +1,4 @@
-// Package idle closes callers' connections that wait for a request for too long.
+// Package idle closes callers' connections that wait for a request for too long, or that are too many.
 package idle
 
 import (
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/dragonflyroute/dragonflyroute/state/shed"
 )
 
 // drainInterval is the interval between two looks for idle connections while a server stops.
@@ -26,18 +28,29 @@
 	Limit func() time.Duration
 	// Count adds to a counter of the process; nil means that nothing is counted.
 	Count func(name string, n int64)
+	// MaxOpen returns the largest number of open connections, 0 for no limit; nil means that there is none. Above it, the
+	// connection that is used least is closed.
+	MaxOpen func() int
+	// MaxHead returns the largest size of a request's head in bytes, 0 for no limit; nil means that there is none.
+	MaxHead func() int
+	// Relieve ends a request whose body arrives slowest and reports whether there was one. It is called when there are too many
+	// connections, all of them with a request in progress; nil means that there is none to end.
+	Relieve func() bool
 
 	mu sync.Mutex
 	// accepting is the number of calls of Accept in progress.
 	accepting int
 	// open holds the connections that are neither closed nor hijacked.
 	open map[net.Conn]*state
+	shed shed.Shedder[net.Conn]
 }
 
 // state is the state of a connection.
 type state struct {
 	// idle is set while the connection waits for its next request.
 	idle bool
+	// active is set from the end of a request's head to the end of its answer.
+	active bool
 	// waits is the number of waits so far, and timer ends the present one; it is nil without a limit.
 	waits int
 	timer *time.Timer
@@ -56,8 +69,12 @@
 	defer c.mu.Unlock()
 	switch now {
 	case http.StateIdle:
+		c.setActive(conn, false)
+		c.shed.Idle(conn)
 		c.wait(conn)
 	case http.StateActive:
+		c.setActive(conn, true)
+		c.shed.Serving(conn)
 		// The request may have been read along with the one before.
 		c.endWait(conn)
 	case http.StateClosed, http.StateHijacked:
@@ -110,14 +127,62 @@
 	}
 	if c.open == nil {
 		c.open = map[net.Conn]*state{}
+		c.shed.Max, c.shed.Now = c.maxOpen, time.Now
 	}
 	c.open[accepted] = &state{}
+	address, _, _ := net.SplitHostPort(accepted.RemoteAddr().String())
+	c.shed.Add(accepted, address)
+}
+
+func (c *Closer) maxOpen() int {
+	if c.MaxOpen == nil {
+		return 0
+	}
+	return c.MaxOpen()
+}
+
+// makeRoom closes the connection that is used least if there are too many. It reports false if there are and none may be closed.
+func (c *Closer) makeRoom() bool {
+	least, ok, over := c.shed.Pick()
+	if !over {
+		return true
+	}
+	c.count("connections_over_limit_total")
+	if !ok {
+		return c.Relieve != nil && c.Relieve()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.open[least]
+	switch {
+	case s == nil:
+	case s.idle:
+		expire(least, s)
+	default:
+		endUnread(least, s.active)
+	}
+	return true
+}
+
+// setActive records the begin or the end of a request in progress. The caller holds c.mu.
+func (c *Closer) setActive(conn net.Conn, active bool) {
+	if s := c.open[conn]; s != nil {
+		s.active = active
+	}
+	if active {
+		endHead(conn)
+	} else {
+		beginHead(conn)
+	}
 }
 
 // received ends the wait of a connection whose next request has begun to arrive.
 func (c *Closer) received(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s := c.open[conn]; s != nil && s.idle {
+		c.shed.Receiving(conn)
+	}
 	c.endWait(conn)
 }
 
@@ -178,6 +243,7 @@
 		c.count("idle_connections_closed_total")
 	}
 	delete(c.open, conn)
+	c.shed.Remove(conn)
 }
 
 // timeout ends a wait of a connection, unless its next request has begun to arrive. It is repeated while the wait lasts, as
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -5,6 +5,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"crypto/hmac"
 	"crypto/rand"
@@ -101,6 +102,9 @@
 	Contacts func() []string
 	// MaxOpen bounds the connections to peers that are kept open; set it well below the number that a peer accepts.
 	MaxOpen int
+	// MaxInbound returns the largest number of connections that peers may open to this process, 0 for maxInbound, which is the
+	// most in any case; nil means maxInbound.
+	MaxInbound func() int
 
 	bytes   atomic.Int64
 	mu      sync.Mutex
@@ -168,13 +172,20 @@
 func (p *Peers) admitInbound() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.inbound >= maxInbound {
+	if p.inbound >= p.inboundLimit() {
 		return false
 	}
 	p.inbound++
 	return true
 }
 
+func (p *Peers) inboundLimit() int {
+	if p.MaxInbound == nil {
+		return maxInbound
+	}
+	return min(cmp.Or(p.MaxInbound(), maxInbound), maxInbound)
+}
+
 func (p *Peers) releaseInbound() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -62,7 +62,7 @@
 )
 
 func (s *Site) buildPeers() {
-	s.peers = &peers.Peers{Secret: defaultPeerSecret, Service: &peerService{s}, Contacts: s.fleet.Contacts, MaxOpen: maxPeerConnections}
+	s.peers = &peers.Peers{Secret: defaultPeerSecret, Service: &peerService{s}, Contacts: s.fleet.Contacts, MaxOpen: maxPeerConnections, MaxInbound: func() int { return peerShare.of(s.maxDescriptors()) }}
 	s.gossip = &spread.Gossip{
 		Peers:        s.peers,
 		Fleet:        s.fleet,
--- a/transport/site/serve.go
+++ b/transport/site/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/transport/idle"
 )
 
 const (
@@ -29,19 +30,36 @@
 	gaugeInterval = time.Second
 	// shortReadTimeout bounds the time until an address look-up, a readiness check or a request for metrics has arrived.
 	shortReadTimeout = 5 * time.Second
+	// shortWriteTimeout bounds the time until the answer to such a request is written.
+	shortWriteTimeout = 10 * time.Second
 	// maxHeaderBytes bounds the size of a request's headers.
 	maxHeaderBytes = 64 << 10
 )
 
-// shortServer returns a server for short requests without a body.
-func shortServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:        h,
+// serveShort returns a task that serves short requests without a body on a listener, which may have a share of the connections.
+func (s *Site) serveShort(h http.Handler, l net.Listener, share connectionShare) func(ctx context.Context) error {
+	conns := &idle.Closer{}
+	s.boundConnections(conns, share)
+	server := &http.Server{
+		Handler:        withoutBody(h),
 		ReadTimeout:    shortReadTimeout,
+		WriteTimeout:   shortWriteTimeout,
 		IdleTimeout:    idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
+		ConnState:      conns.ConnState,
 		ErrorLog:       log.New(io.Discard, "", 0),
 	}
+	return func(ctx context.Context) error { return serve(ctx, server, conns.Listener(l)) }
+}
+
+// withoutBody closes the connection of a request with a body once it is answered, so that the body is not read.
+func withoutBody(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != http.NoBody {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // requestServer returns the server for callers' requests, which closes idle connections by s.idle.
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -98,6 +98,11 @@
 	NewSystem bool
 	// Grace returns the grace period, from the order to stop to the kill.
 	Grace func() time.Duration
+	// MaxDescriptors returns the largest number of open descriptors of the process, 0 for no limit. It bounds the connections of
+	// callers and others, so that descriptors are left for the process's own ones.
+	MaxDescriptors func() int
+	// Relieve ends a request whose body arrives slowest and reports whether there was one.
+	Relieve func() bool
 	// RetryRatio and RetryExtra set the retry budget of back ends: retries in proportion to requests, and a fixed number
 	// more.
 	RetryRatio, RetryExtra float64
@@ -216,7 +221,7 @@
 	moveRequests map[string]record.Record
 	// reclaimSignal makes runLeaseHolder scale without waiting for its next tick.
 	reclaimSignal chan struct{}
-	// idle closes callers' connections that wait for a request for too long.
+	// idle closes callers' connections that wait for a request for too long, or that are too many.
 	idle idle.Closer
 	// killAt is the time of the kill in Unix nanoseconds, 0 before the order to stop.
 	killAt atomic.Int64
@@ -234,7 +239,8 @@
 	s.exiting, s.endRequests = context.WithCancel(context.Background())
 	s.cutting, s.cutStreams = context.WithCancel(context.Background())
 	s.Meter = meter.New()
-	s.idle.Limit, s.idle.Count = s.idleLimit, s.Meter.Count
+	s.idle.Limit = s.idleLimit
+	s.boundConnections(&s.idle, callerShare)
 	s.Policy = &policy.Policy{}
 	s.Registry = &endreg.Registry{Warmer: &warmer.Warmer{Self: s.Host, Listed: s.listedHosts, Policy: s.Policy, Now: time.Now}}
 	s.usage = &usage.Usage{WindowLength: s.UsageWindow}
@@ -334,9 +340,9 @@
 	}
 	server := s.requestServer()
 	add(func(c context.Context) error { return serve(c, server, s.idle.Listener(listeners.requests)) })
-	add(func(c context.Context) error { return serve(c, shortServer(s.DirectoryHandler), listeners.ready) })
-	add(func(c context.Context) error { return serve(c, shortServer(s.DirectoryHandler), listeners.addresses) })
-	add(func(c context.Context) error { return serve(c, shortServer(s.Meter.Handler()), listeners.metrics) })
+	add(s.serveShort(s.DirectoryHandler, listeners.ready, checkShare))
+	add(s.serveShort(s.DirectoryHandler, listeners.addresses, lookupShare))
+	add(s.serveShort(s.Meter.Handler(), listeners.metrics, checkShare))
 	add(func(c context.Context) error { return s.peers.Serve(c, listeners.peers) })
 	for _, t := range s.tables {
 		add(t.Run)
