Make the requests of the tests of places when they run

Cause: the table's entries held requests with a deadline of 5 s from the start of the suite, so that they failed where the order of the specs had them run later. Change: the entries hold the number of attempts. The checks are the same.

--- a/coordination/proxy/placed_test.go
+++ b/coordination/proxy/placed_test.go
@@ -54,24 +54,24 @@
 
 	// Guards against requests that fill an endpoint's book although the endpoint does not work on them.
 	DescribeTable("ends once for the host that placed it, however its attempts end",
-		func(begun int, failed []bool, w *work.Request, results []result.Result, prepare func(f *fixture, p *fakePlacer)) {
+		func(begun int, failed []bool, attempts int, results []result.Result, prepare func(f *fixture, p *fakePlacer)) {
 			f, s, p := newFixture(3), &fakeExchange{results: results}, &fakePlacer{}
 			f.proxy.Balancer.Placer = p
 			prepare(f, p)
-			_ = f.proxy.Run(context.Background(), w, s)
+			_ = f.proxy.Run(context.Background(), prompt(mode.Once, attempts), s)
 			Expect(p.begun).To(Equal(begun))
 			Expect(p.granted).To(Equal(int64(len(failed))))
 			for i, want := range failed {
 				Expect(p.failed[int64(i+1)]).To(Equal([]bool{want}))
 			}
 		},
-		Entry("answered", 1, []bool{false}, prompt(mode.Once, 1), []result.Result{done}, func(*fixture, *fakePlacer) {}),
-		Entry("failed", 0, []bool{true}, prompt(mode.Once, 2), []result.Result{unknown}, func(*fixture, *fakePlacer) {}),
-		Entry("sent again", 1, []bool{true, true, false}, prompt(mode.Once, 3), []result.Result{unsent, full, done}, func(*fixture, *fakePlacer) {}),
-		Entry("withheld", 1, []bool{false, false}, prompt(mode.Once, 3), []result.Result{{Ending: unsent.Ending, Withheld: true}, done}, func(*fixture, *fakePlacer) {}),
-		Entry("refused because of its deadline", 0, []bool{false}, prompt(mode.Once, 1), []result.Result{done}, func(_ *fixture, p *fakePlacer) { p.timeToFirst = time.Minute }),
-		Entry("refused a permit", 1, []bool{false, false}, prompt(mode.Once, 2), []result.Result{done}, func(f *fixture, _ *fakePlacer) { f.permits.refused = map[endpt.ID]bool{"a": true} }),
-		Entry("placed at an endpoint in an evacuated data centre", 0, []bool{false}, prompt(mode.Once, 1), []result.Result{done}, func(f *fixture, p *fakePlacer) {
+		Entry("answered", 1, []bool{false}, 1, []result.Result{done}, func(*fixture, *fakePlacer) {}),
+		Entry("failed", 0, []bool{true}, 2, []result.Result{unknown}, func(*fixture, *fakePlacer) {}),
+		Entry("sent again", 1, []bool{true, true, false}, 3, []result.Result{unsent, full, done}, func(*fixture, *fakePlacer) {}),
+		Entry("withheld", 1, []bool{false, false}, 3, []result.Result{{Ending: unsent.Ending, Withheld: true}, done}, func(*fixture, *fakePlacer) {}),
+		Entry("refused because of its deadline", 0, []bool{false}, 1, []result.Result{done}, func(_ *fixture, p *fakePlacer) { p.timeToFirst = time.Minute }),
+		Entry("refused a permit", 1, []bool{false, false}, 2, []result.Result{done}, func(f *fixture, _ *fakePlacer) { f.permits.refused = map[endpt.ID]bool{"a": true} }),
+		Entry("placed at an endpoint in an evacuated data centre", 0, []bool{false}, 1, []result.Result{done}, func(f *fixture, p *fakePlacer) {
 			p.only = "b"
 			f.registry.Get("b").SetEvacuated(true)
 		}),
