Refuse a head beyond its limits also when bytes behind its end arrive with it

Cause: the count of a head returned before its check once the head had ended within a read, so that up to 4 kB of short fields with a body or a second request behind them passed. Found by a run of FuzzHead (failing input of 1,671 bytes).

Ruled out: a fault of the reference in the test, which counts the lines up to the empty one.

Change: the check follows the count in any case. A seed of FuzzHead has the case; it failed before (read 902 of 902 bytes).

Conclusion: the bound of 256 lines holds in whatever pieces a head arrives on a connection's first request.

--- a/transport/idle/bound_test.go
+++ b/transport/idle/bound_test.go
@@ -132,6 +132,8 @@
 	for _, head := range []string{"", "\r\n", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\n\nbody\n", strings.Repeat("a:\r\n", 300), strings.Repeat("a:\n", 255) + "\n" + strings.Repeat("\n", 300)} {
 		f.Add(head, uint16(7))
 	}
+	// Guards against a head beyond its limits that passes because a byte behind its end came along.
+	f.Add(strings.Repeat("a:\n", 300)+"\n\n", uint16(4095))
 	f.Fuzz(func(t *testing.T, head string, piece uint16) {
 		g := NewWithT(t)
 		inner, other := net.Pipe()
--- a/transport/idle/head.go
+++ b/transport/idle/head.go
@@ -25,7 +25,7 @@
 func (h *headScanner) scan(p []byte, maxBytes int) bool {
 	for _, b := range p {
 		if h.ended {
-			return true
+			break
 		}
 		h.add(b)
 	}
