--- a/transport/idle/conn.go
+++ b/transport/idle/conn.go
@@ -17,6 +17,8 @@
 	// refusalTimeout bounds the write of headRefusal, the answer to a request whose head is too large.
 	refusalTimeout = 100 * time.Millisecond
 	headRefusal    = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// longHeadRefusal is the answer to a request with a long head while there are as many as may be: it has not run.
+	longHeadRefusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
 // listener accepts connections that a Closer follows from their acceptance on.
@@ -97,17 +99,21 @@
 		c.closer.received(c)
 	}
 	if !c.head.scan(p[:n], c.closer.maxHead()) {
-		c.refuseHead()
+		c.refuseHead(headRefusal)
+		return 0, io.EOF
+	}
+	if c.head.isLong() && !c.closer.admitLongHead(c) {
+		c.refuseHead(longHeadRefusal)
 		return 0, io.EOF
 	}
 	return n, err
 }
 
-// refuseHead answers that the head of a request is too large, unless the caller does not read.
-func (c *conn) refuseHead() {
+// refuseHead answers a request whose head is not read to its end, unless the caller does not read.
+func (c *conn) refuseHead(answer string) {
 	c.closer.count("heads_refused_total")
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	_, _ = io.WriteString(c.Conn, headRefusal)
+	_, _ = io.WriteString(c.Conn, answer)
 }
 
 // Write writes bytes of an answer.
--- a/transport/idle/head.go
+++ b/transport/idle/head.go
@@ -6,8 +6,11 @@
 )
 
 const (
-	// maxHeadLines bounds the lines of a head: each header field costs memory beside its bytes.
+	// maxHeadLines is the number of lines above which a head is long: each header field costs memory beside its bytes.
+	// maxLongHeads bounds the connections with a request that has a long head, and maxLongLines the lines of such a head.
 	maxHeadLines = 256
+	maxLongHeads = 8
+	maxLongLines = 8_192
 	// headSlack is how far a head may exceed the largest size, in bytes.
 	headSlack = 4 << 10
 )
@@ -21,7 +24,7 @@
 	ended bool
 }
 
-// scan adds bytes that have arrived and reports whether the head is within its limits.
+// scan adds bytes that have arrived and reports whether the head is within the limits of its size.
 func (h *headScanner) scan(p []byte, maxBytes int) bool {
 	for _, b := range p {
 		if h.ended {
@@ -29,9 +32,12 @@
 		}
 		h.add(b)
 	}
-	return h.lines <= maxHeadLines && (maxBytes <= 0 || h.bytes <= maxBytes+headSlack)
+	return h.lines <= maxLongLines && (maxBytes <= 0 || h.bytes <= maxBytes+headSlack)
 }
 
+// isLong reports whether the head so far has so many lines that few requests may have one at a time.
+func (h *headScanner) isLong() bool { return h.lines > maxHeadLines }
+
 func (h *headScanner) add(b byte) {
 	h.bytes++
 	switch b {
@@ -71,3 +77,29 @@
 		_ = c.SetReadDeadline(time.Time{})
 	}
 }
+
+// admitLongHead reports whether a connection may go on with a long head, and counts it.
+func (c *Closer) admitLongHead(of *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.open[of]
+	switch {
+	case s == nil:
+		return false
+	case s.longHead:
+		return true
+	case c.longHeads >= maxLongHeads:
+		return false
+	}
+	s.longHead = true
+	c.longHeads++
+	return true
+}
+
+// endLongHead ends the count of a connection's long head, once the request with it has ended. The caller holds c.mu.
+func (c *Closer) endLongHead(s *state) {
+	if s != nil && s.longHead {
+		s.longHead = false
+		c.longHeads--
+	}
+}
--- a/transport/idle/idle.go
+++ b/transport/idle/idle.go
@@ -50,6 +50,8 @@
 	// open holds the connections that are neither closed nor hijacked.
 	open map[net.Conn]*state
 	shed shed.Shedder[net.Conn]
+	// longHeads counts the connections with longHead set.
+	longHeads int
 }
 
 // state is the state of a connection.
@@ -58,6 +60,8 @@
 	idle bool
 	// active is set from the end of a request's head to the end of its answer.
 	active bool
+	// longHead is set while the connection has a request whose head is long.
+	longHead bool
 	// waits is the number of waits so far, and timer ends the present one; it is nil without a limit.
 	waits int
 	timer *time.Timer
@@ -77,6 +81,7 @@
 	switch now {
 	case http.StateIdle:
 		c.setActive(conn, false)
+		c.endLongHead(c.open[conn])
 		c.shed.Idle(conn)
 		c.wait(conn)
 	case http.StateActive:
@@ -256,6 +261,7 @@
 		return
 	}
 	s.end()
+	c.endLongHead(s)
 	if s.expired {
 		c.count("idle_connections_closed_total")
 	}
