--- a/review/tools-2/rollouts.go
+++ b/review/tools-2/rollouts.go
@@ -58,9 +58,9 @@
 }
 
 // rollout plays a rollout of a service to v2 until its time limit, and checks EXPOSURE if v2 is bad.
-func (s *scene) rollout(ctx context.Context, stopTraffic func(), service string, inZone int, lasts time.Duration, answers func(ordered time.Time) func(path string) manner) error {
+func (s *scene) rollout(ctx context.Context, stopTraffic func(), service string, inZone int, lasts time.Duration, answers func(path string) manner) error {
 	ordered := s.order(service, "v2", lasts)
-	if err := s.startServers(service, "v2", inZone, answers(ordered)); err != nil {
+	if err := s.startServers(service, "v2", inZone, answers); err != nil {
 		return err
 	}
 	go s.follow(ctx, service, "v1", "v2", 3*time.Second)
@@ -108,33 +108,29 @@
 	if err := s.start(traffic, lmService, 2, adviserAnswer); err != nil {
 		return err
 	}
-	return s.rollout(ctx, stopTraffic, lmService, 2, 60*time.Second, func(time.Time) func(string) manner {
-		return func(path string) manner {
-			m := sound(path)
-			if s.trouble && rand.Float64() < badShare {
-				m.first, m.gap, m.bad = slowness*m.first, slowness*m.gap, true
-			}
-			return m
+	return s.rollout(ctx, stopTraffic, lmService, 2, 60*time.Second, func(path string) manner {
+		m := sound(path)
+		if s.trouble && rand.Float64() < badShare {
+			m.first, m.gap, m.bad = slowness*m.first, slowness*m.gap, true
 		}
+		return m
 	})
 }
 
-// later plays a rollout to a version that turns bad after two thirds of its time: a part of its answers are failures.
-func later(ctx context.Context, s *scene) error {
-	const badShare, lasts, goodFor = 0.3, 60 * time.Second, 40 * time.Second
+// shedding plays a rollout to a version that turns away a part of its requests though it has room.
+func shedding(ctx context.Context, s *scene) error {
+	const badShare = 0.4
 	traffic, stopTraffic := context.WithCancel(ctx)
 	defer stopTraffic()
 	if err := s.start(traffic, lmService, 2, adviserAnswer); err != nil {
 		return err
 	}
-	return s.rollout(ctx, stopTraffic, lmService, 2, lasts, func(ordered time.Time) func(string) manner {
-		return func(path string) manner {
-			m := sound(path)
-			if s.trouble && time.Since(ordered) > goodFor && rand.Float64() < badShare {
-				m.fails, m.bad = true, true
-			}
-			return m
+	return s.rollout(ctx, stopTraffic, lmService, 2, 60*time.Second, func(path string) manner {
+		m := sound(path)
+		if s.trouble && rand.Float64() < badShare {
+			m = manner{rejects: true, bad: true}
 		}
+		return m
 	})
 }
 
--- a/review/tools-2/server.go
+++ b/review/tools-2/server.go
@@ -23,7 +23,7 @@
 	lingerTime = 4 * time.Second
 )
 
-// run is one request that a server began to work on.
+// run is one request that reached a server: one that it began to work on or turned away.
 type run struct {
 	id, server, version, path string
 	arrived                   time.Time
@@ -37,6 +37,8 @@
 	first, gap time.Duration
 	events     int
 	fails, bad bool
+	// rejects is set if the request is turned away without being run.
+	rejects bool
 }
 
 // server is one server of a service: it registers itself, serves requests and records what it ran.
@@ -141,14 +143,23 @@
 	}
 	defer func() { <-s.slots }()
 	m := s.answers(r.URL.Path)
+	what := "run"
+	if m.rejects {
+		what = "rejected request"
+	}
 	s.onRun(run{id: id, server: s.id, version: s.version, path: r.URL.Path, arrived: arrived, bad: m.bad})
-	s.rec.line("run %s at %s, version %s, bad=%v, %d bytes", id, s.id, s.version, m.bad, len(body))
+	s.rec.line("%s %s at %s, version %s, bad=%v, %d bytes", what, id, s.id, s.version, m.bad, len(body))
 	select {
 	case <-time.After(m.first):
 	case <-r.Context().Done():
 		s.rec.line("run %s dropped at %s, version %s: its channel was closed", id, s.id, s.version)
 		return
 	}
+	if m.rejects {
+		h.Set("Dragonflyroute-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	running := s.busy.Load()
 	h.Set("Dragonflyroute-Instance-Load", fmt.Sprintf("%d,%d,%d", min(running, serverSlots), max(0, running-serverSlots), serverSlots))
 	h.Set("Dragonflyroute-Response-Signature", "signed-"+s.id+"-"+id)
