review: a stopping host's retry budget cuts silent streams

The rollout of the next version becomes case 10; the version that turns requests away, a lesser case, goes.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Plays the case "shedding"; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Plays the case "next"; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 trial="$root/target/review-2/trial"
@@ -7,4 +7,4 @@
 	echo "run review/build-2.sh first" >&2
 	exit 2
 fi
-exec "$trial" shedding "$root" "$here/record.txt"
+exec "$trial" next "$root" "$here/record.txt"
--- a/review/tools-2/main.go
+++ b/review/tools-2/main.go
@@ -28,7 +28,7 @@
 		os.Exit(2)
 	}
 	cases := map[string]func(context.Context, *scene) error{
-		"parts": manyPartsCrowd, "impatient": impatient, "next": nextVersion, "shedding": shedding, "stale": stale,
+		"parts": manyPartsCrowd, "impatient": impatient, "next": nextVersion, "stale": stale, "stopping": stopping,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/tools-2/rollouts.go
+++ b/review/tools-2/rollouts.go
@@ -117,23 +117,6 @@
 	})
 }
 
-// shedding plays a rollout to a version that turns away a part of its requests though it has room.
-func shedding(ctx context.Context, s *scene) error {
-	const badShare = 0.4
-	traffic, stopTraffic := context.WithCancel(ctx)
-	defer stopTraffic()
-	if err := s.start(traffic, lmService, 2, adviserAnswer); err != nil {
-		return err
-	}
-	return s.rollout(ctx, stopTraffic, lmService, 2, 60*time.Second, func(path string) manner {
-		m := sound(path)
-		if s.trouble && rand.Float64() < badShare {
-			m = manner{rejects: true, bad: true}
-		}
-		return m
-	})
-}
-
 // nextVersion plays a rollout to a bad version, and one to the next version while the servers of the bad one, which was rolled
 // back, have not drained yet.
 func nextVersion(ctx context.Context, s *scene) error {
--- a/review/tools-2/server.go
+++ b/review/tools-2/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +24,7 @@
 	lingerTime = 4 * time.Second
 )
 
-// run is one request that reached a server: one that it began to work on or turned away.
+// run is one request that a server began to work on.
 type run struct {
 	id, server, version, path string
 	arrived                   time.Time
@@ -37,8 +38,6 @@
 	first, gap time.Duration
 	events     int
 	fails, bad bool
-	// rejects is set if the request is turned away without being run.
-	rejects bool
 }
 
 // server is one server of a service: it registers itself, serves requests and records what it ran.
@@ -57,7 +56,11 @@
 	slots    chan struct{}
 	draining atomic.Bool
 	stop     context.CancelFunc
-	writing  sync.Mutex
+	// preempted is the time until which the server's streams have given way to other work, in Unix nanoseconds.
+	preempted atomic.Int64
+	// onEvent is called with each event of a stream that is sent; it may be nil.
+	onEvent func(id string, n int)
+	writing sync.Mutex
 }
 
 func newID() string {
@@ -143,23 +146,14 @@
 	}
 	defer func() { <-s.slots }()
 	m := s.answers(r.URL.Path)
-	what := "run"
-	if m.rejects {
-		what = "rejected request"
-	}
 	s.onRun(run{id: id, server: s.id, version: s.version, path: r.URL.Path, arrived: arrived, bad: m.bad})
-	s.rec.line("%s %s at %s, version %s, bad=%v, %d bytes", what, id, s.id, s.version, m.bad, len(body))
+	s.rec.line("run %s at %s, version %s, bad=%v, %d bytes", id, s.id, s.version, m.bad, len(body))
 	select {
 	case <-time.After(m.first):
 	case <-r.Context().Done():
 		s.rec.line("run %s dropped at %s, version %s: its channel was closed", id, s.id, s.version)
 		return
 	}
-	if m.rejects {
-		h.Set("Dragonflyroute-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	running := s.busy.Load()
 	h.Set("Dragonflyroute-Instance-Load", fmt.Sprintf("%d,%d,%d", min(running, serverSlots), max(0, running-serverSlots), serverSlots))
 	h.Set("Dragonflyroute-Response-Signature", "signed-"+s.id+"-"+id)
@@ -178,7 +172,21 @@
 // stream sends the events of a stream.
 func (s *server) stream(w http.ResponseWriter, r *http.Request, m manner, id string) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= m.events; n++ {
+	first := 1
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = after + 1
+	}
+	for n := first; n <= m.events; n++ {
+		for until := s.preempted.Load(); time.Now().UnixNano() < until; until = s.preempted.Load() {
+			select {
+			case <-time.After(time.Until(time.Unix(0, until))):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if s.onEvent != nil {
+			s.onEvent(id, n)
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n); err != nil {
 			return
 		}
