--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 set -eu
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target/review-2"
-cd "$root/review/tools-2"
-GOWORK=off GOTOOLCHAIN=local GOFLAGS= go build -o "$root/target/review-2/trial" .
+cd "$root/review/second/tools"
+GOWORK=off GOTOOLCHAIN=local GOFLAGS=-buildvcs=false go build -o "$root/target/review-2/trial" .
--- a/review/tools-2/host.go
+++ b/review/second/tools/host.go
@@ -65,8 +65,10 @@
 			"leaseMs": 3000, "thawSlackMs": 300, "reportWindowS": 5, "usageTolerance": 0.05, "usageLateS": 10, "exposureShare": 0.1,
 			"exposureSlack": 50, "rollbackMs": 5000, "recoveryS": 12, "passMs": 120, "reuseWindowS": 8.3, "ttl_max_s": 5,
 		},
-		"platform": map[string]any{"address": storeAddress, "form": "table", "writesPerS": 400, "readsPerS": 2000, "txMs": 8.0, "partWritesS": 150,
-			"rowBytes": 65536, "across": false, "historyS": 20, "blobBytes": 8388608, "blobMs": 25.0, "blobMbS": 80.0},
+		"platform": map[string]any{
+			"address": storeAddress, "form": "table", "writesPerS": 400, "readsPerS": 2000, "txMs": 8.0, "partWritesS": 150,
+			"rowBytes": 65536, "across": false, "historyS": 20, "blobBytes": 8388608, "blobMs": 25.0, "blobMbS": 80.0,
+		},
 		"cloud": map[string]any{"address": cloudAddress, "ratePerS": 50.0, "duties": duties, "dutyPerS": 50.0},
 	}
 	data, err := json.MarshalIndent(settings, "", " ")
