--- a/review/second/tools/rollouts.go
+++ b/review/second/tools/rollouts.go
@@ -108,7 +108,7 @@
 	if err := s.start(traffic, lmService, 2, adviserAnswer); err != nil {
 		return err
 	}
-	return s.rollout(ctx, stopTraffic, lmService, 2, 60*time.Second, func(path string) manner {
+	return s.rollout(ctx, stopTraffic, lmService, 2, 90*time.Second, func(path string) manner {
 		m := sound(path)
 		if s.trouble && rand.Float64() < badShare {
 			m.first, m.gap, m.bad = slowness*m.first, slowness*m.gap, true
