moves: step version moves in a package of their own

Cause: the stepping of moves stood in transport/site, between watchers and sockets, so that no test without processes could reach it.

Ruled out: a test through real processes only, since it needs a rollout of half a minute and a store that is late.

Change: coordination/moves has what transport/site/moves.go had, with small interfaces for the two tables, the lease and the clock. Behaviour is the same.

Conclusion: the write of a move's state can be played against a table that is late.

--- a/transport/site/heartbeat.go
+++ b/transport/site/heartbeat.go
@@ -34,7 +34,7 @@
 		InFlight:         int(s.inFlight.Load()),
 		NewlyCached:      map[string][]uint64{},
 		LeavingEndpoints: map[string]int64{},
-		Trials:           s.runningTrials(),
+		Trials:           s.moves.Running(),
 		Withdrawn:        s.ownTrials.AllWithdrawn(),
 	}
 	p.Suspicions = s.fleet.Suspicions(now)
@@ -147,7 +147,7 @@
 func (s *Site) onHeartbeat(p beat.Heartbeat) {
 	now := time.Now()
 	s.fleet.MergeSuspicions(p.Host, p.Suspicions, now)
-	s.setPeerTrials(p)
+	s.moves.SetPeer(p)
 	s.setPeerStats(p, now)
 	for id, started := range p.LeavingEndpoints {
 		if s.Registry.RecordLeaving(endpt.ID(id), started) {
--- a/transport/site/lease.go
+++ b/transport/site/lease.go
@@ -174,7 +174,7 @@
 		return
 	}
 	s.removeDown(ctx, time.Now())
-	s.stepMoves(ctx)
+	s.moves.Step(ctx)
 	s.scale(ctx)
 }
 
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -227,7 +227,7 @@
 			s.setEvacuated(in, !r.Deleted, r.Version)
 		}
 		if s.IsMoveRequest(r.Key) && !r.Deleted {
-			s.requestMove(r)
+			s.moves.Request(r)
 		}
 		if r.Key != s.ConfigKey || r.Deleted {
 			continue
@@ -260,8 +260,8 @@
 			delete(s.hostRows, r.Key)
 			continue
 		}
-		if isMoveRow(r.Key) {
-			s.setMoveState(r)
+		if s.moves.IsState(r.Key) {
+			s.moves.SetState(r)
 			continue
 		}
 		row, err := roster.Decode(r.Key, r.Value)
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,12 +18,12 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ledger"
+	"github.com/dragonflyroute/dragonflyroute/coordination/moves"
 	"github.com/dragonflyroute/dragonflyroute/coordination/pacer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/placer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/poison"
 	"github.com/dragonflyroute/dragonflyroute/coordination/polls"
 	"github.com/dragonflyroute/dragonflyroute/coordination/proxy"
-	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/coordination/rates"
 	"github.com/dragonflyroute/dragonflyroute/coordination/report"
 	"github.com/dragonflyroute/dragonflyroute/coordination/retry"
@@ -36,7 +35,6 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/watch"
 	"github.com/dragonflyroute/dragonflyroute/protocol/acct"
 	"github.com/dragonflyroute/dragonflyroute/protocol/centre"
-	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -46,7 +44,6 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
 	"github.com/dragonflyroute/dragonflyroute/protocol/rules"
 	"github.com/dragonflyroute/dragonflyroute/protocol/table"
-	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 	"github.com/dragonflyroute/dragonflyroute/state/endreg"
 	"github.com/dragonflyroute/dragonflyroute/state/fleet"
 	"github.com/dragonflyroute/dragonflyroute/state/flow"
@@ -205,20 +202,9 @@
 	inFlight  atomic.Int64
 	// peerStats holds the load statistics that came with peers' heartbeats.
 	peerStats tally.Tally
-	// ownTrials counts this process's trials of each move's versions, and peerTrials holds the counts that peers sent;
-	// movesMu guards peerTrials. baseline holds the counts of all hosts at the last change of a move's share, by entry, and
-	// reportedStates the state last reported for each move; only the goroutine of runLeaseHolder uses these two.
-	ownTrials      *trials.Trials
-	ramp           ramp.Ramp
-	movesMu        sync.Mutex
-	peerTrials     map[host.ID]map[string][]trial.Trial
-	baseline       map[label.Name][]trial.Trial
-	reportedStates map[string]string
-	// movesEra is the store's era in which the states of moves were last written, and moveRequests holds the last request of
-	// a move by its key; only the goroutine of runLeaseHolder uses the former, only the watcher of the operator's table the
-	// latter.
-	movesEra     eras.Era
-	moveRequests map[string]record.Record
+	// ownTrials counts this process's trials of each move's versions, and moves steps the moves.
+	ownTrials *trials.Trials
+	moves     *moves.Moves
 	// reclaimSignal makes runLeaseHolder scale without waiting for its next tick.
 	reclaimSignal chan struct{}
 	// idle closes callers' connections that wait for a request for too long, or that are too many.
