moves: write rows over the versions that are known, so that a late write undoes nothing

Cause: the state of a move was written without a condition. The store may carry out a write seconds after its call got no answer "if its condition still holds"; one without a condition always holds. The old state, "ramping", landed over "done", and the holder of the lease found that the move's time was over.

Ruled out: two holders of the lease (one fencing number in all rows), and the judge (the reason is "no time was left").

Evidence: in the record the row of 13.0 s comes back at 19.0 s, and the rollback follows at the next step.

Change: coordination/swap writes a row on the condition that it has the version that this process knows. The states and the status of moves, the hosts' own rows, the removal of hosts that are down and the decisions on prompt parts go through it. An ended move stays ended, and its state is written again if it was written over.

Why it works: of the lost write and the one that takes its place only one can land, as both name the same version, and a later write names a later one.

--- a/coordination/canary/canary.go
+++ b/coordination/canary/canary.go
@@ -55,14 +55,20 @@
 	return out
 }
 
-// SetState sets the state of a move to the one that its leader has written.
-func (c *Canary) SetState(m move.Move) {
+// SetState sets the state of a move to the one that its leader has written, and reports whether it did: a state of an earlier
+// version of the row, and another one of a move that has ended, change nothing.
+func (c *Canary) SetState(m move.Move) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	known := c.states[m.Entry]
+	if m.Version < known.Version || m.ID == known.ID && known.Ended() && m.State != known.State {
+		return false
+	}
 	if c.states == nil {
 		c.states = map[label.Name]move.Move{}
 	}
 	c.states[m.Entry] = m
+	return true
 }
 
 // State returns the state of a move that its leader has written; ok is false when none is known.
--- a/coordination/moves/moves.go
+++ b/coordination/moves/moves.go
@@ -16,11 +16,12 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/eras"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/host"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/label"
 	"github.com/dragonflyroute/dragonflyroute/protocol/move"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
-	"github.com/dragonflyroute/dragonflyroute/protocol/table"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
 	"github.com/dragonflyroute/dragonflyroute/state/trials"
 )
@@ -32,8 +33,11 @@
 	margin = 0.12
 )
 
-type store interface {
-	Commit(ctx context.Context, t table.Txn) (int64, error)
+// rows are the rows of a table, which are written over the versions that this process knows.
+type rows interface {
+	Observe(r record.Record)
+	Known(key string) record.Record
+	Write(ctx context.Context, key string, value []byte) (version int64, err error)
 }
 
 // Moves follows the moves that the operator requests, and steps them while this process holds the lease.
@@ -49,7 +53,7 @@
 	Ramp ramp.Ramp
 	// Hosts is the table of the entry hosts, which holds the states of moves, and Status the table in which the operator reads
 	// the status of moves.
-	Hosts, Status store
+	Hosts, Status rows
 	// Held returns the fencing number if this process holds the lease under which moves are stepped.
 	Held func() (fence int64, held bool)
 	// Decode decodes the operator's request of a move, and EncodeStatus returns the row that reports a move's status to the
@@ -108,8 +112,9 @@
 
 // SetState applies a move's state from the hosts' table.
 func (ms *Moves) SetState(r record.Record) {
-	var m move.Move
-	if err := json.Unmarshal(r.Value, &m); err != nil {
+	ms.Hosts.Observe(r)
+	m, err := decodeState(r)
+	if err != nil {
 		ms.Log.Error("cannot decode the state of a move; it is ignored", "key", r.Key, "version", r.Version, "error", err)
 		return
 	}
@@ -117,15 +122,32 @@
 		ms.Log.Info("state of move returned with a restore of the store; the newer one stays", "move", m.ID, "state", m.State, "share", m.Share, "version", r.Version)
 		return
 	}
-	ms.Canary.SetState(m)
+	if !ms.Canary.SetState(m) {
+		ms.Log.Info("state of move is older than the known one; it changes nothing", "move", m.ID, "state", m.State, "share", m.Share, "version", r.Version)
+		return
+	}
 	ms.Log.Info("state of move received", "move", m.ID, "state", m.State, "share", m.Share, "reason", m.Reason, "version", r.Version)
 }
 
-// isOlderState reports whether the row of a move's state returned with a restore of the store, so that the known state of
-// the same move is at least as new.
+// decodeState decodes the row of a move's state.
+func decodeState(r record.Record) (m move.Move, err error) {
+	err = json.Unmarshal(r.Value, &m)
+	m.Version = r.Version
+	return m, err
+}
+
+// isOlderState reports whether the row of a move's state returned with a restore of the store, and the known state, of the same
+// move or of the requested one, is at least as new.
 func (ms *Moves) isOlderState(m move.Move, version int64) bool {
+	if eras.Of(version) <= eras.Of(m.Fence) {
+		return false
+	}
 	_, known := ms.Canary.State(m.Entry, m.ID)
-	return known && eras.Of(version) > eras.Of(m.Fence)
+	for _, requested := range ms.Canary.Requested() {
+		_, begun := ms.Canary.State(m.Entry, requested.ID)
+		known = known || requested.Entry == m.Entry && begun
+	}
+	return known
 }
 
 // SetPeer stores a peer's counts of trials of the running moves.
@@ -181,7 +203,7 @@
 	for _, requested := range ms.Canary.Requested() {
 		m, begun := ms.Canary.State(requested.Entry, requested.ID)
 		if begun && m.Ended() {
-			ms.writeStatus(ctx, m)
+			ms.keepEnd(ctx, m)
 			continue
 		}
 		if !begun {
@@ -200,6 +222,17 @@
 	}
 }
 
+// keepEnd keeps the end of a move in both tables: it writes the state again if the table has another one of the move.
+func (ms *Moves) keepEnd(ctx context.Context, m move.Move) {
+	stored, err := decodeState(ms.Hosts.Known(statePrefix + string(m.Entry)))
+	if err == nil && stored.ID == m.ID && stored.State != m.State {
+		ms.Log.Warn("state of an ended move was written over; it is written again", "move", m.ID, "state", m.State, "stored", stored.State, "version", stored.Version)
+		ms.writeState(ctx, m, ms.baseline[m.Entry])
+		return
+	}
+	ms.writeStatus(ctx, m)
+}
+
 // rewrite writes the known states of moves again in a new era of the store, as they may be lost.
 func (ms *Moves) rewrite(ctx context.Context, era eras.Era) {
 	ms.era = era
@@ -235,11 +268,10 @@
 	}
 	m.Fence = fence
 	value, err := json.Marshal(m)
-	if err != nil {
-		ms.Log.Error("cannot encode the state of a move", "move", m.ID, "error", err)
-		return false
+	if err == nil {
+		m.Version, err = ms.commitState(ctx, m, value)
 	}
-	if _, err := ms.Hosts.Commit(ctx, table.Txn{}.Put(statePrefix+string(m.Entry), value)); err != nil {
+	if err != nil {
 		ms.Log.Warn("cannot write the state of a move; retrying at the next step", "move", m.ID, "state", m.State, "error", err)
 		return false
 	}
@@ -253,6 +285,34 @@
 	return true
 }
 
+// commitState writes the row of a move's state over the known one, or over the one that another write has put there unless
+// that one is to stay: it is applied then, so that the next step goes on from it.
+func (ms *Moves) commitState(ctx context.Context, m move.Move, value []byte) (version int64, err error) {
+	key := statePrefix + string(m.Entry)
+	version, err = ms.Hosts.Write(ctx, key, value)
+	if fault.KindOf(err) != kind.Conflict {
+		return version, err
+	}
+	if current := ms.Hosts.Known(key); !mayReplace(current, m) {
+		ms.SetState(current)
+		return 0, err
+	}
+	return ms.Hosts.Write(ctx, key, value)
+}
+
+// mayReplace reports whether a move's state may be written over a row: not over the end of the same move, nor over what a later
+// holder of the lease wrote. A row that returned with a restore of the store is older than either.
+func mayReplace(current record.Record, m move.Move) bool {
+	stored, err := decodeState(current)
+	if !current.Exists() || err != nil || eras.Of(current.Version) > eras.Of(stored.Fence) {
+		return true
+	}
+	if stored.ID == m.ID && stored.Ended() && stored.State != m.State {
+		return false
+	}
+	return stored.Fence <= m.Fence
+}
+
 // writeStatus writes a move's status for the operator, once for each state.
 func (ms *Moves) writeStatus(ctx context.Context, m move.Move) {
 	if ms.reported[m.ID] == m.State {
@@ -260,7 +320,7 @@
 	}
 	key, value, err := ms.EncodeStatus(m)
 	if err == nil {
-		_, err = ms.Status.Commit(ctx, table.Txn{}.Put(key, value))
+		err = ms.commitStatus(ctx, key, value)
 	}
 	if err != nil {
 		ms.Log.Warn("cannot write the status of a move for the operator", "move", m.ID, "state", m.State, "error", err)
@@ -272,3 +332,13 @@
 	ms.reported[m.ID] = m.State
 	ms.Log.Info("status of move written for the operator", "move", m.ID, "state", m.State)
 }
+
+// commitStatus writes the row of a status over the known one, or over the one that another write has put there as long as this
+// process holds the lease.
+func (ms *Moves) commitStatus(ctx context.Context, key string, value []byte) error {
+	_, err := ms.Status.Write(ctx, key, value)
+	if _, held := ms.Held(); held && fault.KindOf(err) == kind.Conflict {
+		_, err = ms.Status.Write(ctx, key, value)
+	}
+	return err
+}
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -154,6 +154,16 @@
 	}
 }
 
+// Restore records a decision on a part that was read from the store. It reports false if this process knows that the decision
+// has ended, and then has its row removed: a write that the store carried out late has brought it back.
+func (g *Guard) Restore(hash uint64, r ruling.Ruling) bool {
+	if g.Blame.Restore(hash, r, g.Now()) {
+		return true
+	}
+	g.store(hash)
+	return false
+}
+
 // suspect queues an endpoint for a check of whether it has crashed. With a full queue, the crash is not counted.
 func (g *Guard) suspect(b broken) {
 	select {
--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -240,6 +240,24 @@
 		Eventually(f.stored).Should(BeFalse())
 	})
 
+	// Guards against a part that hosts which start refuse, since the store has carried out late the write of a decision that an
+	// answer has ended.
+	It("removes a decision from the store that comes back after it has ended", func() {
+		f := newFixture()
+		f.crash(5, headOnly, bad)
+		Eventually(f.stored).Should(BeTrue())
+		late := f.guard.Blame.Ruling(bad)
+		f.advance(time.Second)
+		f.guard.Ended(request(bad), f.endpoint(), answered, f.time())
+		Eventually(f.stored).Should(BeFalse())
+		f.mu.Lock()
+		f.saved[bad] = late
+		f.mu.Unlock()
+		Expect(f.guard.Restore(bad, late)).To(BeFalse())
+		Eventually(f.stored).Should(BeFalse())
+		Expect(f.admits(bad)()).To(BeTrue())
+	})
+
 	// Guards against tests that follow each other without bound, as none of them shows anything.
 	It("waits for the next test after one that shows nothing", func() {
 		f := newFixture()
--- a/protocol/move/move.go
+++ b/protocol/move/move.go
@@ -42,6 +42,8 @@
 	Reason string `json:"reason,omitempty"`
 	// Fence is the fencing number of the lease holder that wrote the move last.
 	Fence int64 `json:"fence"`
+	// Version is the version of the row from which the move was read, or to which it was written.
+	Version int64 `json:"-"`
 }
 
 // Ended reports whether the move is done or rolled back.
--- a/state/blame/blame.go
+++ b/state/blame/blame.go
@@ -110,16 +110,18 @@
 	}
 }
 
-// Restore records a decision on a part that was read from the store.
-func (b *Blame) Restore(hash uint64, r ruling.Ruling, now time.Time) {
+// Restore records a decision on a part that was read from the store. It reports whether the decision may be in force: one that
+// this process knows to have ended, by an answer, has no place in the store.
+func (b *Blame) Restore(hash uint64, r ruling.Ruling, now time.Time) (current bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.suspect(hash)
 	if s == nil {
-		return
+		return true
 	}
 	s.storedAt = r.BlockedAt
 	s.adopt(r, now)
+	return r.BlockedAt.After(s.endedAt)
 }
 
 // Lift ends the block of a part whose decision is no longer in the store: another host has had an answer. A decision that
--- a/transport/site/lease.go
+++ b/transport/site/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/elect"
@@ -173,7 +174,8 @@
 		s.scaler.Standby(cfg.Backends)
 		return
 	}
-	s.removeDown(ctx, time.Now())
+	now := time.Now()
+	s.member.RemoveDown(ctx, maps.Keys(s.fleet.Suspicions(now).Gone), now)
 	s.moves.Step(ctx)
 	s.scale(ctx)
 }
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -2,18 +2,19 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"math/rand/v2"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflyroute/dragonflyroute/coordination/member"
 	"github.com/dragonflyroute/dragonflyroute/coordination/nearby"
 	"github.com/dragonflyroute/dragonflyroute/coordination/polls"
 	"github.com/dragonflyroute/dragonflyroute/coordination/reader"
 	"github.com/dragonflyroute/dragonflyroute/coordination/sched"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
+	"github.com/dragonflyroute/dragonflyroute/coordination/swap"
 	"github.com/dragonflyroute/dragonflyroute/coordination/watch"
 	"github.com/dragonflyroute/dragonflyroute/protocol/beat"
 	"github.com/dragonflyroute/dragonflyroute/protocol/catlog"
@@ -22,14 +23,12 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/endpt"
 	"github.com/dragonflyroute/dragonflyroute/protocol/event"
 	"github.com/dragonflyroute/dragonflyroute/protocol/grant"
-	"github.com/dragonflyroute/dragonflyroute/protocol/host"
 	"github.com/dragonflyroute/dragonflyroute/protocol/loan"
 	"github.com/dragonflyroute/dragonflyroute/protocol/permit"
 	"github.com/dragonflyroute/dragonflyroute/protocol/query"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
 	"github.com/dragonflyroute/dragonflyroute/protocol/reply"
 	"github.com/dragonflyroute/dragonflyroute/protocol/roster"
-	"github.com/dragonflyroute/dragonflyroute/protocol/table"
 	"github.com/dragonflyroute/dragonflyroute/protocol/task"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ticket"
 	"github.com/dragonflyroute/dragonflyroute/protocol/trial"
@@ -56,10 +55,6 @@
 	// the table, as endpoints write their rows again then.
 	recoveryReadInterval = 400 * time.Millisecond
 	recoveryReadPeriod   = 2500 * time.Millisecond
-	// downRetention is how long a host must have been down before its row is removed.
-	downRetention = 30 * time.Second
-	// joinRetryInterval is the time between attempts to write this host's own row.
-	joinRetryInterval = 300 * time.Millisecond
 )
 
 func (s *Site) buildPeers() {
@@ -252,6 +247,7 @@
 // applyHosts applies changed rows of the hosts' table, which also holds the state of moves and the decisions on prompt parts.
 func (s *Site) applyHosts(all []record.Record) {
 	for _, r := range all {
+		s.rows.Observe(r)
 		if isPromptRow(r.Key) {
 			s.applyPrompt(r)
 			continue
@@ -278,60 +274,33 @@
 	s.fleet.SetListed(list)
 	own, listed := s.hostRows[string(s.Host)]
 	listed = listed && own.StartMillis == s.incarnation
-	s.rowListed.Store(listed)
+	s.member.SetListed(listed)
 	s.Log.Info("entry hosts updated", "hosts", len(list), "this-one", listed)
 }
 
-// join writes this host's own row and retries until that succeeds or ctx ends.
-func (s *Site) join(ctx context.Context) {
+// buildMembers builds what writes the rows of the hosts' table.
+func (s *Site) buildMembers() {
+	s.rows = &swap.Rows{Store: s.Hosts}
+	s.member = &member.Member{Rows: s.rows, Own: s.ownRow, Log: s.Log}
+}
+
+// ownRow returns this host's own row in the hosts' table.
+func (s *Site) ownRow() roster.Row {
 	row := roster.Row{ID: endpt.ID(s.Host), Address: s.CallerAddress, DataCentre: s.DataCentre, State: roster.Live, PeerAddress: s.peerAddress(), StartMillis: s.incarnation, Weight: s.Capacity}
 	if leaving, _ := s.Leaving(); leaving {
 		row.State = roster.Leaving
 	}
-	value, err := json.Marshal(row)
-	if err != nil {
-		s.Log.Error("cannot encode this host's own row", "error", err)
-		return
-	}
-	for ctx.Err() == nil {
-		version, err := s.Hosts.Commit(ctx, table.Txn{}.Put(string(s.Host), value))
-		if err == nil {
-			s.rowVersion.Store(version)
-			s.Log.Info("own row written", "state", row.State)
-			return
-		}
-		s.Log.Warn("cannot write this host's own row; retrying", "state", row.State, "error", err)
-		pause(ctx, joinRetryInterval)
-	}
-}
-
-// removeDown removes the rows of hosts that have been down for downRetention, so that they no longer count as hosts of
-// the fleet. A host that is removed by mistake writes its row again.
-func (s *Site) removeDown(ctx context.Context, now time.Time) {
-	since := map[host.ID]time.Time{}
-	for id := range s.fleet.Suspicions(now).Gone {
-		since[id] = now
-		if at, ok := s.downSince[id]; ok {
-			since[id] = at
-		}
-		if now.Sub(since[id]) < downRetention {
-			continue
-		}
-		_, err := s.Hosts.Commit(ctx, table.Txn{}.Delete(string(id)))
-		s.Log.Info("removing the row of a host that is down", "host", id, "since-ms", now.Sub(since[id]).Milliseconds(), "error", err)
-		delete(since, id)
-	}
-	s.downSince = since
+	return row
 }
 
 // gossipLoop writes this host's own row and then runs gossip rounds until ctx ends; it writes the row again when it
 // is missing from the table.
 func (s *Site) gossipLoop(ctx context.Context) error {
-	s.join(ctx)
+	s.member.Join(ctx)
 	for ctx.Err() == nil {
 		timer := time.NewTimer(s.Schedule().HeartbeatInterval())
-		if s.rowMissing() {
-			s.join(ctx)
+		if s.member.Missing(s.tables[hostsTable].Version()) {
+			s.member.Join(ctx)
 		}
 		s.gossip.Round(ctx)
 		select {
@@ -343,14 +312,6 @@
 	return nil
 }
 
-// rowMissing reports whether the hosts' table lacks this host's row at a later version than that of the row as written: the
-// row was removed, or lost with a restore of the store.
-func (s *Site) rowMissing() bool {
-	read := s.tables[hostsTable].Version()
-	written := s.rowVersion.Load()
-	return written > 0 && read > written && !s.rowListed.Load()
-}
-
 // notifyPeers sends a heartbeat to every other entry host without waiting for the next round.
 func (s *Site) notifyPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
--- a/transport/site/moves.go
+++ b/transport/site/moves.go
@@ -6,6 +6,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/canary"
 	"github.com/dragonflyroute/dragonflyroute/coordination/moves"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ramp"
+	"github.com/dragonflyroute/dragonflyroute/coordination/swap"
 )
 
 func (s *Site) buildMoves() {
@@ -15,8 +16,8 @@
 		Canary:       s.Proxy.Canary,
 		Trials:       s.ownTrials,
 		Ramp:         steps,
-		Hosts:        s.Hosts,
-		Status:       s.Status,
+		Hosts:        s.rows,
+		Status:       &swap.Rows{Store: s.Status},
 		Held:         func() (int64, bool) { return s.leases.Held(leaseKey) },
 		Decode:       s.DecodeMove,
 		EncodeStatus: s.EncodeMoveStatus,
--- a/transport/site/prompts.go
+++ b/transport/site/prompts.go
@@ -8,9 +8,10 @@
 	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/poison"
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/protocol/record"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ruling"
-	"github.com/dragonflyroute/dragonflyroute/protocol/table"
 	"github.com/dragonflyroute/dragonflyroute/state/blame"
 	"github.com/dragonflyroute/dragonflyroute/transport/dial"
 )
@@ -64,17 +65,21 @@
 
 func promptKey(hash uint64) string { return promptPrefix + strconv.FormatUint(hash, hexadecimal) }
 
-// savePrompt writes the row of the decision on a prompt part, or deletes it if none is in force.
+// savePrompt writes the row of the decision on a prompt part, or deletes it if none is in force. If another host has written
+// the row meanwhile, that decision is applied first and a Conflict error returned.
 func (s *Site) savePrompt(ctx context.Context, hash uint64, r ruling.Ruling) error {
-	txn := table.Txn{}.Delete(promptKey(hash))
+	key := promptKey(hash)
+	var value []byte
 	if r.InForce() {
-		value, err := json.Marshal(storedRuling{r})
-		if err != nil {
+		var err error
+		if value, err = json.Marshal(storedRuling{r}); err != nil {
 			return err
 		}
-		txn = table.Txn{}.Put(promptKey(hash), value)
 	}
-	_, err := s.Hosts.Commit(ctx, txn)
+	_, err := s.rows.Write(ctx, key, value)
+	if row := s.rows.Known(key); fault.KindOf(err) == kind.Conflict && row.Exists() {
+		s.applyPrompt(row)
+	}
 	return err
 }
 
@@ -100,6 +105,9 @@
 		s.Log.Error("cannot decode the decision on a prompt part; it is ignored", "key", r.Key, "version", r.Version, "error", err)
 		return
 	}
-	s.prompts.Blame.Restore(hash, stored[0], time.Now())
+	if !s.prompts.Restore(hash, stored[0]) {
+		s.Log.Info("decision on a prompt part received that has ended; its row is removed", "part", strings.TrimPrefix(r.Key, promptPrefix), "version", r.Version)
+		return
+	}
 	s.Log.Info("decision on a prompt part received", "part", strings.TrimPrefix(r.Key, promptPrefix), "strikes", stored[0].Strikes, "version", r.Version)
 }
--- a/transport/site/serve.go
+++ b/transport/site/serve.go
@@ -165,7 +165,7 @@
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	var g errgroup.Group
-	for _, announce := range []func(context.Context){s.notifyPeers, s.leases.Close, s.join} {
+	for _, announce := range []func(context.Context){s.notifyPeers, s.leases.Close, s.member.Join} {
 		g.Go(func() error {
 			announce(ctx)
 			return nil
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/choose"
 	"github.com/dragonflyroute/dragonflyroute/coordination/leases"
 	"github.com/dragonflyroute/dragonflyroute/coordination/ledger"
+	"github.com/dragonflyroute/dragonflyroute/coordination/member"
 	"github.com/dragonflyroute/dragonflyroute/coordination/moves"
 	"github.com/dragonflyroute/dragonflyroute/coordination/pacer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/placer"
@@ -29,6 +30,7 @@
 	"github.com/dragonflyroute/dragonflyroute/coordination/retry"
 	"github.com/dragonflyroute/dragonflyroute/coordination/scaler"
 	"github.com/dragonflyroute/dragonflyroute/coordination/spread"
+	"github.com/dragonflyroute/dragonflyroute/coordination/swap"
 	"github.com/dragonflyroute/dragonflyroute/coordination/syncer"
 	"github.com/dragonflyroute/dragonflyroute/coordination/tally"
 	"github.com/dragonflyroute/dragonflyroute/coordination/warmer"
@@ -192,14 +194,11 @@
 	hostRows map[string]roster.Row
 	// evacuated holds the data centres that the operator's table evacuates. Only the watcher of that table uses it.
 	evacuated map[centre.ID]bool
-	// rowVersion is the version of this host's own row as last written, 0 before.
-	rowVersion atomic.Int64
-	// rowListed is set while the hosts' table as last read has the row of this start of the host.
-	rowListed atomic.Bool
-	// downSince is when each host that is down was first found down. Only the goroutine of runLeaseHolder uses it.
-	downSince map[host.ID]time.Time
-	sequence  atomic.Int64
-	inFlight  atomic.Int64
+	// rows writes the rows of the hosts' table but for the states of moves, and member those of the entry hosts.
+	rows     *swap.Rows
+	member   *member.Member
+	sequence atomic.Int64
+	inFlight atomic.Int64
 	// peerStats holds the load statistics that came with peers' heartbeats.
 	peerStats tally.Tally
 	// ownTrials counts this process's trials of each move's versions, and moves steps the moves.
@@ -248,6 +247,7 @@
 	s.buildProxy()
 	s.reclaimSignal = make(chan struct{}, 1)
 	s.syncer = &syncer.Syncer{Registry: s.Registry, Decode: s.DecodeEndpoint, Expiry: expiryHeartbeats * s.EndpointHeartbeat, OnReclaim: s.onReclaim, Now: time.Now, Log: s.Log}
+	s.buildMembers()
 	s.buildMoves()
 	s.buildPeers()
 	s.buildPolls()
--- a/transport/site/usage.go
+++ b/transport/site/usage.go
@@ -109,7 +109,8 @@
 		if r.Key != string(s.Host) {
 			s.usage.MergePeer(host.ID(r.Key), row.Incarnation, row.Windows, now)
 		}
-		s.finalWindows[host.ID(r.Key)] = row.FinalWindow
+		// A write that the store carried out late may have taken the place of a newer one.
+		s.finalWindows[host.ID(r.Key)] = max(s.finalWindows[host.ID(r.Key)], row.FinalWindow)
 	}
 }
 
