canary: keep rolled-back versions from requests when the next move is ordered

Cause: a decision knew the new version and took every other one for the old one. The verdict was kept with the move, and the next move took its place.

Ruled out: hosts that had not heard of the verdict (no request to v2 between the rollback and the next order), and evidence of the second move (v2 is not its new version).

Evidence: 29 to 38 of 64 requests a second at v2 from the second order on.

Change: a version whose move was rolled back, or replaced before it had all of the traffic, is neither old nor new. The holder of the lease notes these versions in the state of the next move, from which hosts that start read them; until that is written, each host works them out from the state of the move before and the requests that it saw replaced. A holder that finds another move's state in the table applies it before it writes. A version ordered anew is no longer rejected; an order back to the version that serves goes there.

Why it works: the verdict outlives the move, in the row that every host reads.

--- a/coordination/canary/canary.go
+++ b/coordination/canary/canary.go
@@ -2,6 +2,7 @@
 package canary
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
@@ -16,8 +17,8 @@
 
 // Canary keeps the moves that the operator requested and the last known state of each.
 //
-// While a move's state is unknown, and after a withdrawal, all requests go to the old version. All methods may be called
-// concurrently.
+// While a move's state is unknown, and after a withdrawal, all requests go to the old version. A version whose move was rolled
+// back, or replaced before it was found good, is not the old one of the next move. All methods may be called concurrently.
 type Canary struct {
 	// Trials keeps this process's own evidence and the withdrawn moves.
 	Trials *trials.Trials
@@ -29,6 +30,8 @@
 	mu        sync.RWMutex
 	requested map[label.Name]move.Move
 	states    map[label.Name]move.Move
+	// replaced holds, by entry, the requests that later ones have replaced since the state of a requested move was last known.
+	replaced map[label.Name][]move.Move
 }
 
 // SetRequested sets the move that the operator requests for a back end: one without shares or state, whose entry
@@ -39,9 +42,17 @@
 	if c.requested == nil {
 		c.requested = map[label.Name]move.Move{}
 	}
-	if c.requested[m.Entry].ID != m.ID {
-		c.requested[m.Entry] = m
+	before, ok := c.requested[m.Entry]
+	if ok && before.ID == m.ID {
+		return
+	}
+	if c.replaced == nil {
+		c.replaced = map[label.Name][]move.Move{}
+	}
+	if ok {
+		c.replaced[m.Entry] = append(c.replaced[m.Entry], before)
 	}
+	c.requested[m.Entry] = m
 }
 
 // Requested returns the moves that the operator requested.
@@ -68,6 +79,9 @@
 		c.states = map[label.Name]move.Move{}
 	}
 	c.states[m.Entry] = m
+	if m.ID == c.requested[m.Entry].ID {
+		delete(c.replaced, m.Entry)
+	}
 	return true
 }
 
@@ -79,6 +93,47 @@
 	return m, ok && m.ID == id
 }
 
+// Earlier returns what the moves of an entry before the requested one say of versions: the one that serves, empty while none is
+// known to be good, and those that were not found good. The holder of the lease notes both in the requested move.
+func (c *Canary) Earlier(entry label.Name) (proved label.Name, rejected []label.Name) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.earlier(entry)
+}
+
+// earlier implements Earlier. The caller holds c.mu.
+func (c *Canary) earlier(entry label.Name) (proved label.Name, rejected []label.Name) {
+	m, known := c.states[entry]
+	requested := c.requested[entry]
+	if known && m.ID == requested.ID {
+		return m.From, m.Rejected
+	}
+	proved = m.From
+	candidates := slices.Clone(m.Rejected)
+	switch {
+	case m.Proved():
+		proved = m.To
+	case known:
+		candidates = append(candidates, m.To)
+	}
+	for _, later := range c.after(entry, m.ID) {
+		candidates = append(candidates, later.To)
+	}
+	for _, version := range candidates {
+		if version != proved && version != requested.To && !slices.Contains(rejected, version) {
+			rejected = append(rejected, version)
+		}
+	}
+	return proved, rejected
+}
+
+// after returns the replaced requests of an entry after the move with an id, all if it is not among them. The caller holds c.mu.
+func (c *Canary) after(entry label.Name, id string) []move.Move {
+	all := c.replaced[entry]
+	i := slices.IndexFunc(all, func(m move.Move) bool { return m.ID == id })
+	return all[i+1:]
+}
+
 // decision is the choice of a version for one request.
 type decision struct {
 	// Move is the id of the move for which the request is counted, empty for none.
@@ -87,7 +142,10 @@
 	New bool
 
 	newVersion label.Name
-	active     bool
+	// proved is the version that is known to be good, empty for none, and rejected lists those that were not found good.
+	proved   label.Name
+	rejected []label.Name
+	active   bool
 }
 
 // Choose decides which version serves a request.
@@ -95,11 +153,12 @@
 	c.mu.RLock()
 	requested, ok := c.requested[w.Backend]
 	m := c.states[w.Backend]
+	proved, rejected := c.earlier(w.Backend)
 	c.mu.RUnlock()
 	if !ok {
 		return decision{}
 	}
-	d := decision{newVersion: requested.To, active: true}
+	d := decision{newVersion: requested.To, proved: proved, rejected: rejected, active: true}
 	if m.ID != requested.ID || c.Trials.Withdrawn(requested.ID) {
 		return d
 	}
@@ -113,22 +172,25 @@
 	return d
 }
 
-// Filter returns the endpoints of the chosen version, or those of the old version when the new one has none.
+// Filter returns the endpoints of the chosen version, or those of the old version when the new one has none. The old version of a
+// move back to the version that serves is the new one.
 func (d decision) Filter(all []*target.Target) []*target.Target {
 	if !d.active {
 		return all
 	}
 	out := d.byVersion(all, d.New)
-	if len(out) == 0 && d.New {
-		return d.byVersion(all, false)
+	if len(out) == 0 && (d.New || d.newVersion == d.proved) {
+		return d.byVersion(all, !d.New)
 	}
 	return out
 }
 
+// byVersion returns the endpoints of the new version, or those of the old one: they are of no version that was not found good.
 func (d decision) byVersion(all []*target.Target, isNew bool) []*target.Target {
 	var out []*target.Target
 	for _, t := range all {
-		if (t.Row().Version == d.newVersion) == isNew {
+		version := t.Row().Version
+		if isNew && version == d.newVersion || !isNew && version != d.newVersion && !slices.Contains(d.rejected, version) {
 			out = append(out, t)
 		}
 	}
--- a/coordination/moves/moves.go
+++ b/coordination/moves/moves.go
@@ -54,6 +54,8 @@
 	// Hosts is the table of the entry hosts, which holds the states of moves, and Status the table in which the operator reads
 	// the status of moves.
 	Hosts, Status rows
+	// Serving returns the version that most endpoints of an entry have, apart from some versions; empty if there is none.
+	Serving func(entry label.Name, apart []label.Name) label.Name
 	// Held returns the fencing number if this process holds the lease under which moves are stepped.
 	Held func() (fence int64, held bool)
 	// Decode decodes the operator's request of a move, and EncodeStatus returns the row that reports a move's status to the
@@ -112,7 +114,8 @@
 
 // SetState applies a move's state from the hosts' table.
 func (ms *Moves) SetState(r record.Record) {
-	ms.Hosts.Observe(r)
+	// The row is known, and may be written over, once its state was applied.
+	defer ms.Hosts.Observe(r)
 	m, err := decodeState(r)
 	if err != nil {
 		ms.Log.Error("cannot decode the state of a move; it is ignored", "key", r.Key, "version", r.Version, "error", err)
@@ -126,7 +129,7 @@
 		ms.Log.Info("state of move is older than the known one; it changes nothing", "move", m.ID, "state", m.State, "share", m.Share, "version", r.Version)
 		return
 	}
-	ms.Log.Info("state of move received", "move", m.ID, "state", m.State, "share", m.Share, "reason", m.Reason, "version", r.Version)
+	ms.Log.Info("state of move received", "move", m.ID, "from", m.From, "rejected", m.Rejected, "state", m.State, "share", m.Share, "reason", m.Reason, "version", r.Version)
 }
 
 // decodeState decodes the row of a move's state.
@@ -207,8 +210,7 @@
 			continue
 		}
 		if !begun {
-			m = requested
-			m.State = move.Ramping
+			m = ms.begin(requested)
 		}
 		total := ms.allTrials(m.ID)
 		next := ms.Ramp.Next(m, total, ms.sinceStep(m, total), ms.Now())
@@ -222,6 +224,16 @@
 	}
 }
 
+// begin returns a requested move as it begins, with what the moves before it say of versions.
+func (ms *Moves) begin(m move.Move) move.Move {
+	m.State = move.Ramping
+	m.From, m.Rejected = ms.Canary.Earlier(m.Entry)
+	if m.From == "" {
+		m.From = ms.Serving(m.Entry, append([]label.Name{m.To}, m.Rejected...))
+	}
+	return m
+}
+
 // keepEnd keeps the end of a move in both tables: it writes the state again if the table has another one of the move.
 func (ms *Moves) keepEnd(ctx context.Context, m move.Move) {
 	stored, err := decodeState(ms.Hosts.Known(statePrefix + string(m.Entry)))
@@ -280,13 +292,13 @@
 	}
 	ms.baseline[m.Entry] = total
 	ms.Canary.SetState(m)
-	ms.Log.Info("move stepped", "move", m.ID, "state", m.State, "share", m.Share, "reason", m.Reason, "evidence", total, "fence", fence)
+	ms.Log.Info("move stepped", "move", m.ID, "from", m.From, "rejected", m.Rejected, "state", m.State, "share", m.Share, "reason", m.Reason, "evidence", total, "fence", fence)
 	ms.writeStatus(ctx, m)
 	return true
 }
 
 // commitState writes the row of a move's state over the known one, or over the one that another write has put there unless
-// that one is to stay: it is applied then, so that the next step goes on from it.
+// that one says more: it is applied then, so that the next step goes on from it.
 func (ms *Moves) commitState(ctx context.Context, m move.Move, value []byte) (version int64, err error) {
 	key := statePrefix + string(m.Entry)
 	version, err = ms.Hosts.Write(ctx, key, value)
@@ -300,17 +312,15 @@
 	return ms.Hosts.Write(ctx, key, value)
 }
 
-// mayReplace reports whether a move's state may be written over a row: not over the end of the same move, nor over what a later
-// holder of the lease wrote. A row that returned with a restore of the store is older than either.
+// mayReplace reports whether a move's state may be written over a row that was not known: not over the end of the same move, nor
+// over the state of another one, which may hold a verdict, nor over what a later holder of the lease wrote. A row that returned
+// with a restore of the store is older than what is known.
 func mayReplace(current record.Record, m move.Move) bool {
 	stored, err := decodeState(current)
 	if !current.Exists() || err != nil || eras.Of(current.Version) > eras.Of(stored.Fence) {
 		return true
 	}
-	if stored.ID == m.ID && stored.Ended() && stored.State != m.State {
-		return false
-	}
-	return stored.Fence <= m.Fence
+	return stored.ID == m.ID && stored.Fence <= m.Fence && (!stored.Ended() || stored.State == m.State)
 }
 
 // writeStatus writes a move's status for the operator, once for each state.
--- a/protocol/move/move.go
+++ b/protocol/move/move.go
@@ -24,7 +24,7 @@
 	ID string `json:"id"`
 	// Entry is the catalogue entry whose traffic moves.
 	Entry label.Name `json:"entry"`
-	// From is the old version.
+	// From is the old version, empty while none is known to be good.
 	From label.Name `json:"from"`
 	// To is the new version.
 	To label.Name `json:"to"`
@@ -40,6 +40,8 @@
 	State string `json:"state"`
 	// Reason is why the move was rolled back.
 	Reason string `json:"reason,omitempty"`
+	// Rejected lists the versions of earlier moves that were not found good: they are neither the old nor the new version.
+	Rejected []label.Name `json:"rejected,omitempty"`
 	// Fence is the fencing number of the lease holder that wrote the move last.
 	Fence int64 `json:"fence"`
 	// Version is the version of the row from which the move was read, or to which it was written.
@@ -49,6 +51,9 @@
 // Ended reports whether the move is done or rolled back.
 func (m *Move) Ended() bool { return m.State != Ramping }
 
+// Proved reports whether the new version was found good: the move is done, or has all traffic on it and only waits to be.
+func (m *Move) Proved() bool { return m.State == Done || m.State == Ramping && m.Share >= 1 }
+
 // ShareOf returns the fraction of a route's traffic, 0 to 1, that To may receive.
 func (m *Move) ShareOf(route string) float64 {
 	for i := range m.Routes {
--- a/transport/site/members.go
+++ b/transport/site/members.go
@@ -247,25 +247,9 @@
 // applyHosts applies changed rows of the hosts' table, which also holds the state of moves and the decisions on prompt parts.
 func (s *Site) applyHosts(all []record.Record) {
 	for _, r := range all {
+		s.applyHostsRow(r)
+		// From now on the row may be written over.
 		s.rows.Observe(r)
-		if isPromptRow(r.Key) {
-			s.applyPrompt(r)
-			continue
-		}
-		if r.Deleted {
-			delete(s.hostRows, r.Key)
-			continue
-		}
-		if s.moves.IsState(r.Key) {
-			s.moves.SetState(r)
-			continue
-		}
-		row, err := roster.Decode(r.Key, r.Value)
-		if err != nil {
-			s.Log.Warn("cannot decode the row of an entry host; it is ignored", "key", r.Key, "version", r.Version, "error", err)
-			continue
-		}
-		s.hostRows[r.Key] = row
 	}
 	var list []roster.Row
 	for _, row := range s.hostRows {
@@ -278,6 +262,25 @@
 	s.Log.Info("entry hosts updated", "hosts", len(list), "this-one", listed)
 }
 
+// applyHostsRow applies a row of the hosts' table.
+func (s *Site) applyHostsRow(r record.Record) {
+	switch {
+	case isPromptRow(r.Key):
+		s.applyPrompt(r)
+	case r.Deleted:
+		delete(s.hostRows, r.Key)
+	case s.moves.IsState(r.Key):
+		s.moves.SetState(r)
+	default:
+		row, err := roster.Decode(r.Key, r.Value)
+		if err != nil {
+			s.Log.Warn("cannot decode the row of an entry host; it is ignored", "key", r.Key, "version", r.Version, "error", err)
+			return
+		}
+		s.hostRows[r.Key] = row
+	}
+}
+
 // buildMembers builds what writes the rows of the hosts' table.
 func (s *Site) buildMembers() {
 	s.rows = &swap.Rows{Store: s.Hosts}
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -169,14 +169,16 @@
 	// demandLogged is when the demand of each back end was last logged.
 	demandLogged map[label.Name]time.Time
 	incarnation  int64
-	fleet        *fleet.Fleet
-	gossip       *spread.Gossip
-	peers        *peers.Peers
-	syncer       *syncer.Syncer
-	pacer        *pacer.Pacer
-	ledger       *ledger.Ledger
-	placer       *placer.Placer
-	prompts      *poison.Guard
+	// started is when the process began.
+	started time.Time
+	fleet   *fleet.Fleet
+	gossip  *spread.Gossip
+	peers   *peers.Peers
+	syncer  *syncer.Syncer
+	pacer   *pacer.Pacer
+	ledger  *ledger.Ledger
+	placer  *placer.Placer
+	prompts *poison.Guard
 	// tables holds the watchers of the platform's tables, which read them from the store or get them from peers.
 	tables map[string]*watch.Watcher
 	polls  *polls.Polls
@@ -220,7 +222,8 @@
 
 // Prepare builds the parts that do not depend on the handlers.
 func (s *Site) Prepare() {
-	s.incarnation = time.Now().UnixNano()
+	s.started = time.Now()
+	s.incarnation = s.started.UnixNano()
 	s.exiting, s.endRequests = context.WithCancel(context.Background())
 	s.cutting, s.cutStreams = context.WithCancel(context.Background())
 	s.Meter = meter.New()
@@ -315,9 +318,10 @@
 	return true, time.Until(time.Unix(0, at)) - exitLead - answerLead
 }
 
-// IsReady reports whether the process accepts requests: it has a configuration and an endpoint and is not draining.
+// IsReady reports whether the process accepts requests: it has a configuration and an endpoint, knows which versions of
+// endpoints were rolled back, and is not draining.
 func (s *Site) IsReady() bool {
-	return s.killAt.Load() == 0 && s.Policy.Rules() != nil && len(s.Registry.All()) > 0
+	return s.killAt.Load() == 0 && s.Policy.Rules() != nil && len(s.Registry.All()) > 0 && s.knowsVerdicts()
 }
 
 // Run serves until ctx ends, then drains within the grace period.
