canary: count callers who leave in vain, and rejections, as evidence on both versions

Cause: an attempt whose caller left, or that the endpoint rejected, counted as neither good nor bad. Callers leave because the answer does not come, so that the worst answers were left out and the rest looked sound.

Ruled out: the judge (failures in place of slow answers are withdrawn after few requests), and the end of silent attempts (streams that may not be resumed are not watched).

Evidence: the counts of move stepped hold no bad answers while 41 in 100 callers get nothing.

Change: a caller who left counts as a bad outcome, on either version, if it had waited longer than the route's aim, or than twice the time within which 95 in 100 answers of the old version begin (state/waits); within a stream, longer than its longest allowed pause. Rejections count on either version, but for endpoints that are full, cold, limited or about to stop.

Why it works: both versions are judged by callers of equal patience; those with less tell nothing of either.

--- a/bench/main.go
+++ b/bench/main.go
@@ -17,6 +17,7 @@
 		Once    onceCmd    `cmd:"" help:"Non-idempotent calls over histories with faults."`
 		Lease   leaseCmd   `cmd:"" help:"Leases over histories with pauses and lost responses."`
 		Moves   movesCmd   `cmd:"" help:"Version moves of every kind."`
+		Proof   proofCmd   `cmd:"" help:"Verdicts on versions whose evidence depends on callers, too."`
 		Roles   rolesCmd   `cmd:"" help:"One step of the mover, the provisioner and the engine orders at several sizes."`
 		Hosts   hostsCmd   `cmd:"" help:"Host provisioning under reclaim waves and refused starts."`
 		Homes   homesCmd   `cmd:"" help:"Distribution of load over entry hosts by address lookups."`
--- a/coordination/canary/canary.go
+++ b/coordination/canary/canary.go
@@ -4,6 +4,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/dragonflyroute/dragonflyroute/coordination/judge"
 	"github.com/dragonflyroute/dragonflyroute/protocol/ending"
@@ -13,6 +14,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/work"
 	"github.com/dragonflyroute/dragonflyroute/state/target"
 	"github.com/dragonflyroute/dragonflyroute/state/trials"
+	"github.com/dragonflyroute/dragonflyroute/state/waits"
 )
 
 // Canary keeps the moves that the operator requested and the last known state of each.
@@ -26,12 +28,16 @@
 	Judge judge.Judge
 	// Rand returns a number in [0, 1).
 	Rand func() float64
+	// Now returns the time.
+	Now func() time.Time
 
 	mu        sync.RWMutex
 	requested map[label.Name]move.Move
 	states    map[label.Name]move.Move
 	// replaced holds, by entry, the requests that later ones have replaced since the state of a requested move was last known.
 	replaced map[label.Name][]move.Move
+	// oldWaits holds, by entry, how long callers of the old version have waited for answers during the requested move.
+	oldWaits map[label.Name]*waits.Waits
 }
 
 // SetRequested sets the move that the operator requests for a back end: one without shares or state, whose entry
@@ -53,6 +59,10 @@
 		c.replaced[m.Entry] = append(c.replaced[m.Entry], before)
 	}
 	c.requested[m.Entry] = m
+	if c.oldWaits == nil {
+		c.oldWaits = map[label.Name]*waits.Waits{}
+	}
+	c.oldWaits[m.Entry] = &waits.Waits{}
 }
 
 // Requested returns the moves that the operator requested.
@@ -197,17 +207,86 @@
 	return out
 }
 
+// slowFactor is how many times as long as nearly all answers of the old version take a caller must have waited in vain for its
+// leaving to speak against a version.
+const slowFactor = 2
+
 // Record counts the outcome of one attempt, and withdraws the move when this process's own evidence shows the new
 // version to be bad.
 //
-// Attempts that did not run and those whose caller disconnected are not counted.
+// Attempts that tell nothing of the version are not counted: those that reached no endpoint, or a full one, and those whose
+// caller left before an answer was due.
 func (c *Canary) Record(d decision, t *target.Target, w *work.Request, r result.Result) {
-	if d.Move == "" || r.Ending.NotExecuted() || r.Ending == ending.CallerGone {
+	if d.Move == "" {
+		return
+	}
+	isNew := t.Row().Version == d.newVersion
+	due := c.dueWithin(w)
+	if r.TimeToFirst > 0 && !isNew {
+		c.waitsOf(w.Backend).Observe(w.Route.Name, r.TimeToFirst)
+	}
+	bad := r.Ending != ending.Delivered || isLate(w, r)
+	if bad && !c.tells(t, w, r, due) {
 		return
 	}
-	bad := r.Ending != ending.Delivered || w.Route.TargetLatency > 0 && r.TimeToFirst > w.Route.TargetLatency
-	c.Trials.Record(d.Move, string(w.Route.Name), t.Row().Version == d.newVersion, bad)
+	c.Trials.Record(d.Move, string(w.Route.Name), isNew, bad)
 	if _, worse := c.Judge.Bad(c.Trials.ByRoute(d.Move)); worse {
 		c.Trials.Withdraw(d.Move)
 	}
 }
+
+// isLate reports whether an answer began later than its route aims at.
+func isLate(w *work.Request, r result.Result) bool {
+	return w.Route.TargetLatency > 0 && r.TimeToFirst > w.Route.TargetLatency
+}
+
+// tells reports whether a bad outcome tells something of the version. A rule for both versions, so that what callers and full
+// endpoints do shows in the counts of the old one too.
+func (c *Canary) tells(t *target.Target, w *work.Request, r result.Result, due time.Duration) bool {
+	switch {
+	case r.Ending == ending.AddressReused:
+		return false
+	case r.Ending == ending.NotRun:
+		return r.Status != 0 && !c.mayReject(t, r)
+	case r.Ending != ending.CallerGone || isLate(w, r):
+		return true
+	case r.TimeToFirst > 0:
+		return w.Route.TargetGap > 0 && r.Waited > w.Route.TargetGap
+	default:
+		return r.Sent && due > 0 && r.Waited > due
+	}
+}
+
+// dueWithin returns the time within which an answer is due on either version: what the route aims at, or sooner by what the old
+// version usually takes. It is 0 while neither is known.
+func (c *Canary) dueWithin(w *work.Request) time.Duration {
+	usual, known := c.waitsOf(w.Backend).Usual(w.Route.Name)
+	switch aim := w.Route.TargetLatency; {
+	case !known:
+		return aim
+	case aim == 0:
+		return slowFactor * usual
+	default:
+		return min(aim, slowFactor*usual)
+	}
+}
+
+func (c *Canary) waitsOf(entry label.Name) *waits.Waits {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.oldWaits[entry]
+}
+
+// mayReject reports whether an endpoint may reject requests whatever its version: it is full, cold or about to stop, or limits
+// its requests.
+func (c *Canary) mayReject(t *target.Target, r result.Result) bool {
+	now := c.Now()
+	if t.Leaving() || t.Limit.InForce() || t.Warmup.Cold(now) {
+		return true
+	}
+	if r.LoadKnown {
+		return r.Waiting > 0 || r.Running >= r.Slots
+	}
+	running, _ := t.Outstanding(now)
+	return running >= t.Slots()
+}
--- a/coordination/canary/canary_test.go
+++ b/coordination/canary/canary_test.go
@@ -95,3 +95,95 @@
 		Expect(served()).To(Equal([]label.Name{"v2"}))
 	})
 })
+
+var _ = Describe("A version whose callers leave", func() {
+	const aim, gap = 500 * time.Millisecond, 300 * time.Millisecond
+	request := &work.Request{Backend: "plume", Route: &path.Route{Name: "q", TargetLatency: aim, TargetGap: gap}}
+	old := target.New(roster.Row{ID: "i", Backend: "plume", Version: "v1", State: roster.Live, Slots: 8})
+	fresh := target.New(roster.Row{ID: "j", Backend: "plume", Version: "v2", State: roster.Live, Slots: 8})
+	answered := result.Result{Ending: ending.Delivered, Sent: true, Status: 200, TimeToFirst: 100 * time.Millisecond}
+	// gone returns the result of an attempt whose caller left after a wait.
+	gone := func(waited time.Duration) result.Result {
+		return result.Result{Ending: ending.CallerGone, Sent: true, Waited: waited}
+	}
+	var c *canary.Canary
+	BeforeEach(func() {
+		c = &canary.Canary{Trials: &trials.Trials{}, Judge: judge.Judge{Alpha: 0.001, Margin: 0.02}, Rand: func() float64 { return 0.5 }, Now: time.Now}
+		requested := move.Move{ID: "plume@7", Entry: "plume", To: "v2"}
+		c.SetRequested(requested)
+		requested.State, requested.Routes = move.Ramping, []share.Share{{Name: "q", Fraction: 0.6}}
+		c.SetState(requested)
+	})
+	// play counts attempts at both versions: of five, some end in a way of their own on each one.
+	play := func(onOld, onNew int, r result.Result) (withdrawn bool) {
+		chosen := c.Choose(request)
+		for i := range 1000 {
+			for _, v := range []struct {
+				at  *target.Target
+				own int
+			}{{old, onOld}, {fresh, onNew}} {
+				if i%5 < v.own {
+					c.Record(chosen, v.at, request, r)
+				} else {
+					c.Record(chosen, v.at, request, answered)
+				}
+			}
+		}
+		return c.Trials.Withdrawn("plume@7")
+	}
+
+	// Guards against a version that is completed though many of its callers leave as their answers do not come.
+	It("later than the answer is due is withdrawn", func() {
+		Expect(play(0, 2, gone(2400*time.Millisecond))).To(BeTrue())
+	})
+
+	It("after a pause longer than the route allows is withdrawn", func() {
+		r := gone(2400 * time.Millisecond)
+		r.TimeToFirst, r.LastEventID = answered.TimeToFirst, "3"
+		Expect(play(0, 2, r)).To(BeTrue())
+	})
+
+	It("after an answer that began too late is withdrawn", func() {
+		r := gone(0)
+		r.TimeToFirst, r.LastEventID = 2*aim, "3"
+		Expect(play(0, 2, r)).To(BeTrue())
+	})
+
+	// Guards against callers who leave sooner than the route's aim, so that a version that is silent loses them uncounted.
+	It("long after answers of the old one begin is withdrawn, though before the route's aim", func() {
+		Expect(play(0, 2, gone(400*time.Millisecond))).To(BeTrue())
+	})
+
+	// Guards against a good version that is withdrawn because callers are impatient.
+	DescribeTable("like those of the old one, or for reasons of their own, stays",
+		func(onOld, onNew int, r result.Result) { Expect(play(onOld, onNew, r)).To(BeFalse()) },
+		Entry("before an answer is due", 0, 2, gone(90*time.Millisecond)),
+		Entry("late on both versions", 2, 2, gone(2400*time.Millisecond)),
+		Entry("late, more often on the old one", 3, 2, gone(2400*time.Millisecond)),
+		Entry("in the middle of a stream that goes on", 0, 2, result.Result{Ending: ending.CallerGone, Sent: true, TimeToFirst: 100 * time.Millisecond, Waited: 20 * time.Millisecond}),
+		Entry("before the request was sent", 0, 2, result.Result{Ending: ending.CallerGone, Waited: 2400 * time.Millisecond}),
+	)
+
+	It("is not judged by their leaving before some answers of the old one are known", func() {
+		request := &work.Request{Backend: "plume", Route: &path.Route{Name: "q"}}
+		chosen := c.Choose(request)
+		for range 1000 {
+			c.Record(chosen, fresh, request, gone(time.Second))
+		}
+		Expect(c.Trials.Withdrawn("plume@7")).To(BeFalse())
+	})
+
+	// Guards against a version that is completed though it turns many of its requests away.
+	It("as it rejects requests with room for them is withdrawn", func() {
+		Expect(play(0, 2, result.Result{Ending: ending.NotRun, Sent: true, Status: 503})).To(BeTrue())
+	})
+
+	DescribeTable("as it rejects requests stays, if",
+		func(onOld, onNew int, r result.Result) { Expect(play(onOld, onNew, r)).To(BeFalse()) },
+		Entry("the old one does too", 2, 2, result.Result{Ending: ending.NotRun, Sent: true, Status: 503}),
+		Entry("it is full", 0, 2, result.Result{Ending: ending.NotRun, Sent: true, Status: 503, LoadKnown: true, Running: 8, Slots: 8}),
+		Entry("requests wait there", 0, 2, result.Result{Ending: ending.NotRun, Sent: true, Status: 503, LoadKnown: true, Running: 7, Waiting: 1, Slots: 8}),
+		Entry("no endpoint answered", 0, 2, result.Result{Ending: ending.NotRun}),
+		Entry("another endpoint uses its address", 0, 2, result.Result{Ending: ending.AddressReused, Sent: true, Status: 421}),
+	)
+})
--- a/protocol/result/result.go
+++ b/protocol/result/result.go
@@ -27,6 +27,9 @@
 	LastEventID string
 	// TimeToFirst is the time from sending the request to the first part of the answer, 0 when there is none.
 	TimeToFirst time.Duration
+	// Waited is how long the caller had waited at the end of the attempt: since the last part of the answer or, before the first
+	// one, since the request was sent.
+	Waited time.Duration
 	// LoadKnown is set when the endpoint reported its load: Running, Waiting and Slots.
 	LoadKnown bool
 	// Running is the number of requests that the endpoint runs.
--- a/transport/front/apps.go
+++ b/transport/front/apps.go
@@ -89,14 +89,13 @@
 	defer target.End(class.Call)
 	answer, sent, err := v.call.Send(ctx)
 	end(err)
-	if context.Cause(ctx) == context.Canceled {
-		return answer, sent, err
-	}
-	if err != nil {
+	gone := context.Cause(ctx) == context.Canceled
+	if err != nil && !gone {
 		target.RecordFailure(f.Now())
 	}
-	if v.move != "" {
-		late := f.Now().Sub(started) > v.entry.Limits.Answer.Duration()
+	late := f.Now().Sub(started) > v.entry.Limits.Answer.Duration()
+	// A caller who left before the answer was due says nothing of the version.
+	if v.move != "" && (!gone || late) {
 		f.Mover.Record(v.move, v.routeName(), v.isNew, err != nil || answer.Status >= iris.StatusInternalServerError || late)
 	}
 	return answer, sent, err
--- a/transport/site/moves.go
+++ b/transport/site/moves.go
@@ -13,7 +13,7 @@
 
 func (s *Site) buildMoves() {
 	steps := ramp.Default()
-	s.Proxy.Canary = &canary.Canary{Trials: s.ownTrials, Judge: steps.Judge, Rand: s.Balancer.Rand}
+	s.Proxy.Canary = &canary.Canary{Trials: s.ownTrials, Judge: steps.Judge, Rand: s.Balancer.Rand, Now: time.Now}
 	s.moves = &moves.Moves{
 		Canary:       s.Proxy.Canary,
 		Trials:       s.ownTrials,
