canary: judge by whether callers got a success, with the old version's share as the measure

Cause: every complete answer below 500 counted as good.

Ruled out: too little evidence (with 500 in place of 404 the version is rolled back after 11 and 17 requests).

Evidence: no bad answers in the counts of move stepped, while 561 of 1,402 were 404. The specs before the fix: [FAIL] A version that answers with a status other than success more often than the old one is withdrawn not found, where the old one has none / not found, where callers ask for what does not exist / bad request / unauthorized / conflict / a redirection Ran 32 of 32 Specs: 26 passed, 6 failed. The five of good versions passed before, and do.

Change: a status other than that of a success counts as bad on both versions. The judge compares the shares on each route, and the ramp subtracts the old one's. The usual time of answers is taken from successes only. The same on calls of the product's own interface (transport/front; read, not run).

Why it works: what callers do shows on both versions, and only what the new one adds speaks against it.

Conclusion: the price is time on routes where callers err often and requests are few.

--- a/coordination/canary/canary.go
+++ b/coordination/canary/canary.go
@@ -212,7 +212,7 @@
 const slowFactor = 2
 
 // Record counts the outcome of one attempt, and withdraws the move when this process's own evidence shows the new
-// version to be bad.
+// version to be bad. An outcome is good if the caller got a success in time.
 //
 // Attempts that tell nothing of the version are not counted: those that reached no endpoint, or a full one, and those whose
 // caller left before an answer was due.
@@ -222,10 +222,10 @@
 	}
 	isNew := t.Row().Version == d.newVersion
 	due := c.dueWithin(w)
-	if r.TimeToFirst > 0 && !isNew {
+	if r.TimeToFirst > 0 && !isNew && succeeded(r) {
 		c.waitsOf(w.Backend).Observe(w.Route.Name, r.TimeToFirst)
 	}
-	bad := r.Ending != ending.Delivered || isLate(w, r)
+	bad := r.Ending != ending.Delivered || isLate(w, r) || !succeeded(r)
 	if bad && !c.tells(t, w, r, due) {
 		return
 	}
@@ -235,6 +235,10 @@
 	}
 }
 
+// succeeded reports whether the status of an answer is that of a success. Some of the others are the callers' doing: how many
+// shows in the old version's share on the same route, with which the new version is compared.
+func succeeded(r result.Result) bool { return r.Status == 0 || r.Status/100 == 2 }
+
 // isLate reports whether an answer began later than its route aims at.
 func isLate(w *work.Request, r result.Result) bool {
 	return w.Route.TargetLatency > 0 && r.TimeToFirst > w.Route.TargetLatency
--- a/coordination/canary/canary_test.go
+++ b/coordination/canary/canary_test.go
@@ -187,3 +187,53 @@
 		Entry("another endpoint uses its address", 0, 2, result.Result{Ending: ending.AddressReused, Sent: true, Status: 421}),
 	)
 })
+
+var _ = Describe("A version that answers with a status other than success", func() {
+	request := &work.Request{Backend: "plume", Route: &path.Route{Name: "q", TargetLatency: time.Second}}
+	old := target.New(roster.Row{ID: "i", Backend: "plume", Version: "v1", State: roster.Live, Slots: 8})
+	fresh := target.New(roster.Row{ID: "j", Backend: "plume", Version: "v2", State: roster.Live, Slots: 8})
+	answer := func(status int) result.Result {
+		return result.Result{Ending: ending.Delivered, Sent: true, Status: status, TimeToFirst: time.Millisecond}
+	}
+	// play counts attempts at both versions: of ten, some are answered with a status on each one, and the others with success.
+	play := func(onOld, onNew, status int) (withdrawn bool) {
+		c := &canary.Canary{Trials: &trials.Trials{}, Judge: judge.Judge{Alpha: 0.001, Margin: 0.02}, Rand: func() float64 { return 0.5 }, Now: time.Now}
+		requested := move.Move{ID: "plume@7", Entry: "plume", To: "v2"}
+		c.SetRequested(requested)
+		requested.State, requested.Routes = move.Ramping, []share.Share{{Name: "q", Fraction: 0.6}}
+		c.SetState(requested)
+		chosen := c.Choose(request)
+		for i := range 1000 {
+			for at, own := range map[*target.Target]int{old: onOld, fresh: onNew} {
+				if i%10 < own {
+					c.Record(chosen, at, request, answer(status))
+				} else {
+					c.Record(chosen, at, request, answer(200))
+				}
+			}
+		}
+		return c.Trials.Withdrawn("plume@7")
+	}
+
+	// Guards against a version that is completed though it answers many requests with a status of the caller's fault, which the
+	// old version served.
+	DescribeTable("more often than the old one is withdrawn",
+		func(onOld, onNew, status int) { Expect(play(onOld, onNew, status)).To(BeTrue()) },
+		Entry("not found, where the old one has none", 0, 4, 404),
+		Entry("not found, where callers ask for what does not exist", 3, 6, 404),
+		Entry("bad request", 0, 4, 400),
+		Entry("unauthorized", 0, 4, 401),
+		Entry("conflict", 1, 4, 409),
+		Entry("a redirection", 0, 4, 302),
+	)
+
+	// Guards against a good version that is withdrawn because of its callers' requests.
+	DescribeTable("as often as the old one stays",
+		func(onOld, onNew, status int) { Expect(play(onOld, onNew, status)).To(BeFalse()) },
+		Entry("not found", 3, 3, 404),
+		Entry("not modified", 5, 5, 304),
+		Entry("nearly always bad request", 9, 9, 400),
+		Entry("less often", 5, 2, 404),
+		Entry("no content", 0, 9, 204),
+	)
+})
--- a/protocol/trial/trial.go
+++ b/protocol/trial/trial.go
@@ -7,11 +7,11 @@
 	Route string `json:"route"`
 	// Old is the number of finished requests on the old version.
 	Old int64 `json:"old"`
-	// OldBad is the number of those that failed or were late.
+	// OldBad is the number of those without a success in time.
 	OldBad int64 `json:"old-bad"`
 	// New is the number of finished requests on the new version.
 	New int64 `json:"new"`
-	// NewBad is the number of those that failed or were late.
+	// NewBad is the number of those without a success in time.
 	NewBad int64 `json:"new-bad"`
 }
 
--- a/transport/front/apps.go
+++ b/transport/front/apps.go
@@ -96,7 +96,7 @@
 	late := f.Now().Sub(started) > v.entry.Limits.Answer.Duration()
 	// A caller who left before the answer was due says nothing of the version.
 	if v.move != "" && (!gone || late) {
-		f.Mover.Record(v.move, v.routeName(), v.isNew, err != nil || answer.Status >= iris.StatusInternalServerError || late)
+		f.Mover.Record(v.move, v.routeName(), v.isNew, err != nil || answer.Status >= iris.StatusMultipleChoices || late)
 	}
 	return answer, sent, err
 }
