--- a/bench/proof.go
+++ b/bench/proof.go
@@ -31,6 +31,7 @@
 	"good, a tenth of the callers of both versions leave late":       {Slow: [2]float64{0.1, 0.1}},
 	"good, a tenth of the answers of both is 404":                    {Missing: [2]float64{0.1, 0.1}},
 	"good, three tenths of the answers of both are 404":              {Missing: [2]float64{0.3, 0.3}},
+	"good, callers of both err in a tenth of the seconds":            {Bursts: 0.1},
 	"good, a tenth is rejected on both":                              {Rejecting: [2]float64{0.1, 0.1}},
 	"bad, two fifths slow past the callers' patience":                {Slow: [2]float64{0, 0.4}},
 	"bad, two fifths slow, half of the callers leave when they like": {Slow: [2]float64{0, 0.4}, Leaving: 0.5},
--- a/model/proof/proof.go
+++ b/model/proof/proof.go
@@ -40,6 +40,8 @@
 	// step is the time between two steps of the move.
 	step  = time.Second
 	slots = 64
+	// burstShare is the share of callers who err in a burst.
+	burstShare = 0.5
 )
 
 // Simulation is one move.
@@ -56,6 +58,8 @@
 	Slow, Missing, Failing, Rejecting [2]float64
 	// Leaving is the share of callers who leave at a time of their own, up to patience.
 	Leaving float64
+	// Bursts is the share of the seconds in which half of the callers of both versions ask for what does not exist.
+	Bursts float64
 	// Blind leaves out the evidence of callers who leave, of rejections and of statuses below 500.
 	Blind bool
 
@@ -72,6 +76,8 @@
 	moves     *moves.Moves
 	endpoints []*target.Target
 	routes    []*path.Route
+	// missing is the share of the present second's requests, on either version, that ask for what does not exist.
+	missing float64
 }
 
 // Run simulates the move until its time is over, and sets the results.
@@ -80,6 +86,10 @@
 	began := s.now
 	for s.now.Sub(began) < s.Lasts {
 		s.now = s.now.Add(step)
+		s.missing = 0
+		if s.rand.Float64() < s.Bursts {
+			s.missing = burstShare
+		}
 		for range s.poisson(s.Rate * step.Seconds()) {
 			s.request()
 		}
@@ -155,7 +165,7 @@
 	switch {
 	case falls(s.Slow):
 		r.TimeToFirst *= slowness
-	case falls(s.Missing):
+	case falls(s.Missing), falls([2]float64{s.missing, s.missing}):
 		r.Status = http.StatusNotFound
 	case falls(s.Failing):
 		r.Ending, r.Status = ending.Failed, http.StatusInternalServerError
--- a/standin/rows.go
+++ b/standin/rows.go
@@ -58,6 +58,8 @@
 	// down makes every call fail with status 503. loseResponses carries out every call and closes the connection without
 	// a response. silent answers no call, also none that waits, and never does so later on the same connection.
 	down, loseResponses, silent bool
+	// late is after how long writes are carried out that get no answer, 0 for none such.
+	late time.Duration
 	// slow is by how much calls, and answers to the operator, are delayed.
 	slow time.Duration
 	// muted counts, by table, how often the feed requests that waited were left without an answer.
@@ -104,16 +106,16 @@
 }
 
 // setFaults replaces the faults of the store and carries out those that last no time:
-// /fault?down&lost&silent&slow=SECONDS&compact&mute=TABLE&restore=SECONDS, where slow delays calls, and the operator's answers, by
-// that many seconds, mute leaves the feed requests that wait for a table's changes without an answer, and restore brings back the
-// rows of that many seconds ago.
+// /fault?down&lost&silent&late=SECONDS&slow=SECONDS&compact&mute=TABLE&restore=SECONDS, where late carries writes out after that many
+// seconds, if their conditions hold then, and answers none, slow delays calls, and the operator's answers, by that many seconds,
+// mute leaves the feed requests that wait for a table's changes without an answer, and restore brings back the rows of that many
+// seconds ago.
 func (s *rowStore) setFaults(_ http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q := r.URL.Query()
 	s.down, s.loseResponses, s.silent = q.Has("down"), q.Has("lost"), q.Has("silent")
-	slow, _ := strconv.ParseFloat(q.Get("slow"), 64)
-	s.slow = time.Duration(slow * float64(time.Second))
+	s.slow, s.late = seconds(q.Get("slow")), seconds(q.Get("late"))
 	if q.Has("mute") {
 		s.muted[q.Get("mute")]++
 	}
@@ -125,6 +127,12 @@
 	}
 }
 
+// seconds returns the duration that a parameter names, 0 for none.
+func seconds(text string) time.Duration {
+	n, _ := strconv.ParseFloat(text, 64)
+	return time.Duration(n * float64(time.Second))
+}
+
 // answer writes a response of the store. The caller holds mu, so that era and rows are those of the same moment.
 func (s *rowStore) answer(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
@@ -189,20 +197,42 @@
 func (s *rowStore) commit(w http.ResponseWriter, r *http.Request) {
 	var t siteTxn
 	err := read(r, &t)
+	if late := s.lateness(); late > 0 && err == nil {
+		time.AfterFunc(late, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.apply(t)
+		})
+		panic(http.ErrAbortHandler)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil {
+	switch {
+	case err != nil:
 		s.answer(w, http.StatusBadRequest, nil)
-		return
+	case !s.apply(t):
+		s.answer(w, http.StatusPreconditionFailed, siteAnswer{Ver: s.ver})
+	default:
+		s.answer(w, http.StatusOK, siteAnswer{Ver: s.ver})
 	}
+}
+
+// lateness returns after how long writes are carried out that get no answer.
+func (s *rowStore) lateness() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.late
+}
+
+// apply carries out a transaction and reports whether its conditions held. The caller holds mu.
+func (s *rowStore) apply(t siteTxn) bool {
 	for _, c := range t.ExpectedRev {
 		row := s.rows[[2]string{c.Table, c.Key}]
 		if row.Tombstone {
 			row.Ver = 0
 		}
 		if row.Ver != c.Ver {
-			s.answer(w, http.StatusPreconditionFailed, siteAnswer{Ver: s.ver})
-			return
+			return false
 		}
 	}
 	s.ver++
@@ -213,7 +243,7 @@
 	for _, p := range t.Remove {
 		s.set(siteRow{Table: p.Table, Key: p.Key, Ver: s.ver, Tombstone: true})
 	}
-	s.answer(w, http.StatusOK, siteAnswer{Ver: s.ver})
+	return true
 }
 
 // find returns the rows of a table for which match returns true, in the order of their versions.
--- a/test/scene/site_test.go
+++ b/test/scene/site_test.go
@@ -164,20 +164,30 @@
 	h.process = start("dragonflyroute", address, "host", "--settings", h.settings)
 }
 
-// moveUnderLoad requests a move of the back end to v2 and sends calls until the move has completed or was rolled back.
-// It returns the final status.
-func (s *site) moveUnderLoad(seconds int) string {
-	body := fmt.Sprintf(`{"service":"plume","to":"v2","durationS":%d}`, seconds)
+// requestMove requests a move of the back end to a version.
+func (s *site) requestMove(to string, seconds int) {
+	body := fmt.Sprintf(`{"service":"plume","to":%q,"durationS":%d}`, to, seconds)
 	r, err := http.NewRequest(http.MethodPut, "http://"+s.platform.address+"/op/rollout%2Fplume", strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	resp, err := http.DefaultClient.Do(r)
 	Expect(err).NotTo(HaveOccurred())
 	_ = resp.Body.Close()
+}
+
+// callHosts sends calls to the hosts in turn.
+func (s *site) callHosts(n int) {
+	for range n {
+		s.request(s.requests%len(s.hosts), "/call/x", "k1")
+	}
+}
+
+// moveUnderLoad requests a move of the back end to v2 and sends calls until the move has completed or was rolled back.
+// It returns the final status.
+func (s *site) moveUnderLoad(seconds int) string {
+	s.requestMove("v2", seconds)
 	status := ""
 	Eventually(func() string {
-		for range 40 {
-			s.request(s.requests%len(s.hosts), "/call/x", "k1")
-		}
+		s.callHosts(40)
 		status = s.record().Status["rollout/plume"]
 		return status
 	}).Should(Or(ContainSubstring("completed"), ContainSubstring("rolled_back")))
--- a/test/scene/soak_faults_test.go
+++ b/test/scene/soak_faults_test.go
@@ -1,6 +1,7 @@
 package scene_test
 
 import (
+	"fmt"
 	"os"
 	"syscall"
 	"time"
@@ -23,7 +24,7 @@
 
 // allFaults returns the faults of a run, those that are more likely several times.
 func (k *soak) allFaults() []func() {
-	return append(append(k.oldFaults(), k.reloadFaults()...), k.addCrashingPart, k.restoreFault, k.restoreWhileAbsent)
+	return append(append(k.oldFaults(), k.reloadFaults()...), k.addCrashingPart, k.restoreFault, k.restoreWhileAbsent, k.storeIsLate)
 }
 
 // oldFaults returns the faults that there were when seeds of soakCases failed; a seed names the same faults for as long as
@@ -72,6 +73,17 @@
 	})
 }
 
+// storeIsLate lets the store answer no writes, and carry each one out seconds later if its condition holds then.
+func (k *soak) storeIsLate() {
+	k.logFault("store carries writes out late")
+	k.control(fmt.Sprint("/fault?late=", lateSeconds))
+	ended := k.storeFault(everyHost)
+	k.revertLater(func() {
+		k.control("/fault")
+		ended()
+	})
+}
+
 func (k *soak) compactStore() {
 	k.logFault("store compacts its history")
 	k.control("/fault?compact")
