trials: compare a new version with the old one in the same seconds, too

Cause: the judge compares the shares over the whole time.

Weighed: a tenth of the requests left with the old version until the end, not taken, as old endpoints stop at once on completed.

Change: each host counts, second by second, how many requests on the new version would have been bad at the old one's share there (new-due). Judge and ramp take the old share over the whole time or, if that is higher, this one. Failures, late answers, leavers and rejections count at once.

--- a/coordination/canary/canary.go
+++ b/coordination/canary/canary.go
@@ -225,18 +225,22 @@
 	if r.TimeToFirst > 0 && !isNew && succeeded(r) {
 		c.waitsOf(w.Backend).Observe(w.Route.Name, r.TimeToFirst)
 	}
-	bad := r.Ending != ending.Delivered || isLate(w, r) || !succeeded(r)
-	if bad && !c.tells(t, w, r, due) {
+	failed := r.Ending != ending.Delivered || isLate(w, r)
+	switch {
+	case failed && !c.tells(t, w, r, due):
 		return
+	case !failed && !succeeded(r):
+		c.Trials.RecordDoubtful(d.Move, string(w.Route.Name), isNew)
+	default:
+		c.Trials.Record(d.Move, string(w.Route.Name), isNew, failed)
 	}
-	c.Trials.Record(d.Move, string(w.Route.Name), isNew, bad)
 	if _, worse := c.Judge.Bad(c.Trials.ByRoute(d.Move)); worse {
 		c.Trials.Withdraw(d.Move)
 	}
 }
 
 // succeeded reports whether the status of an answer is that of a success. Some of the others are the callers' doing: how many
-// shows in the old version's share on the same route, with which the new version is compared.
+// shows in the old version's share on the same route, at the same time.
 func succeeded(r result.Result) bool { return r.Status == 0 || r.Status/100 == 2 }
 
 // isLate reports whether an answer began later than its route aims at.
@@ -244,7 +248,7 @@
 	return w.Route.TargetLatency > 0 && r.TimeToFirst > w.Route.TargetLatency
 }
 
-// tells reports whether a bad outcome tells something of the version. A rule for both versions, so that what callers and full
+// tells reports whether a failed attempt tells something of the version. A rule for both versions, so that what callers and full
 // endpoints do shows in the counts of the old one too.
 func (c *Canary) tells(t *target.Target, w *work.Request, r result.Result, due time.Duration) bool {
 	switch {
--- a/coordination/canary/canary_test.go
+++ b/coordination/canary/canary_test.go
@@ -1,6 +1,8 @@
 package canary_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -237,3 +239,51 @@
 		Entry("no content", 0, 9, 204),
 	)
 })
+
+var _ = Describe("A version with all of the traffic", func() {
+	request := &work.Request{Backend: "plume", Route: &path.Route{Name: "q", TargetLatency: time.Second}}
+	endpoints := []*target.Target{
+		target.New(roster.Row{ID: "i", Backend: "plume", Version: "v1", State: roster.Live, Slots: 8}),
+		target.New(roster.Row{ID: "j", Backend: "plume", Version: "v2", State: roster.Live, Slots: 8}),
+	}
+	// play plays a move at the full share, in which some seconds are disturbed: half of the requests on the given versions are bad
+	// then. It reports whether the move was withdrawn.
+	play := func(disturbed func(second int) bool, versions ...label.Name) bool {
+		now := time.Unix(1000, 0)
+		clock := func() time.Time { return now }
+		draws := rand.New(rand.NewPCG(1, 1))
+		c := &canary.Canary{Trials: &trials.Trials{Now: clock}, Judge: judge.Judge{Alpha: 0.001, Margin: 0.02}, Rand: draws.Float64, Now: clock}
+		m := move.Move{ID: "plume@7", Entry: "plume", To: "v2"}
+		c.SetRequested(m)
+		m.State = move.Ramping
+		for second := range 40 {
+			m.Routes = []share.Share{{Name: "q", Fraction: 0.1}}
+			if second >= 20 {
+				m.Routes = []share.Share{{Name: "q", Fraction: 1}}
+			}
+			c.SetState(m)
+			for range 100 {
+				chosen := c.Choose(request)
+				t := chosen.Filter(endpoints)[0]
+				status := 200
+				if disturbed(second) && slices.Contains(versions, t.Row().Version) && draws.IntN(2) == 0 {
+					status = 404
+				}
+				c.Record(chosen, t, request, result.Result{Ending: ending.Delivered, Sent: true, Status: status, TimeToFirst: time.Millisecond})
+			}
+			now = now.Add(time.Second)
+		}
+		return c.Trials.Withdrawn("plume@7")
+	}
+
+	// Guards against a good version that is withdrawn as its callers err for some seconds, while the old one has no requests to
+	// compare with.
+	It("stays when callers of both versions err for some seconds", func() {
+		Expect(play(func(second int) bool { return second >= 25 && second < 29 }, "v1", "v2")).To(BeFalse())
+	})
+
+	It("is withdrawn when that does not end, or comes before it has all of the traffic", func() {
+		Expect(play(func(second int) bool { return second >= 25 }, "v2")).To(BeTrue())
+		Expect(play(func(second int) bool { return second < 20 }, "v2")).To(BeTrue())
+	})
+})
--- a/coordination/judge/judge.go
+++ b/coordination/judge/judge.go
@@ -21,6 +21,9 @@
 // Its confidence limits come from a beta-binomial mixture martingale, so they hold at all times simultaneously (Ville's
 // inequality): however often it is evaluated, a version that is at most Margin worse than the old one is found bad with
 // probability at most Alpha for each set of trials.
+//
+// The old version is taken at its share over the whole time or, if that is higher, at its share in the seconds in which the new
+// one had its requests: what hits both alike in some seconds speaks against neither.
 type Judge struct {
 	// Alpha bounds the probability that a good version is withdrawn.
 	Alpha float64
@@ -41,6 +44,7 @@
 		if t.Old == 0 {
 			highest = j.Margin
 		}
+		highest = max(highest, t.NewDue/float64(t.New))
 		if lowest > highest+j.Margin {
 			return fmt.Sprintf("route %s: %d of %d bad on the new version, %d of %d on the old", t.Route, t.NewBad, t.New, t.OldBad, t.Old), true
 		}
--- a/coordination/judge/judge_test.go
+++ b/coordination/judge/judge_test.go
@@ -56,6 +56,21 @@
 		}
 	})
 
+	// Guards against a good version that is withdrawn since a disturbance, that hits both versions alike, came when the new one had
+	// most of the traffic.
+	It("compares with what the old version got in the same seconds, if that was worse than over the whole time", func() {
+		j := &judge.Judge{Alpha: 0.001, Margin: 0.02}
+		t := trial.Trial{Route: "r", Old: 4000, OldBad: 40, New: 4000, NewBad: 800}
+		_, bad := j.Bad([]trial.Trial{t})
+		Expect(bad).To(BeTrue())
+		t.NewDue = 40
+		_, bad = j.Bad([]trial.Trial{t})
+		Expect(bad).To(BeTrue())
+		t.NewDue = 780
+		_, bad = j.Bad([]trial.Trial{t})
+		Expect(bad).To(BeFalse())
+	})
+
 	It("has confidence limits around the observed share that narrow with evidence", func() {
 		Expect(judge.UpperBound(0, 0, 0.01)).To(Equal(1.0))
 		Expect(judge.LowerBound(10, 0, 0.01)).To(Equal(0.0))
--- a/coordination/ramp/ramp.go
+++ b/coordination/ramp/ramp.go
@@ -205,6 +205,9 @@
 	if t.Old > 0 {
 		old = float64(t.OldBad) / float64(t.Old)
 	}
+	if t.New > 0 {
+		old = max(old, t.NewDue/float64(t.New))
+	}
 	return max(0, judge.UpperBound(t.New, t.NewBad, exposureAlpha)-old-r.Judge.Margin)
 }
 
--- a/model/proof/proof.go
+++ b/model/proof/proof.go
@@ -111,7 +111,8 @@
 	for i := range max(1, s.Routes) {
 		s.routes = append(s.routes, &path.Route{Name: label.Name(fmt.Sprint("route-", i)), TargetLatency: aim})
 	}
-	own, steps, now := &trials.Trials{}, ramp.Default(), func() time.Time { return s.now }
+	now := func() time.Time { return s.now }
+	own, steps := &trials.Trials{Now: now}, ramp.Default()
 	s.canary = &canary.Canary{Trials: own, Judge: steps.Judge, Rand: s.rand.Float64, Now: now}
 	s.moves = &moves.Moves{
 		Canary: s.canary, Trials: own, Ramp: steps, Hosts: &rows{}, Status: &rows{},
--- a/protocol/trial/trial.go
+++ b/protocol/trial/trial.go
@@ -13,6 +13,9 @@
 	New int64 `json:"new"`
 	// NewBad is the number of those without a success in time.
 	NewBad int64 `json:"new-bad"`
+	// NewDue is the number of requests on the new version that would have been bad at the old version's share in the same
+	// seconds.
+	NewDue float64 `json:"new-due,omitempty"`
 }
 
 // Add returns the sum of the counts of t and o, which must be of the same route.
@@ -21,5 +24,6 @@
 	t.OldBad += o.OldBad
 	t.New += o.New
 	t.NewBad += o.NewBad
+	t.NewDue += o.NewDue
 	return t
 }
--- a/transport/site/site.go
+++ b/transport/site/site.go
@@ -235,7 +235,7 @@
 	s.usage = &usage.Usage{WindowLength: s.UsageWindow}
 	s.flow = &flow.Flow{}
 	s.speed = &speed.Speed{}
-	s.ownTrials = &trials.Trials{}
+	s.ownTrials = &trials.Trials{Now: time.Now}
 	s.fleet = &fleet.Fleet{Self: s.Host, Timeout: heartbeatTimeout}
 	s.Rates = &rates.Rates{Hosts: s.hosts, Slack: s.RateSlack, Window: s.RateWindow, Rand: rand.Float64, Started: time.Now()}
 	s.Balancer = &choose.Balancer{Rand: rand.Float64, Speed: s.speed, DataCentre: s.DataCentre, HostCount: s.hosts}
