--- a/coordination/canary/canary.go
+++ b/coordination/canary/canary.go
@@ -221,13 +221,12 @@
 		return
 	}
 	isNew := t.Row().Version == d.newVersion
-	due := c.dueWithin(w)
 	if r.TimeToFirst > 0 && !isNew && succeeded(r) {
 		c.waitsOf(w.Backend).Observe(w.Route.Name, r.TimeToFirst)
 	}
 	failed := r.Ending != ending.Delivered || isLate(w, r)
 	switch {
-	case failed && !c.tells(t, w, r, due):
+	case failed && !c.tells(t, w, r):
 		return
 	case !failed && !succeeded(r):
 		c.Trials.RecordDoubtful(d.Move, string(w.Route.Name), isNew)
@@ -248,9 +247,9 @@
 	return w.Route.TargetLatency > 0 && r.TimeToFirst > w.Route.TargetLatency
 }
 
-// tells reports whether a failed attempt tells something of the version. A rule for both versions, so that what callers and full
-// endpoints do shows in the counts of the old one too.
-func (c *Canary) tells(t *target.Target, w *work.Request, r result.Result, due time.Duration) bool {
+// tells reports whether a failed attempt tells something of the version. The rule is the same for both versions, so that what
+// callers do shows in the counts of the old one, too.
+func (c *Canary) tells(t *target.Target, w *work.Request, r result.Result) bool {
 	switch {
 	case r.Ending == ending.AddressReused:
 		return false
@@ -261,22 +260,20 @@
 	case r.TimeToFirst > 0:
 		return w.Route.TargetGap > 0 && r.Waited > w.Route.TargetGap
 	default:
-		return r.Sent && due > 0 && r.Waited > due
+		due, known := c.dueWithin(w)
+		return r.Sent && known && r.Waited > due
 	}
 }
 
 // dueWithin returns the time within which an answer is due on either version: what the route aims at, or sooner by what the old
-// version usually takes. It is 0 while neither is known.
-func (c *Canary) dueWithin(w *work.Request) time.Duration {
+// version usually takes; ok is false while neither is known.
+func (c *Canary) dueWithin(w *work.Request) (due time.Duration, ok bool) {
+	aim := w.Route.TargetLatency
 	usual, known := c.waitsOf(w.Backend).Usual(w.Route.Name)
-	switch aim := w.Route.TargetLatency; {
-	case !known:
-		return aim
-	case aim == 0:
-		return slowFactor * usual
-	default:
-		return min(aim, slowFactor*usual)
+	if known && (aim == 0 || slowFactor*usual < aim) {
+		return slowFactor * usual, true
 	}
+	return aim, aim > 0
 }
 
 func (c *Canary) waitsOf(entry label.Name) *waits.Waits {
--- a/state/trials/trials.go
+++ b/state/trials/trials.go
@@ -49,7 +49,7 @@
 func (ts *Trials) record(move, route string, isNew, bad, doubtful bool) trial.Trial {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	c := ts.counts(move, route)
+	c := ts.countsOf(move, route)
 	if ts.Now != nil {
 		c.enter(ts.Now().Unix())
 		count(&c.in, isNew, bad)
@@ -61,8 +61,8 @@
 	return c.sum()
 }
 
-// counts returns the counts of a route of a move. The caller holds ts.mu.
-func (ts *Trials) counts(move, route string) *counts {
+// countsOf returns the counts of a route of a move. The caller holds ts.mu.
+func (ts *Trials) countsOf(move, route string) *counts {
 	if ts.trials == nil {
 		ts.trials = map[string]map[string]*counts{}
 	}
