dial: end reads in order only if no write has met the connection's failure

What callers saw: a long request was answered at once by a 200 without a length; a part of the body came, then a reset, while the request was still being written.

Cause: the kernel reports a connection's failure once, to its reader or its writer, whichever asks first. When the writer of the request meets the reset, the reader of the answer gets an end like that of a connection closed in order, which ends an answer without a length. A connection that the kernel gives up by TCP_USER_TIMEOUT ends likewise.

A trace in Read shows io.EOF on a connection in state CLOSE whose write had got ECONNRESET, or that net/http had closed meanwhile after that write.

Ruled out: an end without a length taken for broken whenever a write has failed: an endpoint may end its answer in order and reset the connection behind it, which the kernel reports as EPIPE to the writer. Waiting for the writer at each end: an endpoint that has ended its answer may read the rest of the request later.

Change: dial.Conn keeps the error of the first write that failed. A read that ends returns it, unless it is EPIPE, if the kernel has given up the connection (TCP_INFO). A write in progress returns at once then, and is waited for.

Conclusion: a reset or a time-out during a request breaks its answer, whoever meets it first. An end in order stays one.

--- a/transport/dial/dial.go
+++ b/transport/dial/dial.go
@@ -1,9 +1,12 @@
-// Package dial opens TCP connections that detect an unresponsive peer and count their writes.
+// Package dial opens TCP connections that detect an unresponsive peer, count their writes and tell a reset from an orderly end.
 package dial
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,12 +25,18 @@
 	unackedTimeout = 3 * time.Second
 )
 
-// Conn is a connection that counts the writes started on it.
+// Conn is a connection that counts the writes started on it, and whose reads end with io.EOF only if its peer has closed it in
+// order.
 type Conn struct {
 	net.Conn
 
 	writes    atomic.Int64
 	checkNext atomic.Pointer[func() error]
+
+	// writing is held during a write.
+	writing sync.Mutex
+	// writeErr is the error of the first write that failed, nil while none has.
+	writeErr error
 }
 
 // CheckNextWrite makes the next write, and only that one, call check first. If check returns an error, the write sends no
@@ -46,7 +55,57 @@
 		}
 	}
 	c.writes.Add(1)
-	return c.Conn.Write(data)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(data)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read reads from the connection. The kernel reports the failure of a connection only once: if a write meets it first, the reads
+// end like those of a connection that was closed in order. Such a read returns the error of the write instead of io.EOF.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		err = c.endOfReads()
+	}
+	return n, err
+}
+
+// endOfReads returns io.EOF if the peer has closed the connection in order, and otherwise the error that a write has met.
+func (c *Conn) endOfReads() error {
+	if !c.failed() {
+		return io.EOF
+	}
+	// A write that is still in progress returns at once on such a connection.
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	// A reset that follows an orderly end is reported as EPIPE.
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) {
+		return io.EOF
+	}
+	return c.writeErr
+}
+
+// failed reports whether the kernel has given up the connection, as it does upon a reset or a timeout, or this process has closed
+// it meanwhile. One that its peer has closed in order can still be written to.
+func (c *Conn) failed() bool {
+	tcp, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	failed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		failed = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return failed || err != nil
 }
 
 // Context opens a TCP connection that fails when its peer stops responding.
