dial: leave the failure of a connection to its reads

An endpoint that answers a long request at once, and then resets or closes its connection, has some of its whole answers replaced by a 504, or asked for again elsewhere.

Cause: a write that meets the reset has net/http close the connection, though the answer lies unread in its buffer.

Ruled out: taking an end in order for an end only if no write has failed at all: it is the answers that came whole that were lost.

Change: a write that finds that the peer has ended the connection (ECONNRESET, EPIPE, ETIMEDOUT) discards its data and returns no error, as do later ones. The reads return what has arrived, then the error. A request whose first write comes on such a connection fails before it counts as sent.

Conclusion: an answer arrives if its bytes have, whatever becomes of the rest of its request.

--- a/transport/dial/dial.go
+++ b/transport/dial/dial.go
@@ -48,22 +48,47 @@
 func (c *Conn) Writes() int64 { return c.writes.Load() }
 
 // Write runs the check set for it, if there is one, then counts the write and starts it.
+//
+// A write that finds that the peer has ended the connection discards its data, as do later ones, and returns no error: the peer
+// may have answered before, and its answer can still be read. The reads report the failure behind it.
 func (c *Conn) Write(data []byte) (int, error) {
 	if check := c.checkNext.Swap(nil); check != nil {
-		if err := (*check)(); err != nil {
+		if err := c.begin(*check); err != nil {
 			return 0, err
 		}
 	}
 	c.writes.Add(1)
 	c.writing.Lock()
 	defer c.writing.Unlock()
+	if endedByPeer(c.writeErr) {
+		return len(data), nil
+	}
 	n, err := c.Conn.Write(data)
 	if c.writeErr == nil {
 		c.writeErr = err
 	}
+	if endedByPeer(err) {
+		return len(data), nil
+	}
 	return n, err
 }
 
+// begin returns an error if the next request must not be written: a write for an earlier one has failed, or the check fails.
+func (c *Conn) begin(check func() error) error {
+	c.writing.Lock()
+	err := c.writeErr
+	c.writing.Unlock()
+	if err != nil {
+		return err
+	}
+	return check()
+}
+
+// endedByPeer reports whether a write failed because the peer has reset or closed the connection, or no longer reads.
+func endedByPeer(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ETIMEDOUT)
+}
+
 // Read reads from the connection. The kernel reports the failure of a connection only once: if a write meets it first, the reads
 // end like those of a connection that was closed in order. Such a read returns the error of the write instead of io.EOF.
 func (c *Conn) Read(buffer []byte) (int, error) {
