plain: end reads in order only if no write has met the connection's failure

What callers saw: nothing on the users' machines; read on the code. A call of the product's own interface that must run at most once could have a part of its answer recorded in its claim and replayed as the answer.

Ruled out: dial.Context for these connections, whose time-outs would end calls to services that read slowly.

Change: the connection is a dial.Conn, which counts writes as the type before counted bytes.

Conclusion: one look for all connections whose answers may end with them.

--- a/transport/plain/plain.go
+++ b/transport/plain/plain.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -17,6 +16,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/claim"
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/transport/dial"
 )
 
 const (
@@ -28,7 +28,7 @@
 	connectTimeout = time.Second
 )
 
-// Call is one call to one endpoint over a connection of its own, which counts the bytes sent.
+// Call is one call to one endpoint over a connection of its own, which counts the writes.
 //
 // Its methods must not be called concurrently.
 type Call struct {
@@ -43,18 +43,7 @@
 	// Body is the request's body.
 	Body []byte
 
-	conn *countedConn
-}
-
-type countedConn struct {
-	net.Conn
-	sent atomic.Int64
-}
-
-// Write counts the bytes before it writes them, as a failed write may have sent a part of them.
-func (c *countedConn) Write(data []byte) (int, error) {
-	c.sent.Add(int64(len(data)))
-	return c.Conn.Write(data)
+	conn *dial.Conn
 }
 
 // Connect opens a connection to address and sends nothing; it returns an Unavailable error if that fails.
@@ -65,7 +54,7 @@
 	if err != nil {
 		return fault.Wrap(kind.Unavailable, err, "cannot connect to endpoint %s", address)
 	}
-	c.conn = &countedConn{Conn: conn}
+	c.conn = &dial.Conn{Conn: conn}
 	return nil
 }
 
@@ -97,7 +86,7 @@
 	}
 	w, err := t.RoundTrip(r)
 	if err != nil {
-		return answer, conn.sent.Load() > 0, fault.Wrap(kind.OutcomeUnknown, err, "call to the endpoint failed before an answer")
+		return answer, conn.Writes() > 0, fault.Wrap(kind.OutcomeUnknown, err, "call to the endpoint failed before an answer")
 	}
 	defer func() { _ = w.Body.Close() }()
 	answer, err = readAnswer(w)
