verify: reject answers whose status is none

What callers saw: on other systems, an answer of status 000. Here: their connection closed without an answer for 000, 099, "+20" and "-00"; 600 to 999, and a 101 that nobody had asked for, as answers.

Cause: net/http takes any three characters that strconv.Atoi reads as a number for a status. Writing one below 100 panics, in the handler: the endpoint did not count as failing, its version got no verdict, and no other endpoint was asked.

Ruled out: a check in platform/send alone, as transport/plain records what it reads and replays it, and a store's answer of status 000 counted as a sign that an outage was over.

Change: transport/verify sends requests through an http.Transport, rejects a final status outside of 200 to 599 and closes its connection.

Conclusion: such an answer costs its own attempt, and that counts against the endpoint.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -27,6 +27,7 @@
 	"github.com/dragonflyroute/dragonflyroute/transport/outlog"
 	"github.com/dragonflyroute/dragonflyroute/transport/reload"
 	"github.com/dragonflyroute/dragonflyroute/transport/site"
+	"github.com/dragonflyroute/dragonflyroute/transport/verify"
 )
 
 // The names of the tables in the platform's store.
@@ -128,7 +129,7 @@
 	cloudTransport.DialContext = dial.ResetOnClose
 	era, outages := &latest.Era{}, &outage.Detector{}
 	tableClient := func(table string) *store.Store {
-		return &store.Store{Address: cfg.Store, Table: table, Transport: transport, Timeout: storeTimeout, Era: era, Outages: outages, Log: s.Log}
+		return &store.Store{Address: cfg.Store, Table: table, Transport: &verify.Transport{Base: transport}, Timeout: storeTimeout, Era: era, Outages: outages, Log: s.Log}
 	}
 	s.Operator = tableClient(operatorTable)
 	s.Endpoints = tableClient(endpointTable)
@@ -144,7 +145,7 @@
 	s.DecodeConfig = codec.Config
 	s.DecodeEndpoint = codec.Endpoint
 	if cfg.Cloud != "" {
-		s.PlatformCalls = &cloud.Client{Address: cfg.Cloud, Self: cfg.Host, HoldsLease: s.HoldsLease, Transport: cloudTransport, Timeout: min(storeTimeout, cfg.LeaseTerm/callsPerTerm)}
+		s.PlatformCalls = &cloud.Client{Address: cfg.Cloud, Self: cfg.Host, HoldsLease: s.HoldsLease, Transport: &verify.Transport{Base: cloudTransport}, Timeout: min(storeTimeout, cfg.LeaseTerm/callsPerTerm)}
 	}
 }
 
--- a/transport/daemon/build.go
+++ b/transport/daemon/build.go
@@ -45,6 +45,7 @@
 	"github.com/dragonflyroute/dragonflyroute/transport/peers"
 	"github.com/dragonflyroute/dragonflyroute/transport/plat"
 	"github.com/dragonflyroute/dragonflyroute/transport/spans"
+	"github.com/dragonflyroute/dragonflyroute/transport/verify"
 )
 
 // build creates the process's components from its settings.
@@ -57,7 +58,7 @@
 		return err
 	}
 	d.meter = meter.New()
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true}
+	transport := &verify.Transport{Base: &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true}}
 	d.platform = &plat.Client{Base: s.Platform, Timeout: s.Intervals.PlatformTimeout.Duration(), Client: &http.Client{Transport: transport}}
 	d.batch = batch.New(d.platform)
 	d.engine = &engine.Client{Client: &http.Client{Transport: transport}}
--- a/transport/plain/plain.go
+++ b/transport/plain/plain.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
 	"github.com/dragonflyroute/dragonflyroute/transport/dial"
+	"github.com/dragonflyroute/dragonflyroute/transport/verify"
 )
 
 const (
@@ -79,11 +80,11 @@
 		return answer, false, fault.Wrap(kind.BadRequest, err, "cannot build the call to the endpoint")
 	}
 	c.setHeaders(ctx, r)
-	t := &http.Transport{
+	t := &verify.Transport{Base: &http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		DialContext:        func(context.Context, string, string) (net.Conn, error) { return conn, nil },
-	}
+	}}
 	w, err := t.RoundTrip(r)
 	if err != nil {
 		return answer, conn.Writes() > 0, fault.Wrap(kind.OutcomeUnknown, err, "call to the endpoint failed before an answer")
--- a/transport/plain/plain_test.go
+++ b/transport/plain/plain_test.go
@@ -104,3 +104,21 @@
 		})
 	}
 })
+
+// Guards against an answer that is none being recorded and replayed as that of a call that must run at most once.
+var _ = DescribeTable("An answer that is none leaves the outcome of its call unknown",
+	func(answer string) {
+		address := startService(func(c *net.TCPConn, body io.Reader) {
+			_, _ = io.Copy(io.Discard, body)
+			_, _ = io.WriteString(c, answer)
+		})
+		got, sent, err := send(address, []byte("body"))
+		Expect(err).To(HaveOccurred(), "%d, %q", got.Status, got.Body)
+		Expect(fault.KindOf(err)).To(Equal(kind.OutcomeUnknown))
+		Expect(sent).To(BeTrue())
+	},
+	Entry("of status 000", "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nbody"),
+	Entry("of status 099", "HTTP/1.1 099 X\r\nContent-Length: 4\r\n\r\nbody"),
+	Entry("of status +20", "HTTP/1.1 +20 X\r\nContent-Length: 4\r\n\r\nbody"),
+	Entry("of status 600", "HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nbody"),
+)
--- /dev/null
+++ b/transport/verify/verify.go
@@ -0,0 +1,55 @@
+// Package verify rejects what an HTTP client takes for an answer although it is none.
+package verify
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+)
+
+const (
+	// minStatus and maxStatus bound the status codes of final answers (RFC 9110, section 15).
+	minStatus = 200
+	maxStatus = 599
+)
+
+// Transport sends requests and returns only answers that are valid. The connection of another one is closed, and its request
+// fails with an OutcomeUnknown error, as the peer may have executed it.
+//
+// It is safe for concurrent use.
+type Transport struct {
+	// Base sends the requests.
+	Base *http.Transport
+}
+
+// RoundTrip sends a request and returns its answer.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }})
+	resp, err := t.Base.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := check(resp); err != nil {
+		// An answer without a body has made its connection idle, so that closing the body does not close it.
+		_ = conn.Close()
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
+
+// check returns an error if an answer is not valid.
+func check(resp *http.Response) error {
+	// No request of this system asks for another protocol, to which 101 would switch.
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return fault.New(kind.OutcomeUnknown, "status", "answer has the status %q, which is none", resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/verify/verify_test.go
@@ -0,0 +1,175 @@
+package verify_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
+	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/transport/verify"
+)
+
+func TestTransport(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "verify")
+}
+
+// server answers each request with the same bytes.
+type server struct {
+	address string
+	// closes has each connection closed behind the first answer.
+	closes bool
+	conns  atomic.Int32
+	// ended receives when a connection was closed by the client.
+	ended chan struct{}
+}
+
+func startServer(answer string, closes bool) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	s := &server{address: l.Addr().String(), closes: closes, ended: make(chan struct{}, 10)}
+	var g sync.WaitGroup
+	g.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			g.Go(func() { s.serve(c, answer) })
+		}
+	})
+	return s
+}
+
+func (s *server) serve(c net.Conn, answer string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			s.ended <- struct{}{}
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, answer)
+		if s.closes {
+			return
+		}
+	}
+}
+
+// get sends a request and returns the status and body of its answer.
+func get(t *verify.Transport, address string) (status int, body string, err error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/", strings.NewReader("body"))
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := t.RoundTrip(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+func newTransport() *verify.Transport {
+	t := &verify.Transport{Base: &http.Transport{MaxResponseHeaderBytes: 16 << 10}}
+	DeferCleanup(t.CloseIdleConnections)
+	return t
+}
+
+// expectRejected expects an answer to be rejected, whether its connection stays open or not.
+func expectRejected(answer string) {
+	GinkgoHelper()
+	for _, closes := range []bool{true, false} {
+		s := startServer(answer, closes)
+		t := newTransport()
+		status, body, err := get(t, s.address)
+		Expect(err).To(HaveOccurred(), "closes %v: status %d, %q", closes, status, body)
+		if !closes {
+			// Guards against the rest of such an answer, or the next one, being read as that of another request.
+			Eventually(s.ended, "2s").Should(Receive())
+		}
+	}
+}
+
+const empty = "Content-Length: 0\r\n\r\n"
+
+var _ = Describe("An answer whose status", func() {
+	// Guards against an answer without a status being passed on, or bringing down the request that waits for it.
+	DescribeTable("is none is rejected, and its connection closed", func(status string) {
+		for _, rest := range []string{" X\r\n" + empty, "\r\n" + empty, " X\r\nContent-Length: 4\r\n\r\nbody"} {
+			for _, proto := range []string{"HTTP/1.1 ", "HTTP/1.0 "} {
+				expectRejected(proto + status + rest)
+			}
+		}
+	},
+		Entry("of zeros", "000"), Entry("too small", "099"), Entry("with a plus sign", "+20"), Entry("a negative zero", "-00"),
+		Entry("plus ninety-nine", "+99"), Entry("one", "001"), Entry("600", "600"), Entry("700", "700"), Entry("999", "999"),
+		Entry("negative", "-20"), Entry("of two digits", "20"), Entry("of four digits", "2000"), Entry("no number", "abc"),
+		Entry("in hexadecimal", "0x2"), Entry("a switch to a protocol that nobody asked for", "101"),
+	)
+
+	It("is behind an interim one, and none, is rejected", func() {
+		for _, status := range []string{"000", "+20", "600", "101"} {
+			expectRejected("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 " + status + " X\r\n" + empty)
+		}
+	})
+
+	It("is rejected with an error that says that the request may have been executed", func() {
+		_, _, err := get(newTransport(), startServer("HTTP/1.1 000 X\r\n"+empty, false).address)
+		Expect(fault.KindOf(err)).To(Equal(kind.OutcomeUnknown))
+		Expect(fault.From(err).Field).To(Equal("status"))
+	})
+
+	// Guards against odd answers that are sound being rejected.
+	DescribeTable("is odd but sound is returned", func(status int, line string) {
+		for _, behind := range []string{empty, "Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"} {
+			got, body, err := get(newTransport(), startServer("HTTP/1.1 "+line+"\r\n"+behind, false).address)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(got).To(Equal(status))
+			Expect(body).To(Equal(map[bool]string{true: "", false: "body"}[behind == empty]))
+		}
+	},
+		Entry("200", 200, "200 OK"), Entry("without a reason", 200, "200"), Entry("with an empty reason", 200, "200 "), Entry("299", 299, "299 Odd"),
+		Entry("399", 399, "399 Odd"), Entry("451", 451, "451 Unavailable For Legal Reasons"), Entry("499", 499, "499 X"), Entry("599", 599, "599 Odd"),
+		Entry("with a reason in another script", 200, "200 d\u00e9j\u00e0 vu"),
+	)
+})
+
+var _ = Describe("A valid answer", func() {
+	It("keeps its connection for the next request", func() {
+		s := startServer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false)
+		t := newTransport()
+		for range 5 {
+			_, body, err := get(t, s.address)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal("body"))
+		}
+		Expect(s.conns.Load()).To(Equal(int32(1)))
+	})
+
+	It("is returned behind interim ones, and if it ends with its connection", func() {
+		for _, head := range []string{"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"} {
+			status, body, err := get(newTransport(), startServer(head+"body", true).address)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(200))
+			Expect(body).To(Equal("body"))
+		}
+	})
+
+	It("fails like any other if the connection can't be opened", func() {
+		_, _, err := get(newTransport(), "127.0.0.1:1")
+		Expect(err).To(HaveOccurred())
+	})
+})
