verify: reject answers with a blank in a field's name

What callers saw: on other systems, answers with a damaged head. Here: a body that was not the server's (the bytes of chunks, or what followed a body whose length was hidden), and refusals that were taken for answers.

Cause: net/http keeps the fields of an answer whose names have blanks, also before the colon, and recognises none of them. In the reason behind the status it accepts control bytes, such as a bare CR before a hidden length.

The lines with such a name were not passed on: net/http drops them when it writes an answer.

Ruled out: control bytes in names and values: net/http rejects them, which the specs now hold. Folded lines: RFC 9112, section 5.2, lets a gateway join them, which net/http does before it reads the field.

Change: transport/verify rejects both, like a status that is none.

Conclusion: what is not recognised in a head is no longer guessed at.

--- a/transport/plain/plain_test.go
+++ b/transport/plain/plain_test.go
@@ -121,4 +121,6 @@
 	Entry("of status 099", "HTTP/1.1 099 X\r\nContent-Length: 4\r\n\r\nbody"),
 	Entry("of status +20", "HTTP/1.1 +20 X\r\nContent-Length: 4\r\n\r\nbody"),
 	Entry("of status 600", "HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\nbody"),
+	Entry("with a blank behind the name of its length", "HTTP/1.1 200 X\r\nContent-Length : 4\r\n\r\nbody of another"),
+	Entry("with a blank behind the name of its chunks", "HTTP/1.1 200 X\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
 )
--- a/transport/verify/verify.go
+++ b/transport/verify/verify.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -51,5 +52,22 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return fault.New(kind.OutcomeUnknown, "status", "answer has the status %q, which is none", resp.Status)
 	}
+	if strings.ContainsFunc(resp.Status, isControl) {
+		return fault.New(kind.OutcomeUnknown, "status", "answer has a control byte in its status line: %q", resp.Status)
+	}
+	return checkNames(resp.Header)
+}
+
+// checkNames returns an error if the name of a header field has a blank, such as one before the colon. net/http accepts such names
+// and does not recognise them; other names that are not valid, and control bytes in values, it rejects itself.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if strings.Contains(name, " ") {
+			return fault.New(kind.OutcomeUnknown, "header", "answer has a header field named %q", name)
+		}
+	}
 	return nil
 }
+
+// isControl reports whether a character is a control byte that no line of a head may have.
+func isControl(c rune) bool { return c < ' ' && c != '\t' || c == '\x7f' }
--- a/transport/verify/verify_test.go
+++ b/transport/verify/verify_test.go
@@ -173,3 +173,81 @@
 		Expect(err).To(HaveOccurred())
 	})
 })
+
+var _ = Describe("An answer whose head", func() {
+	const ok = "HTTP/1.1 200 OK\r\n"
+
+	// Guards against a length, chunks or any other field that is not recognised, and against bytes that another reader takes
+	// for the end of a line.
+	DescribeTable("is damaged is rejected, and its connection closed", func(head string) {
+		for _, body := range []string{"body", "4\r\nbody\r\n0\r\n\r\n", ""} {
+			expectRejected(head + body)
+		}
+	},
+		Entry("by a blank behind the name of a length", ok+"Content-Length : 4\r\n\r\n"),
+		Entry("by a blank behind the name of a length, beside another one", ok+"Content-Length: 4\r\nContent-Length : 2\r\n\r\n"),
+		Entry("by a tab behind the name of a length", ok+"Content-Length\t: 4\r\n\r\n"),
+		Entry("by a blank behind the name of chunks", ok+"Transfer-Encoding : chunked\r\n\r\n"),
+		Entry("by a blank behind the name of chunks, beside a length", ok+"Content-Length: 4\r\nTransfer-Encoding : chunked\r\n\r\n"),
+		Entry("by a blank behind a name", ok+"Content-Length: 4\r\nX-Id : r1\r\n\r\n"),
+		Entry("by a blank within a name", ok+"Content-Length: 4\r\nX Id: r1\r\n\r\n"),
+		Entry("by an empty name", ok+"Content-Length: 4\r\n: r1\r\n\r\n"),
+		Entry("by a line without a colon", ok+"Content-Length: 4\r\nX-Id\r\n\r\n"),
+		Entry("by a NUL in a name", ok+"Content-Length: 4\r\nX\x00Id: r1\r\n\r\n"),
+		Entry("by a control byte in a name", ok+"Content-Length: 4\r\nX\x01Id: r1\r\n\r\n"),
+		Entry("by a DEL in a name", ok+"Content-Length: 4\r\nX\x7fId: r1\r\n\r\n"),
+		Entry("by a bare CR in a name", ok+"Content-Length: 4\r\nX\rId: r1\r\n\r\n"),
+		Entry("by a separator in a name", ok+"Content-Length: 4\r\nX(Id): r1\r\n\r\n"),
+		Entry("by a byte beyond ASCII in a name", ok+"Content-Length: 4\r\nX-\xffId: r1\r\n\r\n"),
+		Entry("by a NUL in a value", ok+"Content-Length: 4\r\nX-Id: r\x001\r\n\r\n"),
+		Entry("by a control byte in a value", ok+"Content-Length: 4\r\nX-Id: r\x1b1\r\n\r\n"),
+		Entry("by a DEL in a value", ok+"Content-Length: 4\r\nX-Id: r\x7f1\r\n\r\n"),
+		Entry("by a bare CR in a value", ok+"Content-Length: 4\r\nX-Id: r1\rX-Other: 1\r\n\r\n"),
+		Entry("by a bare CR at the end of a value", ok+"Content-Length: 4\r\nX-Id: r1\r\r\n\r\n"),
+		Entry("by a bare CR that hides a length", ok+"X-Id: r1\rContent-Length: 4\r\n\r\n"),
+		Entry("by a first line that begins with a blank", ok+" Content-Length: 4\r\n\r\n"),
+		Entry("by a length in a folded name", ok+"Content-\r\n Length: 4\r\n\r\n"),
+		Entry("by a NUL in a folded line", ok+"Content-Length: 4\r\nX-Id: r\r\n \x001\r\n\r\n"),
+		Entry("by a NUL in the reason", "HTTP/1.1 200 O\x00K\r\nContent-Length: 4\r\n\r\n"),
+		Entry("by a bare CR in the reason", "HTTP/1.1 200 OK\rContent-Length: 4\r\n\r\n"),
+		Entry("by a control byte in the reason", "HTTP/1.1 200 O\x08K\r\nContent-Length: 4\r\n\r\n"),
+		Entry("by two lengths that differ", ok+"Content-Length: 4\r\nContent-Length: 2\r\n\r\n"),
+		Entry("by a length with a sign", ok+"Content-Length: +4\r\n\r\n"),
+		Entry("by a list of lengths", ok+"Content-Length: 4, 4\r\n\r\n"),
+		Entry("by an unknown encoding of transfer", ok+"Transfer-Encoding: chunked, chunked\r\n\r\n"),
+	)
+
+	It("is damaged is rejected with an error that says that the request may have been executed, and names the field", func() {
+		_, _, err := get(newTransport(), startServer(ok+"Content-Length : 4\r\n\r\nbody", true).address)
+		Expect(fault.KindOf(err)).To(Equal(kind.OutcomeUnknown))
+		Expect(err).To(MatchError(ContainSubstring(`"Content-Length "`)))
+	})
+
+	// Guards against heads that are odd but sound being rejected.
+	DescribeTable("is odd but sound is read as it is meant", func(head, name, value string) {
+		s := startServer(head+"body", true)
+		r, err := http.NewRequest(http.MethodGet, "http://"+s.address+"/", nil)
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := newTransport().RoundTrip(r)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = resp.Body.Close() }()
+		data, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(data)).To(Equal("body"))
+		Expect(resp.Header.Get(name)).To(Equal(value))
+	},
+		Entry("without a blank before a value", ok+"Content-Length:4\r\nX-Id:r1\r\n\r\n", "X-Id", "r1"),
+		Entry("with blanks around a value", ok+"Content-Length:  4 \r\nX-Id: \t r1 \t\r\n\r\n", "X-Id", "r1"),
+		Entry("with an empty value", ok+"Content-Length: 4\r\nX-Id:\r\n\r\n", "X-Id", ""),
+		Entry("with a tab in a value", ok+"Content-Length: 4\r\nX-Id: r\t1\r\n\r\n", "X-Id", "r\t1"),
+		Entry("with a byte beyond ASCII in a value", ok+"Content-Length: 4\r\nX-Id: \xff\r\n\r\n", "X-Id", "\xff"),
+		Entry("with lines that end with LF", "HTTP/1.1 200 OK\nContent-Length: 4\nX-Id: r1\n\n", "X-Id", "r1"),
+		Entry("with all signs that a name may have", ok+"Content-Length: 4\r\nX!#$%&'*+-.^_`|~9: r1\r\n\r\n", "X!#$%&'*+-.^_`|~9", "r1"),
+		Entry("with a folded value", ok+"Content-Length: 4\r\nX-Id: r1\r\n r2\r\n\r\n", "X-Id", "r1 r2"),
+		Entry("with a folded length", ok+"Content-Length:\r\n\t4\r\nX-Id: r1\r\n\r\n", "X-Id", "r1"),
+		Entry("with a folded line that looks like a field", ok+"X-Id: r1\r\n Content-Length: 2\r\nContent-Length: 4\r\n\r\n", "X-Id", "r1 Content-Length: 2"),
+		Entry("with a folded line that begins with a colon", ok+"X-Id: r1\r\n : r2\r\nContent-Length: 4\r\n\r\n", "X-Id", "r1 : r2"),
+		Entry("with the same length twice", ok+"Content-Length: 4\r\nContent-Length: 4\r\nX-Id: r1\r\n\r\n", "X-Id", "r1"),
+		Entry("with a tab in the reason", "HTTP/1.1 200 O\tK\r\nContent-Length: 4\r\nX-Id: r1\r\n\r\n", "X-Id", "r1"),
+	)
+})
