verify: take an answer with damaged trailers for broken

What callers saw: nothing; found by specs. An answer in chunks whose trailers have a blank in a field's name passed for whole.

Cause: net/http reads trailers as it reads heads.

Control bytes in trailers were an error before.

Ruled out: passing over trailers since they are not passed on: what follows the last chunk may then be anything.

Change: the end of a body in chunks is an error if its trailers are not valid, and the connection is closed.

Conclusion: the head and the end of an answer are held to the same.

--- a/transport/verify/verify.go
+++ b/transport/verify/verify.go
@@ -2,6 +2,8 @@
 package verify
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -40,9 +42,31 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp, conn: conn}
+	}
 	return resp, nil
 }
 
+// chunkedBody is the body of an answer with chunks, whose trailers follow it.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+	conn net.Conn
+}
+
+// Read reads a part of the body. Its end is an OutcomeUnknown error if the trailers are not valid.
+func (b *chunkedBody) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		if bad := checkNames(b.resp.Trailer); bad != nil {
+			_ = b.conn.Close()
+			return n, bad
+		}
+	}
+	return n, err
+}
+
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
 
--- a/transport/verify/verify_test.go
+++ b/transport/verify/verify_test.go
@@ -251,3 +251,33 @@
 		Entry("with a tab in the reason", "HTTP/1.1 200 O\tK\r\nContent-Length: 4\r\nX-Id: r1\r\n\r\n", "X-Id", "r1"),
 	)
 })
+
+var _ = Describe("An answer with trailers", func() {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+
+	// Guards against an answer whose end is damaged, as its head may be, passing for whole.
+	DescribeTable("that are damaged is broken, and its connection closed", func(trailers string) {
+		expectRejected(chunked + trailers + "\r\n")
+		expectRejected(strings.Replace(chunked, "Transfer", "Trailer: X-Sum\r\nTransfer", 1) + trailers + "\r\n")
+	},
+		Entry("by a blank behind a name", "X-Sum : 1\r\n"), Entry("by a blank within a name", "X Sum: 1\r\n"),
+		Entry("by a blank behind the name of a length", "X-Sum: 1\r\nContent-Length : 4\r\n"),
+		Entry("by a NUL in a name", "X\x00Sum: 1\r\n"), Entry("by a NUL in a value", "X-Sum: \x001\r\n"), Entry("by a bare CR", "X-Sum: 1\rX: 2\r\n"),
+		Entry("by a line without a colon", "X-Sum\r\n"), Entry("by a first line that begins with a blank", " X-Sum: 1\r\n"),
+	)
+
+	It("that are valid is whole", func() {
+		for _, trailers := range []string{"", "X-Sum: 1\r\n", "X-Sum: 1\r\nX-More:2\r\n", "X-Sum: 1\r\n 2\r\n"} {
+			for _, announced := range []string{"", "Trailer: X-Sum\r\n"} {
+				s := startServer(strings.Replace(chunked, "Transfer", announced+"Transfer", 1)+trailers+"\r\n", false)
+				t := newTransport()
+				for range 2 {
+					_, body, err := get(t, s.address)
+					Expect(err).NotTo(HaveOccurred())
+					Expect(body).To(Equal("body"))
+				}
+				Expect(s.conns.Load()).To(Equal(int32(1)))
+			}
+		}
+	})
+})
