verify: reject an answer behind a damaged interim one

What callers saw: nothing; read on the code. A 1xx head with a blank in a field's name was skipped, and what followed was passed on.

Cause: net/http skips interim heads by itself, with such fields, though it rejects control bytes in them.

Ruled out: leaving the bound of all heads together to net/http: it sets the bound anew for each interim head that is looked at. The spec of interim answers without end holds the bound.

Change: transport/verify checks interim heads, and bounds their sizes together as net/http did.

Conclusion: all heads of an answer are held to the same.

--- a/transport/verify/verify.go
+++ b/transport/verify/verify.go
@@ -2,11 +2,13 @@
 package verify
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
@@ -17,6 +19,12 @@
 	// minStatus and maxStatus bound the status codes of final answers (RFC 9110, section 15).
 	minStatus = 200
 	maxStatus = 599
+	// defaultHeaderBytes is the bound of net/http where MaxResponseHeaderBytes is not set.
+	defaultHeaderBytes = 10 << 20
+	// interimLineBytes is the least size of the status line of an interim answer, with the line that ends its head.
+	interimLineBytes = 18
+	// fieldBytes is the size of a header field beside its name and value.
+	fieldBytes = 4
 )
 
 // Transport sends requests and returns only answers that are valid. The connection of another one is closed, and its request
@@ -24,14 +32,18 @@
 //
 // It is safe for concurrent use.
 type Transport struct {
-	// Base sends the requests.
+	// Base sends the requests. Its MaxResponseHeaderBytes also bounds the heads of the interim answers to one request together.
 	Base *http.Transport
 }
 
 // RoundTrip sends a request and returns its answer.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }})
+	interim := interimHeads{left: cmp.Or(t.Base.MaxResponseHeaderBytes, defaultHeaderBytes)}
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: interim.add,
+	})
 	resp, err := t.Base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
@@ -48,6 +60,26 @@
 	return resp, nil
 }
 
+// interimHeads are the heads of the interim answers to one request. net/http bounds their size only where nobody looks at them.
+type interimHeads struct {
+	// left is the number of bytes that further ones may have.
+	left int64
+}
+
+// add returns an error if the next one is not valid, or makes them too large together.
+func (i *interimHeads) add(_ int, header textproto.MIMEHeader) error {
+	i.left -= interimLineBytes
+	for name, values := range header {
+		for _, value := range values {
+			i.left -= int64(len(name) + len(value) + fieldBytes)
+		}
+	}
+	if i.left < 0 {
+		return fault.New(kind.OutcomeUnknown, "header", "interim answers have too many bytes")
+	}
+	return checkNames(http.Header(header))
+}
+
 // chunkedBody is the body of an answer with chunks, whose trailers follow it.
 type chunkedBody struct {
 	io.ReadCloser
--- a/transport/verify/verify_test.go
+++ b/transport/verify/verify_test.go
@@ -281,3 +281,36 @@
 		}
 	})
 })
+
+var _ = Describe("An answer behind interim ones", func() {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+
+	// Guards against a damaged head being skipped, whose end may not be where it seems to be.
+	DescribeTable("that are damaged is rejected, and its connection closed", func(head string) {
+		expectRejected(head + "\r\n" + whole)
+		expectRejected("HTTP/1.1 103 X\r\nLink: </a>\r\n\r\n" + head + "\r\n" + whole)
+	},
+		Entry("by a blank behind a name", "HTTP/1.1 103 X\r\nLink : </a>\r\n"), Entry("by a blank within a name", "HTTP/1.1 100 X\r\nA B: 1\r\n"),
+		Entry("by a blank behind the name of a length", "HTTP/1.1 103 X\r\nContent-Length : 4\r\n"),
+		Entry("by a NUL in a name", "HTTP/1.1 103 X\r\nLi\x00nk: </a>\r\n"), Entry("by a NUL in a value", "HTTP/1.1 103 X\r\nLink: \x00\r\n"),
+		Entry("by a bare CR", "HTTP/1.1 103 X\r\nLink: </a>\rX: 1\r\n"), Entry("by a status that is none", "HTTP/1.1 010 X\r\n"),
+	)
+
+	// Guards against interim answers without end, of which there is one small one after the other.
+	It("without end is rejected", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		var g sync.WaitGroup
+		g.Go(func() {
+			c, err := l.Accept()
+			block := strings.Repeat("HTTP/1.1 103 X\r\n\r\nHTTP/1.1 102 X\r\nA: b\r\n\r\n", 100)
+			for err == nil {
+				_, err = io.WriteString(c, block)
+			}
+		})
+		_, _, err = get(newTransport(), l.Addr().String())
+		Expect(err).To(HaveOccurred())
+		g.Wait()
+	})
+})
