verify: reject answers of another major version

What callers saw: nothing; read on the code. Bytes that are no answer in the protocol, such as HTTP/2.0 200 OK, reached them as one.

Cause: net/http accepts any two digits as the version of an answer on a connection of HTTP/1.

Ruled out: rejecting 1.2 and up: a minor version keeps the framing (RFC 9110, section 2.5).

Change: an answer whose major version is not 1 is rejected.

Conclusion: only answers of HTTP/1 pass.

--- a/transport/verify/verify.go
+++ b/transport/verify/verify.go
@@ -104,6 +104,9 @@
 
 // check returns an error if an answer is not valid.
 func check(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return fault.New(kind.OutcomeUnknown, "version", "answer is of %q", resp.Proto)
+	}
 	// No request of this system asks for another protocol, to which 101 would switch.
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return fault.New(kind.OutcomeUnknown, "status", "answer has the status %q, which is none", resp.Status)
--- a/transport/verify/verify_test.go
+++ b/transport/verify/verify_test.go
@@ -314,3 +314,21 @@
 		g.Wait()
 	})
 })
+
+var _ = Describe("An answer of another version of HTTP", func() {
+	// Guards against bytes of another protocol being read as an answer.
+	DescribeTable("than 1 is rejected, and its connection closed", func(version string) {
+		expectRejected(version + " 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		expectRejected(version + " 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+	},
+		Entry("0.0", "HTTP/0.0"), Entry("0.9", "HTTP/0.9"), Entry("2.0", "HTTP/2.0"), Entry("3.1", "HTTP/3.1"), Entry("9.9", "HTTP/9.9"),
+		Entry("of two digits", "HTTP/1.10"), Entry("without a minor version", "HTTP/1"), Entry("in small letters", "http/1.1"), Entry("of another protocol", "ICY/1.1"),
+		Entry("behind a blank", " HTTP/1.1"), Entry("behind a byte", "xHTTP/1.1"), Entry("with a NUL", "HTTP/1.\x00"),
+	)
+
+	It("of the future, with the same framing, is returned", func() {
+		_, body, err := get(newTransport(), startServer("HTTP/1.2 200 OK\r\nContent-Length: 4\r\n\r\nbody", true).address)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("body"))
+	})
+})
