verify: reject answers of HTTP/1.0 with chunks

What callers saw: nothing; read on the code. The bytes of the chunks, with their sizes, reached the caller as the body.

Cause: net/http drops the field Transfer-Encoding of an answer of HTTP/1.0, unread, and takes all up to the end of the connection.

Ruled out: rejecting every answer of HTTP/1.0 without a length, which is sound; reading the chunks, as RFC 9112 (section 6.1) calls the framing faulty.

Change: a dial.Conn shows what its reads return while an answer's head is awaited; verify keeps that of answers that are not final ones of HTTP/1.1, and looks for the field. Two specs of interim answers and pieces read the request before they answer.

Conclusion: no part of a body is the answer's framing.

--- a/transport/dial/dial.go
+++ b/transport/dial/dial.go
@@ -32,6 +32,7 @@
 
 	writes    atomic.Int64
 	checkNext atomic.Pointer[func() error]
+	onRead    atomic.Pointer[func(data []byte)]
 
 	// writing is held during a write.
 	writing sync.Mutex
@@ -44,6 +45,15 @@
 // opened.
 func (c *Conn) CheckNextWrite(check func() error) { c.checkNext.Store(&check) }
 
+// SetOnRead has f called with what each read returns, before it does. Nil ends that.
+func (c *Conn) SetOnRead(f func(data []byte)) {
+	if f == nil {
+		c.onRead.Store(nil)
+		return
+	}
+	c.onRead.Store(&f)
+}
+
 // Writes returns the number of writes started.
 func (c *Conn) Writes() int64 { return c.writes.Load() }
 
@@ -93,6 +103,9 @@
 // end like those of a connection that was closed in order. Such a read returns the error of the write instead of io.EOF.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
+	if f := c.onRead.Load(); f != nil {
+		(*f)(buffer[:n])
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.endOfReads()
 	}
--- a/transport/verify/verify.go
+++ b/transport/verify/verify.go
@@ -13,6 +13,7 @@
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/transport/dial"
 )
 
 const (
@@ -32,23 +33,30 @@
 //
 // It is safe for concurrent use.
 type Transport struct {
-	// Base sends the requests. Its MaxResponseHeaderBytes also bounds the heads of the interim answers to one request together.
+	// Base sends the requests, on connections of package dial where answers of HTTP/1.0 matter. Its MaxResponseHeaderBytes also bounds the heads of the interim answers to one request together.
 	Base *http.Transport
 }
 
 // RoundTrip sends a request and returns its answer.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
+	var head rawHead
 	interim := interimHeads{left: cmp.Or(t.Base.MaxResponseHeaderBytes, defaultHeaderBytes)}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn
+			setOnRead(conn, head.add)
+		},
 		Got1xxResponse: interim.add,
 	})
 	resp, err := t.Base.RoundTrip(r.WithContext(ctx))
+	if conn != nil {
+		setOnRead(conn, nil)
+	}
 	if err != nil {
 		return nil, err
 	}
-	if err := check(resp); err != nil {
+	if err := check(resp, &head); err != nil {
 		// An answer without a body has made its connection idle, so that closing the body does not close it.
 		_ = conn.Close()
 		_ = resp.Body.Close()
@@ -102,8 +110,15 @@
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
 
+// setOnRead has f called with what each read from a connection returns, if the connection can do that.
+func setOnRead(conn net.Conn, f func(data []byte)) {
+	if c, ok := conn.(*dial.Conn); ok {
+		c.SetOnRead(f)
+	}
+}
+
 // check returns an error if an answer is not valid.
-func check(resp *http.Response) error {
+func check(resp *http.Response, head *rawHead) error {
 	if resp.ProtoMajor != 1 {
 		return fault.New(kind.OutcomeUnknown, "version", "answer is of %q", resp.Proto)
 	}
@@ -114,6 +129,10 @@
 	if strings.ContainsFunc(resp.Status, isControl) {
 		return fault.New(kind.OutcomeUnknown, "status", "answer has a control byte in its status line: %q", resp.Status)
 	}
+	// Answers of HTTP/1.0 have no chunks: net/http passes their bytes on, RFC 9112 (section 6.1) calls the framing faulty.
+	if !resp.ProtoAtLeast(1, 1) && head.hasTransferEncoding() {
+		return fault.New(kind.OutcomeUnknown, "header", "answer of HTTP/1.0 has a transfer encoding")
+	}
 	return checkNames(resp.Header)
 }
 
--- a/transport/verify/verify_test.go
+++ b/transport/verify/verify_test.go
@@ -9,12 +9,14 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
+	"github.com/dragonflyroute/dragonflyroute/transport/dial"
 	"github.com/dragonflyroute/dragonflyroute/transport/verify"
 )
 
@@ -69,6 +71,20 @@
 	}
 }
 
+// acceptRequest accepts a connection and reads a request from it.
+func acceptRequest(l net.Listener) (net.Conn, error) {
+	c, err := l.Accept()
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return c, err
+}
+
 // get sends a request and returns the status and body of its answer.
 func get(t *verify.Transport, address string) (status int, body string, err error) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/", strings.NewReader("body"))
@@ -83,7 +99,7 @@
 }
 
 func newTransport() *verify.Transport {
-	t := &verify.Transport{Base: &http.Transport{MaxResponseHeaderBytes: 16 << 10}}
+	t := &verify.Transport{Base: &http.Transport{DialContext: dial.Context, MaxResponseHeaderBytes: 16 << 10}}
 	DeferCleanup(t.CloseIdleConnections)
 	return t
 }
@@ -303,14 +319,15 @@
 		DeferCleanup(l.Close)
 		var g sync.WaitGroup
 		g.Go(func() {
-			c, err := l.Accept()
+			c, err := acceptRequest(l)
 			block := strings.Repeat("HTTP/1.1 103 X\r\n\r\nHTTP/1.1 102 X\r\nA: b\r\n\r\n", 100)
 			for err == nil {
 				_, err = io.WriteString(c, block)
 			}
 		})
 		_, _, err = get(newTransport(), l.Addr().String())
-		Expect(err).To(HaveOccurred())
+		Expect(fault.KindOf(err)).To(Equal(kind.OutcomeUnknown))
+		Expect(err).To(MatchError(ContainSubstring("too many bytes")))
 		g.Wait()
 	})
 })
@@ -331,4 +348,47 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(body).To(Equal("body"))
 	})
+
+	// Guards against the bytes of chunks being passed on as the body: an answer of HTTP/1.0 has none, so that its framing is
+	// faulty (RFC 9112, section 6.1).
+	DescribeTable("1.0 that has chunks is rejected, and its connection closed", func(head string) {
+		expectRejected(head + "\r\n4\r\nbody\r\n0\r\n\r\n")
+		expectRejected("HTTP/1.1 103 X\r\n\r\n" + head + "\r\n4\r\nbody\r\n0\r\n\r\n")
+	},
+		Entry("alone", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"),
+		Entry("in small letters", "HTTP/1.0 200 OK\r\ntransfer-encoding:chunked\r\n"),
+		Entry("beside a length", "HTTP/1.0 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n"),
+		Entry("behind other fields", "HTTP/1.0 200 OK\r\nX-Long: "+strings.Repeat("x", 5000)+"\r\nTransfer-Encoding: chunked\r\n"),
+		Entry("and is kept", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n"),
+		Entry("of an unknown encoding", "HTTP/1.0 200 OK\r\nTransfer-Encoding: gzip\r\n"),
+	)
+
+	It("1.0 that has chunks is rejected if its head comes byte by byte, and is returned without chunks", func() {
+		for _, line := range []string{"Transfer-Encoding: chunked\r\n", "X-Id: Transfer-Encoding: chunked\r\n"} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(l.Close)
+			var g sync.WaitGroup
+			g.Go(func() {
+				c, err := acceptRequest(l)
+				for _, b := range []byte("HTTP/1.0 200 OK\r\n" + line + "\r\n4\r\nbody\r\n0\r\n\r\n") {
+					if err == nil {
+						_, err = c.Write([]byte{b})
+						time.Sleep(50 * time.Microsecond)
+					}
+				}
+				if err == nil {
+					_ = c.(*net.TCPConn).CloseWrite()
+				}
+			})
+			_, body, err := get(newTransport(), l.Addr().String())
+			if strings.HasPrefix(line, "X-Id") {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(body).To(Equal("4\r\nbody\r\n0\r\n\r\n"))
+			} else {
+				Expect(err).To(HaveOccurred(), body)
+			}
+			g.Wait()
+		}
+	})
 })
