dial: a record of reads is ended only by the request that began it

Cause: net/http may give a connection to the next request before the answer to the last one is returned, if that has no body. Ending the record of the last request then ended that of the next, whose chunks in HTTP/1.0 would not be found.

Ruled out: a mutex around both, which the next request would wait for.

Change: OnRead returns the function that ends it, which leaves another one in place.

Conclusion: requests end only what they began.

--- a/transport/dial/dial.go
+++ b/transport/dial/dial.go
@@ -45,13 +45,11 @@
 // opened.
 func (c *Conn) CheckNextWrite(check func() error) { c.checkNext.Store(&check) }
 
-// SetOnRead has f called with what each read returns, before it does. Nil ends that.
-func (c *Conn) SetOnRead(f func(data []byte)) {
-	if f == nil {
-		c.onRead.Store(nil)
-		return
-	}
+// OnRead has f, and no other function, called with what each read returns, before it does. The function that it returns ends
+// that, unless another one has taken its place.
+func (c *Conn) OnRead(f func(data []byte)) (remove func()) {
 	c.onRead.Store(&f)
+	return func() { c.onRead.CompareAndSwap(&f, nil) }
 }
 
 // Writes returns the number of writes started.
--- a/transport/verify/verify.go
+++ b/transport/verify/verify.go
@@ -33,7 +33,8 @@
 //
 // It is safe for concurrent use.
 type Transport struct {
-	// Base sends the requests, on connections of package dial where answers of HTTP/1.0 matter. Its MaxResponseHeaderBytes also bounds the heads of the interim answers to one request together.
+	// Base sends the requests. Chunks in answers of HTTP/1.0 are only found on its connections of package dial. Its
+	// MaxResponseHeaderBytes also bounds the heads of the interim answers to one request together.
 	Base *http.Transport
 }
 
@@ -41,18 +42,19 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
 	var head rawHead
+	endRecord := func() {}
 	interim := interimHeads{left: cmp.Or(t.Base.MaxResponseHeaderBytes, defaultHeaderBytes)}
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			conn = info.Conn
-			setOnRead(conn, head.add)
+			if c, ok := conn.(*dial.Conn); ok {
+				endRecord = c.OnRead(head.add)
+			}
 		},
 		Got1xxResponse: interim.add,
 	})
 	resp, err := t.Base.RoundTrip(r.WithContext(ctx))
-	if conn != nil {
-		setOnRead(conn, nil)
-	}
+	endRecord()
 	if err != nil {
 		return nil, err
 	}
@@ -110,13 +112,6 @@
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
 
-// setOnRead has f called with what each read from a connection returns, if the connection can do that.
-func setOnRead(conn net.Conn, f func(data []byte)) {
-	if c, ok := conn.(*dial.Conn); ok {
-		c.SetOnRead(f)
-	}
-}
-
 // check returns an error if an answer is not valid.
 func check(resp *http.Response, head *rawHead) error {
 	if resp.ProtoMajor != 1 {
