idle: specs that count connections of their own only

Cause: closing a server does not wait for its connections, which count their end a moment later, and each spec set the map that all specs count in, without the mutex. A count could also have got into the next spec's map.

Ruled out: a race in the product: both reports are of the specs' own map.

Change: each spec counts in a map of its own, which is set under the mutex. What the specs ask is the same.

Conclusion: a fault of the specs, traced and mended.

--- a/transport/idle/bound_test.go
+++ b/transport/idle/bound_test.go
@@ -31,11 +31,15 @@
 		closer  *idle.Closer
 	)
 	BeforeEach(func() {
-		counted = map[string]int64{}
+		// Connections of the spec before may still be counted.
+		own := map[string]int64{}
+		mu.Lock()
+		counted = own
+		mu.Unlock()
 		closer = &idle.Closer{MaxOpen: func() int { return maxOpen }, MaxHead: func() int { return maxHead }, Count: func(name string, n int64) {
 			mu.Lock()
 			defer mu.Unlock()
-			counted[name] += n
+			own[name] += n
 		}}
 	})
 	count := func(name string) int64 {
--- a/transport/idle/idle_test.go
+++ b/transport/idle/idle_test.go
@@ -139,7 +139,11 @@
 		delayed.Store(false)
 		handled.Store(0)
 		setLimit(limit)
-		counted = map[string]int64{}
+		// Connections of the spec before may still be counted.
+		own := map[string]int64{}
+		mu.Lock()
+		counted = own
+		mu.Unlock()
 		closer = &idle.Closer{
 			Limit: func() time.Duration {
 				mu.Lock()
@@ -149,7 +153,7 @@
 			Count: func(name string, n int64) {
 				mu.Lock()
 				defer mu.Unlock()
-				counted[name] += n
+				own[name] += n
 			},
 		}
 	})
