--- a/cmd_host.go
+++ b/cmd_host.go
@@ -128,8 +128,9 @@
 	cloudTransport := transport.Clone()
 	cloudTransport.DialContext = dial.ResetOnClose
 	era, outages := &latest.Era{}, &outage.Detector{}
+	verified := &verify.Transport{Base: transport}
 	tableClient := func(table string) *store.Store {
-		return &store.Store{Address: cfg.Store, Table: table, Transport: &verify.Transport{Base: transport}, Timeout: storeTimeout, Era: era, Outages: outages, Log: s.Log}
+		return &store.Store{Address: cfg.Store, Table: table, Transport: verified, Timeout: storeTimeout, Era: era, Outages: outages, Log: s.Log}
 	}
 	s.Operator = tableClient(operatorTable)
 	s.Endpoints = tableClient(endpointTable)
