dial, verify: bytes behind the end of an answer are not the answer to the next request

Seen: a peer that sent more behind the end of an answer, such as a second answer, had that taken for the answer to another request that got the connection just then. Callers got none of it, as answers to them carry the id of their request; their requests failed, or went elsewhere.

Cause: net/http offers a connection for use again before its reader looks whether more has come. With a request under way, the reader takes what it finds for the answer. RFC 9112 (section 6.3) forbids that.

Ruled out: a look at the connection's bytes when the next request is written, as the extra ones are in the reader's buffer by then; an answer that comes before anything was written, as a part of a head merges with the next one.

Change: before a request is sent on a kept connection, it waits until the reader waits for data, too, and none has arrived (dial.Conn.AwaitIdle, called by transport/verify). A reader without a request that finds data closes the connection; then nothing of the request has been sent or read, and transport/verify sends it on another one. A write on a connection that this process has closed doesn't count as sent. The daemon's calls of engines and the platform use connections of dial, too.

Open: what comes once the next request was sent looks like its answer to the store, the platform and engines.

--- a/transport/daemon/build.go
+++ b/transport/daemon/build.go
@@ -39,6 +39,7 @@
 	"github.com/dragonflyroute/dragonflyroute/state/runs"
 	"github.com/dragonflyroute/dragonflyroute/state/server"
 	"github.com/dragonflyroute/dragonflyroute/state/trials"
+	"github.com/dragonflyroute/dragonflyroute/transport/dial"
 	"github.com/dragonflyroute/dragonflyroute/transport/engine"
 	"github.com/dragonflyroute/dragonflyroute/transport/front"
 	"github.com/dragonflyroute/dragonflyroute/transport/meter"
@@ -58,7 +59,7 @@
 		return err
 	}
 	d.meter = meter.New()
-	transport := &verify.Transport{Base: &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true}}
+	transport := &verify.Transport{Base: &http.Transport{DialContext: dial.Context, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true}}
 	d.platform = &plat.Client{Base: s.Platform, Timeout: s.Intervals.PlatformTimeout.Duration(), Client: &http.Client{Transport: transport}}
 	d.batch = batch.New(d.platform)
 	d.engine = &engine.Client{Client: &http.Client{Transport: transport}}
--- a/transport/dial/dial.go
+++ b/transport/dial/dial.go
@@ -34,6 +34,8 @@
 	checkNext atomic.Pointer[func() error]
 	onRead    atomic.Pointer[func(data []byte)]
 
+	reads readState
+
 	// writing is held during a write.
 	writing sync.Mutex
 	// writeErr is the error of the first write that failed, nil while none has.
@@ -83,6 +85,9 @@
 
 // begin returns an error if the next request must not be written: a write for an earlier one has failed, or the check fails.
 func (c *Conn) begin(check func() error) error {
+	if c.reads.closed.Load() {
+		return net.ErrClosed
+	}
 	c.writing.Lock()
 	err := c.writeErr
 	c.writing.Unlock()
@@ -100,7 +105,9 @@
 // Read reads from the connection. The kernel reports the failure of a connection only once: if a write meets it first, the reads
 // end like those of a connection that was closed in order. Such a read returns the error of the write instead of io.EOF.
 func (c *Conn) Read(buffer []byte) (int, error) {
+	c.reads.set(&c.reads.reading)
 	n, err := c.Conn.Read(buffer)
+	c.reads.reading.Store(false)
 	if f := c.onRead.Load(); f != nil {
 		(*f)(buffer[:n])
 	}
@@ -128,17 +135,9 @@
 // failed reports whether the kernel has given up the connection, as it does upon a reset or a timeout, or this process has closed
 // it meanwhile. One that its peer has closed in order can still be written to.
 func (c *Conn) failed() bool {
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
 	failed := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	err := c.control(func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		failed = err == nil && info.State == unix.BPF_TCP_CLOSE
 	})
 	return failed || err != nil
--- a/transport/verify/verify.go
+++ b/transport/verify/verify.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"strings"
+	"sync/atomic"
 
 	"github.com/dragonflyroute/dragonflyroute/protocol/fault"
 	"github.com/dragonflyroute/dragonflyroute/protocol/kind"
@@ -33,43 +35,101 @@
 //
 // It is safe for concurrent use.
 type Transport struct {
-	// Base sends the requests. Chunks in answers of HTTP/1.0 are only found on its connections of package dial. Its
-	// MaxResponseHeaderBytes also bounds the heads of the interim answers to one request together.
+	// Base sends the requests. Chunks in answers of HTTP/1.0, and bytes behind the end of an answer, are only found on its connections
+	// of package dial. Its MaxResponseHeaderBytes also bounds the heads of the interim answers to one request together.
 	Base *http.Transport
 }
 
 // RoundTrip sends a request and returns its answer.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var conn net.Conn
-	var head rawHead
-	endRecord := func() {}
-	interim := interimHeads{left: cmp.Or(t.Base.MaxResponseHeaderBytes, defaultHeaderBytes)}
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			conn = info.Conn
-			if c, ok := conn.(*dial.Conn); ok {
-				endRecord = c.OnRead(head.add)
+	for {
+		a := attempt{interim: interimHeads{left: cmp.Or(t.Base.MaxResponseHeaderBytes, defaultHeaderBytes)}}
+		resp, err := a.send(t.Base, r)
+		if err == nil || !a.closed.Load() {
+			return resp, err
+		}
+		if r.Context().Err() != nil {
+			if r.Body != nil {
+				_ = r.Body.Close()
 			}
-		},
-		Got1xxResponse: interim.add,
-	})
-	resp, err := t.Base.RoundTrip(r.WithContext(ctx))
-	endRecord()
+			return nil, err
+		}
+	}
+}
+
+// attempt sends a request once.
+type attempt struct {
+	conn    net.Conn
+	head    rawHead
+	interim interimHeads
+	// closed is set if the connection that the request got was closed before anything was sent, so that another one can be used.
+	closed atomic.Bool
+	// endRecord ends the record of the head; nil if there is none.
+	endRecord func()
+}
+
+// send sends the request and returns its answer if that is valid.
+func (a *attempt) send(base *http.Transport, r *http.Request) (*http.Response, error) {
+	sent := r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { a.use(r.Context(), info) },
+		Got1xxResponse: a.interim.add,
+	}))
+	if r.Body != nil && r.Body != http.NoBody {
+		sent.Body = &unsentBody{ReadCloser: r.Body, closed: &a.closed}
+	}
+	resp, err := base.RoundTrip(sent)
+	if a.endRecord != nil {
+		a.endRecord()
+	}
 	if err != nil {
 		return nil, err
 	}
-	if err := check(resp, &head); err != nil {
+	if err := check(resp, &a.head); err != nil {
 		// An answer without a body has made its connection idle, so that closing the body does not close it.
-		_ = conn.Close()
+		_ = a.conn.Close()
 		_ = resp.Body.Close()
 		return nil, err
 	}
 	if len(resp.TransferEncoding) > 0 {
-		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp, conn: conn}
+		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp, conn: a.conn}
 	}
 	return resp, nil
 }
 
+// use notes the connection that the request is about to be sent on.
+func (a *attempt) use(ctx context.Context, info httptrace.GotConnInfo) {
+	a.conn = info.Conn
+	c, ok := info.Conn.(*dial.Conn)
+	if !ok {
+		return
+	}
+	// What came behind the previous answer is no answer to this request (RFC 9112, section 6.3).
+	a.closed.Store(info.Reused && !c.AwaitIdle(ctx))
+	a.endRecord = c.OnRead(a.head.add)
+}
+
+// unsentBody is the body of a request. Nothing is read from it once the request's connection was found to be closed.
+type unsentBody struct {
+	io.ReadCloser
+	closed *atomic.Bool
+}
+
+// Read reads a part of the body.
+func (b *unsentBody) Read(buffer []byte) (int, error) {
+	if b.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return b.ReadCloser.Read(buffer)
+}
+
+// Close closes the body, unless it is needed for another connection.
+func (b *unsentBody) Close() error {
+	if b.closed.Load() {
+		return nil
+	}
+	return b.ReadCloser.Close()
+}
+
 // interimHeads are the heads of the interim answers to one request. net/http bounds their size only where nobody looks at them.
 type interimHeads struct {
 	// left is the number of bytes that further ones may have.
--- a/transport/verify/verify_test.go
+++ b/transport/verify/verify_test.go
@@ -31,6 +31,8 @@
 	// closes has each connection closed behind the first answer.
 	closes bool
 	conns  atomic.Int32
+	// requests counts the requests that have come whole.
+	requests atomic.Int32
 	// ended receives when a connection was closed by the client.
 	ended chan struct{}
 }
@@ -64,6 +66,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
+		s.requests.Add(1)
 		_, _ = io.WriteString(c, answer)
 		if s.closes {
 			return
